--- /dev/null
+++ b/emulator/cluster.ts
@@ -0,0 +1,205 @@
+/** A whole system in one process: platform, engines, application back ends and nodes. For the demo and benchmarks. */
+import { sleep } from '../src/common/clock.js';
+import { sha256Hex, uniqueId } from '../src/common/identifier.js';
+import { ThymecoveNode } from '../src/node/node.js';
+import { checkSettings, type Settings } from '../src/node/settings.js';
+import { OperatorClient } from '../src/protocol/operator-client.js';
+import { API_VERSION, type Role } from '../src/protocol/resource.js';
+import { formatProblems } from '../src/protocol/validation.js';
+import { HttpClient } from '../src/transport/http-client.js';
+import { ApplicationServer } from './application/application-server.js';
+import type { EngineOptions } from './engine/engine.js';
+import { EngineServer } from './engine/engine-server.js';
+import { PlatformServer } from './platform/platform-server.js';
+
+const HOST = '127.0.0.1';
+const POLL_MS = 20;
+const READY_TIMEOUT_MS = 20_000;
+
+/** Tokens of the emulator's clients; each is the role's name with a suffix. */
+export const EMULATOR_TOKENS = {
+  operator: 'operator-token-of-the-emulator',
+  approver: 'approver-token-of-the-emulator',
+  trainer: 'trainer-token-of-the-emulator',
+  caller: 'caller-token-of-the-emulator',
+  peer: 'peer-token-of-the-emulator',
+} as const satisfies Record<Role, string>;
+
+export const EMULATOR_TRAINER = 'demo-trainer';
+export const EMULATOR_MODEL = 'demo-model';
+export const EMULATOR_MODEL_SERVICE = 'demo-llm';
+export const EMULATOR_APPLICATION = 'demo-app';
+
+/** Settings of a node in front of the emulator. */
+export function emulatorSettings(
+  id: string,
+  zone: string,
+  platform: string,
+  seeds: readonly string[],
+  changes: Partial<Settings> = {},
+): Settings {
+  const grant = (role: Role, trainer?: string) => ({
+    identity: `${role}-of-the-emulator`,
+    tokenSha256: sha256Hex(EMULATOR_TOKENS[role]),
+    roles: [role],
+    ...(trainer ? { trainer } : {}),
+  });
+  const tree = {
+    node: { id, zone },
+    listen: { host: HOST, port: 0 },
+    seeds,
+    platform: { table: `${platform}/table`, objects: `${platform}/store`, machines: `${platform}/list` },
+    access: {
+      peerToken: EMULATOR_TOKENS.peer,
+      tokens: [grant('operator'), grant('approver'), grant('trainer', EMULATOR_TRAINER), grant('caller')],
+    },
+    ...changes,
+  };
+  const checked = checkSettings(tree);
+  if (checked.isErr()) throw new Error(formatProblems(checked.error));
+  return checked.value;
+}
+
+/** Sizes of an embedded system. */
+export interface ClusterOptions {
+  readonly nodes: number;
+  readonly engines: number;
+  readonly applications: number;
+  readonly zones: readonly string[];
+  readonly stalenessBound: number;
+  readonly engine?: Partial<EngineOptions>;
+  readonly settings?: Partial<Settings>;
+}
+
+/** An embedded system. */
+export class Cluster {
+  readonly platform = new PlatformServer();
+  readonly nodes: ThymecoveNode[] = [];
+  readonly engines: EngineServer[] = [];
+  readonly addresses: string[] = [];
+  private readonly applications: ApplicationServer[] = [];
+  private readonly client = new HttpClient();
+  private platformAddress = '';
+
+  constructor(private readonly options: ClusterOptions) {}
+
+  /** Starts everything and brings the declarations into force. */
+  async start(): Promise<void> {
+    this.platformAddress = await this.platform.start(HOST, 0);
+    const backends = [...(await this.startEngines()), ...(await this.startApplications())];
+    for (let index = 0; index < this.options.nodes; index += 1) await this.addNode(index);
+    await this.untilReady();
+    await this.declare([...this.baseDeclarations(), ...backends]);
+  }
+
+  /** An operator's client at a node. */
+  operator(index = 0): OperatorClient {
+    return new OperatorClient(this.client, this.addresses[index] as string, EMULATOR_TOKENS.operator);
+  }
+
+  /** Puts resources into force as one revision. */
+  async declare(manifests: readonly unknown[]): Promise<void> {
+    const changes = manifests.map((manifest) => ({ action: 'put' as const, manifest }));
+    const done = await this.operator().commit({ operationId: uniqueId(), changes });
+    if (done.isErr()) throw new Error(`${done.error.message} ${JSON.stringify(done.error.detail)}`);
+  }
+
+  /** Stops everything; the nodes as planned. */
+  async stop(): Promise<void> {
+    await Promise.all(this.nodes.map((node) => node.stop()));
+    for (const server of [...this.engines, ...this.applications]) server.stop();
+    this.platform.stop();
+    await this.client.close();
+  }
+
+  private zone(index: number): string {
+    return this.options.zones[index % this.options.zones.length] as string;
+  }
+
+  private async addNode(index: number): Promise<void> {
+    const seeds = this.addresses.slice(0, 1);
+    const settings = emulatorSettings(
+      `node-${index}`,
+      this.zone(index),
+      this.platformAddress,
+      seeds,
+      this.options.settings,
+    );
+    const node = new ThymecoveNode(settings, { processMetrics: false });
+    this.addresses.push(await node.start());
+    this.nodes.push(node);
+  }
+
+  private async startEngines(): Promise<unknown[]> {
+    const manifests: unknown[] = [];
+    for (let index = 0; index < this.options.engines; index += 1) {
+      const server = new EngineServer(
+        { model: EMULATOR_MODEL, version: 1, ...this.options.engine },
+        `${this.platformAddress}/weights`,
+      );
+      this.engines.push(server);
+      manifests.push(
+        this.backend(`engine-${index}`, EMULATOR_MODEL_SERVICE, await server.start(HOST, 0), index),
+      );
+    }
+    return manifests;
+  }
+
+  private async startApplications(): Promise<unknown[]> {
+    const manifests: unknown[] = [];
+    for (let index = 0; index < this.options.applications; index += 1) {
+      const server = new ApplicationServer(`app-${index}`);
+      this.applications.push(server);
+      manifests.push(this.backend(`app-${index}`, EMULATOR_APPLICATION, await server.start(HOST, 0), index));
+    }
+    return manifests;
+  }
+
+  private backend(name: string, service: string, address: string, index: number): unknown {
+    return {
+      apiVersion: API_VERSION,
+      kind: 'Backend',
+      metadata: { name },
+      spec: { service, address, zone: this.zone(index) },
+    };
+  }
+
+  private baseDeclarations(): unknown[] {
+    const manifest = (kind: string, name: string, spec: unknown) => ({
+      apiVersion: API_VERSION,
+      kind,
+      metadata: { name },
+      spec,
+    });
+    return [
+      manifest('Service', EMULATOR_MODEL_SERVICE, { type: 'model', repeatable: true }),
+      manifest('Service', EMULATOR_APPLICATION, { type: 'application', repeatable: false }),
+      manifest('Model', EMULATOR_MODEL, { service: EMULATOR_MODEL_SERVICE }),
+      manifest('ModelVersion', `${EMULATOR_MODEL}-v1`, {
+        model: EMULATOR_MODEL,
+        version: 1,
+        weights: { object: `${EMULATOR_MODEL}/1` },
+      }),
+      manifest('Trainer', EMULATOR_TRAINER, {
+        models: [EMULATOR_MODEL],
+        stalenessBound: this.options.stalenessBound,
+        batchSize: 32,
+      }),
+    ];
+  }
+
+  /** Waits until every node knows every other one and has loaded the configuration. */
+  private async untilReady(): Promise<void> {
+    const deadline = Date.now() + READY_TIMEOUT_MS;
+    const isReady = () =>
+      this.nodes.every(
+        (node) =>
+          node.state.freshness.isFresh &&
+          node.coordination.membership.members.active().length === this.options.nodes,
+      );
+    while (!isReady()) {
+      if (Date.now() > deadline) throw new Error('the nodes did not become ready');
+      await sleep(POLL_MS);
+    }
+  }
+}
--- /dev/null
+++ b/scripts/ci-summary.ts
@@ -0,0 +1,53 @@
+/**
+ * Prints the results of a test run (mocha's JSON report) and ends with `N passed, N failed`. A failure that is listed in
+ * `KNOWN-RED.txt` is printed but does not fail the run; a listed test that passes, or does not exist, does fail it.
+ */
+import { existsSync, readFileSync } from 'node:fs';
+
+interface ReportedTest {
+  readonly fullTitle: string;
+  readonly duration?: number;
+  readonly err: { readonly message?: string; readonly stack?: string };
+}
+
+interface Report {
+  readonly passes: readonly ReportedTest[];
+  readonly failures: readonly ReportedTest[];
+  readonly pending: readonly ReportedTest[];
+}
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const MAX_KNOWN_RED = 3;
+
+/** Titles of the tests that are known to fail: the part of each line before ` | `. */
+function readKnownRed(): string[] {
+  if (!existsSync(KNOWN_RED_FILE)) return [];
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  return lines
+    .filter((line) => line.trim() && !line.startsWith('#'))
+    .map((line) => line.split(' | ')[0] as string);
+}
+
+const say = (text: string) => process.stdout.write(`${text}\n`);
+
+const report = JSON.parse(readFileSync(process.argv[2] as string, 'utf8')) as Report;
+const knownRed = readKnownRed();
+const failed = new Set(report.failures.map((test) => test.fullTitle));
+for (const test of report.passes) say(`passed  ${test.fullTitle} (${test.duration ?? 0} ms)`);
+for (const test of report.pending) say(`not run ${test.fullTitle}`);
+for (const test of report.failures) {
+  say(`${knownRed.includes(test.fullTitle) ? 'known red' : 'FAILED '} ${test.fullTitle}`);
+  say(`        ${test.err.stack ?? test.err.message ?? ''}`);
+}
+const unexpected = report.failures.filter((test) => !knownRed.includes(test.fullTitle));
+const mended = knownRed.filter((title) => !failed.has(title));
+for (const title of mended) say(`listed in ${KNOWN_RED_FILE} but not failing: ${title}`);
+if (knownRed.length > MAX_KNOWN_RED) say(`${KNOWN_RED_FILE} lists more than ${MAX_KNOWN_RED} tests`);
+say(`${report.passes.length} passed, ${report.failures.length} failed`);
+const isGood =
+  report.passes.length > 0 &&
+  unexpected.length === 0 &&
+  mended.length === 0 &&
+  knownRed.length <= MAX_KNOWN_RED &&
+  report.pending.length === 0;
+process.exit(isGood ? 0 : 1);
--- /dev/null
+++ b/scripts/generate-resource-docs.ts
@@ -0,0 +1,72 @@
+/** Writes `docs/RESOURCES.md` from the TypeBox schemas; with `--check` only tells whether it is up to date. */
+import { readFileSync, writeFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+import { API_VERSION, KINDS, READ_ONLY_KINDS, STORED_KINDS } from '../src/protocol/resource.js';
+
+interface SchemaNode {
+  readonly type?: string;
+  readonly description?: string;
+  readonly const?: unknown;
+  readonly enum?: readonly unknown[];
+  readonly anyOf?: readonly SchemaNode[];
+  readonly items?: SchemaNode;
+  readonly properties?: Readonly<Record<string, SchemaNode>>;
+  readonly required?: readonly string[];
+  readonly minimum?: number;
+  readonly maximum?: number;
+  readonly pattern?: string;
+}
+
+const target = join(resolve(import.meta.dirname, '../..'), 'docs/RESOURCES.md');
+
+function typeText(node: SchemaNode): string {
+  if (node.const !== undefined) return `\`${JSON.stringify(node.const)}\``;
+  if (node.enum) return node.enum.map((one) => `\`${JSON.stringify(one)}\``).join(' or ');
+  if (node.anyOf) return node.anyOf.map(typeText).join(' or ');
+  if (node.type === 'array' && node.items) return `list of ${typeText(node.items)}`;
+  const range = [
+    node.minimum === undefined ? '' : `at least ${node.minimum}`,
+    node.maximum === undefined ? '' : `at most ${node.maximum}`,
+  ].filter(Boolean);
+  return [node.type ?? 'any', ...range].join(', ');
+}
+
+function rowsOf(node: SchemaNode, path: string): string[] {
+  const required = new Set(node.required ?? []);
+  return Object.entries(node.properties ?? {}).flatMap(([name, child]) => {
+    const field = path ? `${path}.${name}` : name;
+    const need = required.has(name) ? 'yes' : 'no';
+    const row = `| \`${field}\` | ${typeText(child)} | ${need} | ${child.description ?? ''} |`;
+    const nested = child.type === 'array' ? child.items : child;
+    const nestedPath = child.type === 'array' ? `${field}[]` : field;
+    return [row, ...(nested?.properties ? rowsOf(nested, nestedPath) : [])];
+  });
+}
+
+function sectionOf(kind: (typeof KINDS)[number]): string {
+  const note = READ_ONLY_KINDS.includes(kind) ? '\nWritten by the system only; operators read it.\n' : '';
+  const rows = rowsOf(STORED_KINDS[kind] as unknown as SchemaNode, 'spec');
+  return [`## ${kind}`, note, '| field | type | required | meaning |', '|---|---|---|---|', ...rows, ''].join(
+    '\n',
+  );
+}
+
+const INTRODUCTION = `# Resources
+
+Generated from the schemas in \`src/protocol/resource.ts\` by \`npm run docs\`; do not edit.
+
+Every resource has \`apiVersion: ${API_VERSION}\`, \`kind\`, \`metadata.name\`, optional \`metadata.labels\`, and \`spec\`. The
+system adds \`metadata.resourceVersion\` (the configuration revision that last changed it), \`metadata.generation\` (counts
+changes of the spec), \`metadata.source\` (the source revision that declared its present form), \`metadata.set\` (the set of
+declarations that it belongs to) and \`status\` (\`observedGeneration\` and conditions, as the answering node sees them).
+
+A further kind, \`Rollout\`, is read from the sample ledger: \`thymecove get Rollout\`.
+`;
+
+const text = `${INTRODUCTION}\n${KINDS.map(sectionOf).join('\n')}`;
+if (process.argv.includes('--check')) {
+  const isCurrent = readFileSync(target, 'utf8') === text;
+  process.stdout.write(`docs/RESOURCES.md: ${isCurrent ? 'up to date' : 'out of date, run npm run docs'}\n`);
+  process.exit(isCurrent ? 0 : 1);
+}
+writeFileSync(target, text);
--- /dev/null
+++ b/src/cli/commands/declare.ts
@@ -0,0 +1,209 @@
+/** `thymecove validate`, `diff` and `apply`: declarations held in version control. */
+import { array, boolean, command, flag, multioption, number, option, optional, string } from 'cmd-ts';
+import { monotonicMs, sleep } from '../../common/clock.js';
+import { uniqueId } from '../../common/identifier.js';
+import type { Changeset, ChangesetAnswer } from '../../protocol/operator.js';
+import { type OperatorClient, problemOf } from '../../protocol/operator-client.js';
+import type { ProtocolError } from '../../protocol/protocol-error.js';
+import { type ConnectionValues, connectionFlags, outputFlag, withOperator } from '../connection.js';
+import { type Declaration, loadDeclarations } from '../declarations.js';
+import { ExitCode } from '../exit-codes.js';
+import { formatTable, type OutputFormat, printNote, printResult, reportFailure } from '../output.js';
+import { type PlannedChange, planApply, toChangeset } from '../plan.js';
+
+const files = multioption({
+  type: array(string),
+  long: 'file',
+  short: 'f',
+  description: 'File or directory of declarations (YAML or JSON); may be repeated.',
+});
+const set = option({
+  type: string,
+  long: 'set',
+  defaultValue: () => 'default',
+  description: 'Name of the set of declarations, for --prune.',
+});
+const prune = flag({
+  type: boolean,
+  long: 'prune',
+  description: 'Delete what an earlier apply of the set declared.',
+});
+
+/** Reads the declarations, or ends the process with the problems named. */
+function loadOrExit(paths: readonly string[]): Declaration[] {
+  if (paths.length === 0) {
+    printNote('error: --file is required');
+    process.exit(ExitCode.invalidInput);
+  }
+  const loaded = loadDeclarations(paths);
+  if (loaded.isOk()) return loaded.value;
+  printNote(`error: ${loaded.error.length} problem(s) in the declarations`);
+  for (const problem of loaded.error) printNote(`  ${problem.file}: ${problem.field}: ${problem.message}`);
+  process.exit(ExitCode.invalidInput);
+}
+
+/** `thymecove validate`. */
+export const validateCommand = command({
+  name: 'validate',
+  description: 'Check declarations without a node.',
+  examples: [{ description: 'Check a tree', command: 'thymecove validate -f examples/nahr' }],
+  args: { files, output: outputFlag },
+  handler: ({ files: paths, output }) => {
+    const declarations = loadOrExit(paths);
+    const rows = declarations.map(({ file, manifest }) => ({
+      kind: manifest.kind,
+      name: manifest.metadata.name,
+      file,
+    }));
+    printResult(output, rows, () =>
+      formatTable(
+        ['KIND', 'NAME', 'FILE'],
+        rows.map((row) => [row.kind, row.name, row.file]),
+      ),
+    );
+  },
+});
+
+function printPlan(output: OutputFormat, plan: readonly PlannedChange[]): void {
+  const shown = plan.map(({ manifest: _manifest, ...rest }) => rest);
+  printResult(output, shown, () => formatTable(['ACTION', 'KIND', 'NAME', 'CHANGES'], plan.map(planRow)));
+}
+
+function planRow(change: PlannedChange): string[] {
+  const fields = change.differences.map(
+    (one) => `${one.field}: ${JSON.stringify(one.inForce)} -> ${JSON.stringify(one.declared)}`,
+  );
+  return [change.action, change.kind, change.name, fields.join('\n')];
+}
+
+/** `thymecove diff`. */
+export const diffCommand = command({
+  name: 'diff',
+  description: 'Show what an apply would change. Exit code 6 when something differs.',
+  examples: [{ description: 'Compare a tree', command: 'thymecove diff -f examples/nahr --set nahr' }],
+  args: { ...connectionFlags, files, set, prune, output: outputFlag },
+  handler: (args) => {
+    const declarations = loadOrExit(args.files);
+    return withOperator(args, async (client) => {
+      const plan = await planApply(client, declarations, {
+        set: args.set,
+        source: undefined,
+        prune: args.prune,
+      });
+      if (plan.isErr()) return reportFailure(plan.error);
+      printPlan(args.output, plan.value);
+      return plan.value.some((one) => one.action !== 'unchanged') ? ExitCode.differences : ExitCode.ok;
+    });
+  },
+});
+
+const SETTLE_TRIES = 10;
+const DEFAULT_WAIT_MS = 60_000;
+const WAIT_POLL_MS = 200;
+
+/** Repeats a commit under its operation ID until its outcome is known. */
+async function commitUntilSettled(client: OperatorClient, changeset: Changeset) {
+  for (let attempt = 1; ; attempt += 1) {
+    const answer = await client.commit(changeset);
+    if (answer.isOk() || !isUnsettled(answer.error) || attempt >= SETTLE_TRIES) return answer;
+    printNote(`outcome not known yet, asking again (${attempt}): ${answer.error.message}`);
+    await sleep(answer.error.retryAfterMs ?? 1_000);
+  }
+}
+
+function isUnsettled(error: ProtocolError): boolean {
+  const problem = problemOf(error);
+  return problem ? problem.executed === 'unknown' || problem.status === 503 : error.effect === 'unknown';
+}
+
+/** Waits until every member holds the revision; one progress line on standard error. */
+async function waitInForce(client: OperatorClient, revision: number, timeoutMs: number): Promise<number> {
+  const deadline = monotonicMs() + timeoutMs;
+  for (;;) {
+    const report = await client.revision(revision);
+    if (report.isOk()) {
+      const { holders, members, inForceEverywhere } = report.value;
+      process.stderr.write(`\rrevision ${revision}: in force on ${holders} of ${members} nodes`);
+      if (inForceEverywhere) {
+        process.stderr.write('\n');
+        return ExitCode.ok;
+      }
+    }
+    if (monotonicMs() > deadline) {
+      process.stderr.write('\n');
+      if (report.isErr()) return reportFailure(report.error);
+      printNote('error: not in force everywhere within the time allowed');
+      return ExitCode.unavailable;
+    }
+    await sleep(WAIT_POLL_MS);
+  }
+}
+
+interface ApplyValues extends ConnectionValues {
+  readonly files: string[];
+  readonly set: string;
+  readonly prune: boolean;
+  readonly dryRun: boolean;
+  readonly wait: boolean;
+  readonly waitMs: number | undefined;
+  readonly source: string | undefined;
+  readonly output: OutputFormat;
+}
+
+async function apply(
+  client: OperatorClient,
+  declarations: readonly Declaration[],
+  args: ApplyValues,
+): Promise<number> {
+  const plan = await planApply(client, declarations, {
+    set: args.set,
+    source: args.source,
+    prune: args.prune,
+  });
+  if (plan.isErr()) return reportFailure(plan.error);
+  const changeset = toChangeset(plan.value, uniqueId(), args.dryRun);
+  let answer: ChangesetAnswer | undefined;
+  if (changeset) {
+    const committed = await commitUntilSettled(client, changeset);
+    if (committed.isErr()) return reportFailure(committed.error);
+    answer = committed.value;
+  }
+  printPlan(args.output, plan.value);
+  if (!answer) printNote('nothing differs; nothing was changed');
+  else if (args.dryRun) printNote('dry run: nothing was changed');
+  else printNote(`accepted as revision ${answer.revision}`);
+  if (!answer || args.dryRun || !args.wait) return ExitCode.ok;
+  return waitInForce(client, answer.revision, args.waitMs ?? DEFAULT_WAIT_MS);
+}
+
+/** `thymecove apply`. */
+export const applyCommand = command({
+  name: 'apply',
+  description:
+    'Bring declarations into force, all in one revision. Applying the same tree twice changes nothing.',
+  examples: [
+    {
+      description: 'Apply a tree and wait until every node has it',
+      command: 'thymecove apply -f examples/nahr --set nahr --prune --source "$(git rev-parse HEAD)" --wait',
+    },
+  ],
+  args: {
+    ...connectionFlags,
+    files,
+    set,
+    prune,
+    dryRun: flag({ type: boolean, long: 'dry-run', description: 'Check on the server, change nothing.' }),
+    wait: flag({ type: boolean, long: 'wait', description: 'Wait until it is in force on every node.' }),
+    waitMs: option({
+      type: optional(number),
+      long: 'wait-ms',
+      description: 'Longest wait, milliseconds. Default 60000.',
+    }),
+    source: option({ type: optional(string), long: 'source', description: 'Revision of the source tree.' }),
+    output: outputFlag,
+  },
+  handler: (args) => {
+    const declarations = loadOrExit(args.files);
+    return withOperator(args, (client) => apply(client, declarations, args));
+  },
+});
--- /dev/null
+++ b/src/cli/connection.ts
@@ -0,0 +1,61 @@
+/** Flags by which a command reaches a node, and the client made of them. */
+import { readFileSync } from 'node:fs';
+import { oneOf, option, optional, string } from 'cmd-ts';
+import { OperatorClient } from '../protocol/operator-client.js';
+import { HttpClient } from '../transport/http-client.js';
+import { ExitCode } from './exit-codes.js';
+import { type OutputFormat, printNote } from './output.js';
+
+/** Flags of every command that talks to a node. */
+export const connectionFlags = {
+  server: option({
+    type: string,
+    long: 'server',
+    env: 'THYMECOVE_SERVER',
+    defaultValue: () => 'http://127.0.0.1:7400',
+    description: 'Base URL of any node (THYMECOVE_SERVER).',
+  }),
+  tokenFile: option({
+    type: optional(string),
+    long: 'token-file',
+    env: 'THYMECOVE_TOKEN_FILE',
+    description:
+      'File that holds the bearer token (THYMECOVE_TOKEN_FILE); otherwise THYMECOVE_TOKEN is used.',
+  }),
+};
+
+/** Flag for the form of output. */
+export const outputFlag = option({
+  type: oneOf<OutputFormat>(['table', 'json', 'yaml']),
+  long: 'output',
+  short: 'o',
+  defaultValue: () => 'table' as const,
+  description: 'table, json or yaml.',
+});
+
+/** Values of the connection flags. */
+export interface ConnectionValues {
+  readonly server: string;
+  readonly tokenFile: string | undefined;
+}
+
+function readToken(values: ConnectionValues): string {
+  if (values.tokenFile === undefined) return process.env.THYMECOVE_TOKEN ?? '';
+  try {
+    return readFileSync(values.tokenFile, 'utf8').trim();
+  } catch (cause) {
+    printNote(`error: --token-file: ${(cause as Error).message}`);
+    process.exit(ExitCode.invalidInput);
+  }
+}
+
+/** Runs a command with a client; the process ends with the code that it returns. */
+export async function withOperator(
+  values: ConnectionValues,
+  work: (client: OperatorClient) => Promise<number>,
+): Promise<void> {
+  const http = new HttpClient();
+  const client = new OperatorClient(http, values.server.replace(/\/$/, ''), readToken(values));
+  process.exitCode = await work(client);
+  await http.close();
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,46 @@
+#!/usr/bin/env node
+/** The command line. */
+import { runSafely, subcommands } from 'cmd-ts';
+import { configureLogging } from '../common/logging.js';
+import { applyCommand, diffCommand, validateCommand } from './commands/declare.js';
+import {
+  describeCommand,
+  explainCommand,
+  getCommand,
+  statusCommand,
+  watchCommand,
+} from './commands/inspect.js';
+import { nodeCommand } from './commands/node.js';
+import { approveCommand, drainCommand } from './commands/operate.js';
+import { ExitCode } from './exit-codes.js';
+
+const app = subcommands({
+  name: 'thymecove',
+  description: 'Rollout service for reinforcement learning: nodes and their operators.',
+  cmds: {
+    node: nodeCommand,
+    validate: validateCommand,
+    diff: diffCommand,
+    apply: applyCommand,
+    get: getCommand,
+    describe: describeCommand,
+    watch: watchCommand,
+    drain: drainCommand,
+    approve: approveCommand,
+    explain: explainCommand,
+    status: statusCommand,
+  },
+});
+
+configureLogging('stderr');
+const outcome = await runSafely(app, process.argv.slice(2));
+if (outcome._tag === 'error') {
+  const { exitCode, message, into } = outcome.error.config;
+  const sink = into === 'stdout' ? process.stdout : process.stderr;
+  sink.write(`${message}\n`);
+  // The library ends usage errors with 1; here they are input errors. Help ends with 0.
+  process.exitCode = exitCode === 0 || into === 'stdout' ? ExitCode.ok : ExitCode.invalidInput;
+} else {
+  // The value of a command is its own promise.
+  await outcome.value;
+}
--- /dev/null
+++ b/src/cli/plan.ts
@@ -0,0 +1,138 @@
+/** What an apply would change: declarations beside the resources that are in force. */
+import { err, ok, type Result } from 'neverthrow';
+import type { Manifest } from '../protocol/manifest.js';
+import type { Changeset } from '../protocol/operator.js';
+import type { OperatorClient, ShownResource } from '../protocol/operator-client.js';
+import type { ProtocolError } from '../protocol/protocol-error.js';
+import { KINDS, READ_ONLY_KINDS, type Resource, resourceKey } from '../protocol/resource.js';
+import { sameDeclaration } from '../state/config-store.js';
+import type { Declaration } from './declarations.js';
+
+/** A planned change. */
+export interface PlannedChange {
+  readonly action: 'create' | 'update' | 'delete' | 'unchanged';
+  readonly kind: string;
+  readonly name: string;
+  /** Version that the plan is based on; 0 for a resource that does not exist. */
+  readonly basedOn: number;
+  /** Fields that differ, with both values. */
+  readonly differences: readonly FieldDifference[];
+  readonly manifest?: Manifest;
+}
+
+/** A field that differs. */
+export interface FieldDifference {
+  readonly field: string;
+  readonly inForce: unknown;
+  readonly declared: unknown;
+}
+
+/** How declarations are to be applied. */
+export interface PlanOptions {
+  readonly set: string;
+  readonly source: string | undefined;
+  readonly prune: boolean;
+}
+
+/** Fields that commands set and a declaration leaves alone unless it names them. */
+const OPERATIONAL_FIELDS: Readonly<Record<string, readonly string[]>> = {
+  Backend: ['draining', 'drainReason'],
+  ModelVersion: ['approvals'],
+};
+
+type Tree = Record<string, unknown>;
+
+function withOperationalFields(manifest: Manifest, stored: ShownResource | undefined): Manifest {
+  const spec: Tree = { ...manifest.spec };
+  for (const field of OPERATIONAL_FIELDS[manifest.kind] ?? []) {
+    if (!(field in spec) && stored && field in stored.spec) spec[field] = stored.spec[field];
+  }
+  return { ...manifest, spec: spec as Manifest['spec'] };
+}
+
+function isTree(value: unknown): value is Tree {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+/** Fields in which two values differ, by dotted path. */
+export function differencesBetween(inForce: unknown, declared: unknown, path = ''): FieldDifference[] {
+  if (isTree(inForce) && isTree(declared)) {
+    const names = [...new Set([...Object.keys(inForce), ...Object.keys(declared)])].sort();
+    return names.flatMap((name) =>
+      differencesBetween(inForce[name], declared[name], path ? `${path}.${name}` : name),
+    );
+  }
+  return JSON.stringify(inForce) === JSON.stringify(declared) ? [] : [{ field: path, inForce, declared }];
+}
+
+function planOne(
+  declaration: Declaration,
+  stored: ShownResource | undefined,
+  options: PlanOptions,
+): PlannedChange {
+  const completed = withOperationalFields(declaration.manifest, stored);
+  const { name, labels } = completed.metadata;
+  const metadata = {
+    name,
+    ...(labels ? { labels } : {}),
+    set: options.set,
+    ...(options.source ? { source: options.source } : {}),
+  };
+  const manifest: Manifest = { ...completed, metadata };
+  const { kind } = manifest;
+  if (!stored) return { action: 'create', kind, name, basedOn: 0, differences: [], manifest };
+  const basedOn = stored.metadata.resourceVersion;
+  if (sameDeclaration(stored as unknown as Resource, manifest)) {
+    return { action: 'unchanged', kind, name, basedOn, differences: [] };
+  }
+  const shown = (one: { metadata: Tree; spec: unknown }) => ({
+    metadata: { labels: one.metadata.labels ?? {}, set: one.metadata.set ?? '' },
+    spec: one.spec,
+  });
+  const differences = differencesBetween(shown(stored), shown(manifest as never));
+  return { action: 'update', kind, name, basedOn, differences, manifest };
+}
+
+/** Plans an apply. `--prune` deletes only what an earlier apply of the same set declared. */
+export async function planApply(
+  client: OperatorClient,
+  declarations: readonly Declaration[],
+  options: PlanOptions,
+): Promise<Result<PlannedChange[], ProtocolError>> {
+  const stored = new Map<string, ShownResource>();
+  for (const kind of KINDS.filter((one) => !READ_ONLY_KINDS.includes(one))) {
+    const found = await client.list(kind);
+    if (found.isErr()) return err(found.error);
+    for (const one of found.value.items) stored.set(resourceKey(one.kind, one.metadata.name), one);
+  }
+  const planned = declarations.map((one) =>
+    planOne(one, stored.get(resourceKey(one.manifest.kind, one.manifest.metadata.name)), options),
+  );
+  if (!options.prune) return ok(planned);
+  const declared = new Set(planned.map((one) => resourceKey(one.kind, one.name)));
+  const pruned = [...stored.values()]
+    .filter(
+      (one) => one.metadata.set === options.set && !declared.has(resourceKey(one.kind, one.metadata.name)),
+    )
+    .map((one): PlannedChange => {
+      const { name, resourceVersion } = one.metadata;
+      return { action: 'delete', kind: one.kind, name, basedOn: resourceVersion, differences: [] };
+    });
+  return ok([...planned, ...pruned]);
+}
+
+/** The changeset of a plan; `undefined` when nothing differs. */
+export function toChangeset(
+  plan: readonly PlannedChange[],
+  operationId: string,
+  dryRun: boolean,
+): Changeset | undefined {
+  const changes = plan
+    .filter((one) => one.action !== 'unchanged')
+    .map((one): Changeset['changes'][number] =>
+      one.action === 'delete'
+        ? { action: 'delete', kind: one.kind, name: one.name, expectedVersion: one.basedOn }
+        : { action: 'put', manifest: one.manifest, expectedVersion: one.basedOn },
+    );
+  return changes.length === 0 ? undefined : { operationId, dryRun, changes };
+}
--- /dev/null
+++ b/src/common/clock.ts
@@ -0,0 +1,31 @@
+/**
+ * Time helpers. Durations and ages are always measured on the monotonic clock, because wall clocks
+ * of different machines disagree; wall time is used only in records that people read.
+ */
+
+/** Milliseconds on this process's monotonic clock. The origin has no meaning across processes. */
+export function monotonicMs(): number {
+  return performance.now();
+}
+
+/** Wall-clock time as an ISO 8601 string, for records and logs. */
+export function wallTime(): string {
+  return new Date().toISOString();
+}
+
+/** Resolves after `ms` milliseconds, or at once when `signal` is aborted. Never rejects. */
+export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal?.aborted) {
+      resolve();
+      return;
+    }
+    const finish = () => {
+      clearTimeout(timer);
+      signal?.removeEventListener('abort', finish);
+      resolve();
+    };
+    const timer = setTimeout(finish, ms);
+    signal?.addEventListener('abort', finish, { once: true });
+  });
+}
--- /dev/null
+++ b/src/common/metrics.ts
@@ -0,0 +1,72 @@
+/** Counters, gauges and histograms of one node, in its own registry (several nodes may share a process). */
+import { Counter, collectDefaultMetrics, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_SECONDS = [
+  0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 120,
+];
+
+/** The metrics of a node. Names follow the Prometheus conventions; every counter starts at 0. */
+export class Metrics {
+  readonly registry = new Registry();
+  /** Answers to callers by route and status. */
+  readonly requests = this.counter('thymecove_requests_total', 'Answers by route and status', [
+    'route',
+    'status',
+  ]);
+  /** Refusals by reason code. */
+  readonly refusals = this.counter('thymecove_refusals_total', 'Refusals by code', ['code']);
+  /** Attempts sent to back ends by outcome. */
+  readonly attempts = this.counter('thymecove_attempts_total', 'Attempts by outcome', ['service', 'outcome']);
+  /** Samples by what became of them. */
+  readonly samples = this.counter('thymecove_samples_total', 'Samples by outcome', ['trainer', 'outcome']);
+  /** Streams resumed on another engine after a cut. */
+  readonly resumes = this.counter('thymecove_stream_resumes_total', 'Streams resumed on another engine', []);
+  /** Calls of the platform by operation and outcome. */
+  readonly platformCalls = this.counter('thymecove_platform_calls_total', 'Platform calls', [
+    'operation',
+    'outcome',
+  ]);
+  /** Peer calls by operation and outcome. */
+  readonly peerCalls = this.counter('thymecove_peer_calls_total', 'Peer calls', ['operation', 'outcome']);
+  /** Events that a lifecycle did not take: each one is a defect. */
+  readonly lifecycleDefects = this.counter('thymecove_lifecycle_defects_total', 'Events not taken', [
+    'lifecycle',
+    'event',
+  ]);
+  /** Changes of state by lifecycle and new state. */
+  readonly transitions = this.counter('thymecove_lifecycle_transitions_total', 'State changes', [
+    'lifecycle',
+    'state',
+  ]);
+  /** Configuration revision in force on this node. */
+  readonly configRevision = this.gauge('thymecove_config_revision', 'Configuration revision in force');
+  /** Members that this node believes alive. */
+  readonly membersAlive = this.gauge('thymecove_members_alive', 'Members believed alive');
+  /** Requests being served now. */
+  readonly inFlight = this.gauge('thymecove_requests_in_flight', 'Requests being served');
+  /** Time to the first byte of an answer. */
+  readonly latency = new Histogram({
+    name: 'thymecove_request_seconds',
+    help: 'Time from a request to the end of its answer',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [this.registry],
+  });
+
+  /** `processMetrics` adds the processor and memory figures of the process; one node of a process takes it. */
+  constructor(processMetrics: boolean) {
+    if (processMetrics) collectDefaultMetrics({ register: this.registry });
+  }
+
+  private counter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[],
+  ): Counter<Label> {
+    return new Counter({ name, help, labelNames: [...labelNames], registers: [this.registry] });
+  }
+
+  private gauge(name: string, help: string): Gauge {
+    return new Gauge({ name, help, registers: [this.registry] });
+  }
+}
--- /dev/null
+++ b/src/common/random.ts
@@ -0,0 +1,40 @@
+/** Seeded pseudo-random numbers, so that a run can be repeated. Backed by `pure-rand`. */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+const RESOLUTION = 0x7fffffff;
+
+/** A seeded generator of uniform numbers. */
+export class Random {
+  private readonly generator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  /** A uniform integer in `[0, exclusiveMax)`. */
+  integer(exclusiveMax: number): number {
+    return uniformInt(this.generator, 0, exclusiveMax - 1);
+  }
+
+  /** A uniform number in `[0, 1)`. */
+  fraction(): number {
+    return this.integer(RESOLUTION) / RESOLUTION;
+  }
+
+  /** One element of a non-empty list. */
+  pick<T>(items: readonly T[]): T {
+    return items[this.integer(items.length)] as T;
+  }
+
+  /** Up to `count` different elements, in random order. */
+  sample<T>(items: readonly T[], count: number): T[] {
+    const rest = [...items];
+    const chosen: T[] = [];
+    while (rest.length > 0 && chosen.length < count) {
+      const [item] = rest.splice(this.integer(rest.length), 1);
+      chosen.push(item as T);
+    }
+    return chosen;
+  }
+}
--- /dev/null
+++ b/src/coordination/coordination-error.ts
@@ -0,0 +1,58 @@
+/** Failures of the coordination layer: what became of a piece of work, in the terms of a refusal. */
+import type { Executed, RefusalCode } from '../protocol/problem.js';
+import type { ProtocolError } from '../protocol/protocol-error.js';
+import type { StateError, VersionPair } from '../state/state-error.js';
+
+/** Work that was refused or failed. `executed` is `no` only when it is certain that it did not run. */
+export class CoordinationError extends Error {
+  override readonly name = 'CoordinationError';
+
+  constructor(
+    readonly code: RefusalCode,
+    readonly executed: Executed,
+    message: string,
+    readonly retryAfterMs?: number,
+    readonly versions?: VersionPair,
+  ) {
+    super(message);
+  }
+}
+
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+const CODE_OF_STATE_FAILURE: Readonly<Record<StateError['failure'], RefusalCode>> = {
+  unavailable: 'platform-unavailable',
+  'rate-limited': 'overloaded',
+  conflict: 'conflict',
+  'lease-lost': 'conflict',
+  'not-found': 'not-found',
+  invalid: 'invalid-request',
+};
+
+/** Turns a state failure into one of this layer. */
+export function fromState(error: StateError): CoordinationError {
+  const code = CODE_OF_STATE_FAILURE[error.failure];
+  const executed = error.effect === 'none' ? 'no' : 'unknown';
+  const isTemporary = error.failure === 'unavailable' || error.failure === 'rate-limited';
+  const wait = error.retryAfterMs ?? (isTemporary ? DEFAULT_RETRY_AFTER_MS : undefined);
+  return new CoordinationError(code, executed, error.message, wait, error.versions);
+}
+
+/** Turns a failed exchange with a back end into one of this layer. */
+export function fromBackend(error: ProtocolError): CoordinationError {
+  if (error.effect === 'none') {
+    return new CoordinationError(
+      'backend-refused',
+      'no',
+      error.message,
+      error.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
+    );
+  }
+  return new CoordinationError('outcome-unknown', 'unknown', error.message, DEFAULT_RETRY_AFTER_MS);
+}
+
+/** Of two failures of the same work, the one to report: once it may have run, a later `no` does not undo that. */
+export function worseOf(earlier: CoordinationError | undefined, later: CoordinationError): CoordinationError {
+  if (earlier === undefined || earlier.executed === 'no') return later;
+  return later.executed === 'no' ? earlier : later;
+}
--- /dev/null
+++ b/src/coordination/delivery.ts
@@ -0,0 +1,91 @@
+/** Delivery of samples to trainers: draws through any node, with a wait for the first sample. */
+import { err, ok, type Result } from 'neverthrow';
+import { monotonicMs, sleep } from '../common/clock.js';
+import type { Metrics } from '../common/metrics.js';
+import type { ResourceOf } from '../protocol/resource.js';
+import type { Batch, DrawRequest } from '../protocol/trainer.js';
+import type { BatchLedger, DrawOutcome, DrawTerms } from '../state/batch-ledger.js';
+import type { ConfigView } from '../state/config-view.js';
+import type { DecisionLog } from '../state/decision-log.js';
+import { isWithinBound } from '../state/ledger-rows.js';
+import { type CoordinationError, fromState } from './coordination-error.js';
+import { newestPublished } from './version-policy.js';
+
+const POLL_MS = 100;
+const DEFAULT_BATCH_SIZE = 64;
+
+/** The delivery of one node. */
+export class Delivery {
+  constructor(
+    private readonly ledger: BatchLedger,
+    private readonly view: ConfigView,
+    private readonly decisions: DecisionLog,
+    private readonly metrics: Metrics,
+  ) {}
+
+  /** Draws a batch; waits for the first sample as long as the request allows. */
+  async draw(
+    trainer: ResourceOf<'Trainer'>,
+    request: DrawRequest,
+    requestId: string,
+    signal: AbortSignal,
+  ): Promise<Result<Batch, CoordinationError>> {
+    const deadline = monotonicMs() + (request.waitMs ?? 0);
+    const terms = termsOf(trainer);
+    for (;;) {
+      const outcome = await this.ledger.draw(terms, request);
+      if (outcome.isErr()) return err(fromState(outcome.error));
+      this.noteDiscards(terms, outcome.value, requestId);
+      const { batch, references } = outcome.value;
+      const isLate = monotonicMs() >= deadline || signal.aborted;
+      if (batch.samples.length === 0 && !isLate) {
+        await sleep(POLL_MS, signal);
+        continue;
+      }
+      if (!this.isStillFresh(terms, outcome.value)) continue;
+      this.noteDelivery(terms, references.length, requestId, batch);
+      return ok(batch);
+    }
+  }
+
+  /** The last look before the first byte is written: the trainer may have published meanwhile. */
+  private isStillFresh(terms: DrawTerms, outcome: DrawOutcome): boolean {
+    return outcome.references.every((sample) =>
+      isWithinBound(sample.oldestVersion, newestPublished(this.view, sample.model), terms.stalenessBound),
+    );
+  }
+
+  private noteDiscards(terms: DrawTerms, outcome: DrawOutcome, requestId: string): void {
+    for (const { sample, reason, newest } of outcome.discarded) {
+      this.metrics.samples.inc({ trainer: terms.trainer, outcome: reason });
+      this.decisions.record({
+        kind: 'discard',
+        subjects: [requestId, sample.sampleId, `trainer/${terms.trainer}`],
+        choice: reason === 'too-old' ? 'generate again' : 'drop',
+        reason,
+        inputs: { staleness: { oldest: sample.oldestVersion, newest, bound: terms.stalenessBound } },
+      });
+    }
+  }
+
+  private noteDelivery(terms: DrawTerms, count: number, requestId: string, batch: Batch): void {
+    if (count === 0) return;
+    this.metrics.samples.inc({ trainer: terms.trainer, outcome: 'handed-out' }, count);
+    this.decisions.record({
+      kind: 'deliver',
+      subjects: [requestId, `trainer/${terms.trainer}`],
+      choice: `cursor ${batch.cursor} attempt ${batch.attempt}`,
+      reason: 'within-bound',
+      inputs: { note: `${count} samples, checked against ${JSON.stringify(batch.checkedAgainst)}` },
+    });
+  }
+}
+
+function termsOf(trainer: ResourceOf<'Trainer'>): DrawTerms {
+  return {
+    trainer: trainer.metadata.name,
+    models: trainer.spec.models,
+    stalenessBound: trainer.spec.stalenessBound,
+    batchSize: trainer.spec.batchSize ?? DEFAULT_BATCH_SIZE,
+  };
+}
--- /dev/null
+++ b/src/coordination/event-transcript.ts
@@ -0,0 +1,104 @@
+/**
+ * The events of a generation as bytes. Bytes are passed on in whole events and are parsed only when the text is
+ * needed: at the end of a sample, or to resume on another engine after a cut.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { parseEventLine, STREAM_END } from '../protocol/engine.js';
+import type { Segment } from '../protocol/trainer.js';
+
+const EVENT_END = Buffer.from('\n\n');
+const END_EVENT = Buffer.from(`data: ${STREAM_END}\n\n`);
+
+/** What a transcript says. */
+export interface GeneratedText {
+  readonly text: string;
+  readonly tokens: number;
+  readonly segments: Segment[];
+  readonly finishReason: string;
+}
+
+/** The part of a transcript that one engine produced. */
+interface Part {
+  readonly engine: string;
+  readonly chunks: Buffer[];
+}
+
+/** Collects whole events, engine by engine. */
+export class EventTranscript {
+  private readonly parts: Part[] = [];
+  private carry: Buffer = Buffer.alloc(0);
+  private ended = false;
+
+  /** Whether the end marker has come. */
+  get isComplete(): boolean {
+    return this.ended;
+  }
+
+  /** Whether nothing has come yet. */
+  get isEmpty(): boolean {
+    return this.parts.every((part) => part.chunks.length === 0);
+  }
+
+  /** Engines that took part. */
+  engines(): string[] {
+    return this.parts.map((part) => part.engine);
+  }
+
+  /** Begins the part of another engine; an unfinished event of the one before is dropped. */
+  beginPart(engine: string): void {
+    this.carry = Buffer.alloc(0);
+    this.parts.push({ engine, chunks: [] });
+  }
+
+  /** Takes received bytes; returns those that make up whole events. */
+  append(bytes: Buffer): Buffer {
+    const joined = this.carry.length === 0 ? bytes : Buffer.concat([this.carry, bytes]);
+    const at = joined.lastIndexOf(EVENT_END);
+    if (at < 0) {
+      this.carry = joined;
+      return Buffer.alloc(0);
+    }
+    const whole = joined.subarray(0, at + EVENT_END.length);
+    this.carry = joined.subarray(at + EVENT_END.length);
+    this.parts.at(-1)?.chunks.push(whole);
+    this.ended = whole.subarray(-END_EVENT.length).equals(END_EVENT);
+    return whole;
+  }
+
+  /** The text and the weight versions of its tokens, as the engines reported them. */
+  read(): Result<GeneratedText, string> {
+    let text = '';
+    let tokens = 0;
+    let finishReason = '';
+    const segments: Segment[] = [];
+    for (const part of this.parts) {
+      for (const line of Buffer.concat(part.chunks).toString('utf8').split('\n')) {
+        const event = parseEventLine(line);
+        if (event === undefined || event === 'end') continue;
+        if (event.isErr()) return err(`${part.engine}: ${event.error}`);
+        const chunk = event.value;
+        appendSegment(segments, part.engine, chunk.weight_version, tokens, chunk.tokens);
+        text += chunk.text;
+        tokens += chunk.tokens;
+        finishReason = chunk.finish_reason ?? finishReason;
+      }
+    }
+    return ok({ text, tokens, segments, finishReason });
+  }
+}
+
+function appendSegment(
+  segments: Segment[],
+  engine: string,
+  version: number,
+  firstToken: number,
+  tokenCount: number,
+): void {
+  if (tokenCount === 0) return;
+  const last = segments.at(-1);
+  if (last && last.version === version && last.engine === engine) {
+    segments[segments.length - 1] = { ...last, tokenCount: last.tokenCount + tokenCount };
+  } else {
+    segments.push({ version, firstToken, tokenCount, engine });
+  }
+}
--- /dev/null
+++ b/src/coordination/lease-duties.ts
@@ -0,0 +1,176 @@
+/**
+ * Which node does what. Each duty (owner of a trainer's shard, owner of a slice of a model's engines, watcher of
+ * the machine list) is a lease that any node may hold. The nodes first in line for a duty, by rendezvous weight
+ * among the active members, try to take it; whoever holds it runs its task until the lease is lost.
+ */
+import { sleep } from '../common/clock.js';
+import { Lifecycle, type LifecycleObserver } from '../common/lifecycle.js';
+import type { ConfigView } from '../state/config-view.js';
+import type { DecisionLog } from '../state/decision-log.js';
+import type { HeldLease, LeaseStore } from '../state/lease-store.js';
+import { rankByRendezvous } from '../state/rendezvous.js';
+import type { Membership } from './membership.js';
+
+/** What tells a duty's task to end. */
+export interface DutySignals {
+  /** Start nothing new, finish what is in progress, then end. */
+  readonly stop: AbortSignal;
+  /** The lease has another holder: drop everything. */
+  readonly lost: AbortSignal;
+}
+
+/** A duty and its task. */
+export interface Duty {
+  /** Name of the lease. */
+  readonly name: string;
+  readonly run: (lease: HeldLease, signals: DutySignals) => Promise<void>;
+}
+
+/** Nodes in line for a duty that try to take it. */
+const CANDIDATES = 3;
+const RENEWALS_PER_LEASE = 4;
+/** Tries of a node that is not first in line, one in so many rounds. */
+const SECONDARY_ROUNDS = 2;
+
+type LeaseState = 'free' | 'held';
+type LeaseEvent = 'acquired' | 'lost';
+const LEASE_TABLE = { free: { acquired: 'held' }, held: { lost: 'free' } } as const;
+
+interface Candidacy {
+  readonly duty: Duty;
+  /** Place in line, 0 for the first. */
+  readonly rank: number;
+}
+
+interface RunningDuty {
+  readonly lease: HeldLease;
+  readonly stop: AbortController;
+  readonly lost: AbortController;
+  readonly done: Promise<void>;
+}
+
+/** The duties of one node. */
+export class LeaseDuties {
+  private readonly running = new Map<string, RunningDuty>();
+  private readonly lifecycles = new Map<string, Lifecycle<LeaseState, LeaseEvent>>();
+  private candidacies: readonly Candidacy[] = [];
+  private candidacyKey = '';
+  private round = 0;
+  private hasSession = false;
+
+  /** `listDuties` gives the duties that the configuration asks for. */
+  constructor(
+    private readonly leases: LeaseStore,
+    private readonly membership: Membership,
+    private readonly view: ConfigView,
+    private readonly decisions: DecisionLog,
+    private readonly observer: LifecycleObserver,
+    private readonly listDuties: () => readonly Duty[],
+  ) {}
+
+  /** Renews, acquires and runs until stopped; then lets the tasks finish and releases the leases. */
+  async run(signal: AbortSignal): Promise<void> {
+    const intervalMs = this.leases.leaseMs / RENEWALS_PER_LEASE;
+    while (!signal.aborted) {
+      await this.runRound(signal);
+      await sleep(intervalMs, signal);
+    }
+    const released = new AbortController();
+    const releasing = this.releaseAll().finally(() => released.abort());
+    // The tasks commit under their leases until the last one has ended.
+    while (!released.signal.aborted) {
+      await this.renewSession();
+      await sleep(intervalMs, released.signal);
+    }
+    await releasing;
+  }
+
+  /** Names of the duties that this node does now. */
+  names(): string[] {
+    return [...this.running.keys()];
+  }
+
+  private async runRound(signal: AbortSignal): Promise<void> {
+    this.round += 1;
+    this.refreshCandidacies();
+    const isCandidate = this.candidacies.length > 0 || this.running.size > 0;
+    if (!isCandidate && !this.hasSession) return;
+    this.hasSession = isCandidate;
+    await this.renewSession();
+    for (const { duty, rank } of this.candidacies) {
+      if (signal.aborted || !this.leases.isValid) return;
+      if (this.running.has(duty.name)) continue;
+      if (rank > 0 && this.round % SECONDARY_ROUNDS !== 0) continue;
+      const acquired = await this.leases.tryAcquire(duty.name);
+      if (acquired.isOk() && acquired.value) this.start(duty, acquired.value);
+    }
+  }
+
+  private async renewSession(): Promise<void> {
+    const renewed = await this.leases.renew();
+    if (renewed.isErr() && renewed.error.failure === 'conflict') await this.leases.renew();
+    for (const [name, duty] of this.running) {
+      if (this.leases.get(name)?.epoch !== duty.lease.epoch) duty.lost.abort();
+    }
+  }
+
+  /** Works out the duties that this node is in line for, when members or configuration have changed. */
+  private refreshCandidacies(): void {
+    const memberIds = this.membership.members.active().map((member) => member.id);
+    const key = `${this.view.revision}|${memberIds.join(',')}`;
+    if (key === this.candidacyKey) return;
+    this.candidacyKey = key;
+    const ownId = this.membership.members.own.id;
+    const duties = this.listDuties();
+    this.candidacies = duties
+      .map((duty) => ({ duty, rank: rankByRendezvous(duty.name, memberIds).indexOf(ownId) }))
+      .filter((one) => one.rank >= 0 && one.rank < CANDIDATES);
+    const wanted = new Set(duties.map((duty) => duty.name));
+    for (const name of this.running.keys()) if (!wanted.has(name)) void this.stopAndRelease(name);
+  }
+
+  private start(duty: Duty, lease: HeldLease): void {
+    const stop = new AbortController();
+    const lost = new AbortController();
+    this.lifecycle(duty.name).send('acquired', `epoch ${lease.epoch}`);
+    this.decisions.record({
+      kind: 'lease',
+      subjects: [`lease/${duty.name}`],
+      choice: 'acquired',
+      reason: 'in-line',
+      inputs: { note: `epoch ${lease.epoch}` },
+    });
+    const done = duty.run(lease, { stop: stop.signal, lost: lost.signal }).then(
+      () => this.noteEnded(duty.name, 'task ended'),
+      (cause: unknown) => this.noteEnded(duty.name, `task failed: ${String(cause)}`),
+    );
+    this.running.set(duty.name, { lease, stop, lost, done });
+  }
+
+  private noteEnded(name: string, reason: string): void {
+    this.running.delete(name);
+    this.leases.forget(name);
+    this.lifecycle(name).send('lost', reason);
+  }
+
+  /** Ends a task; the lease is given back after the task's last commit. */
+  private async stopAndRelease(name: string): Promise<void> {
+    const duty = this.running.get(name);
+    if (!duty) return;
+    duty.stop.abort();
+    await duty.done;
+    await this.leases.release(duty.lease);
+  }
+
+  private async releaseAll(): Promise<void> {
+    await Promise.all([...this.running.keys()].map((name) => this.stopAndRelease(name)));
+  }
+
+  private lifecycle(name: string): Lifecycle<LeaseState, LeaseEvent> {
+    const known = this.lifecycles.get(name);
+    if (known) return known;
+    const created = new Lifecycle<LeaseState, LeaseEvent>('lease', name, 'free', LEASE_TABLE, this.observer);
+    this.lifecycles.set(name, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/src/coordination/machine-watch.ts
@@ -0,0 +1,58 @@
+/**
+ * The holder of the machine-watch lease puts the platform's machine list into the configuration, as Machine
+ * resources, so that a leaving machine reaches every node the way every other change does.
+ */
+import { ok } from 'neverthrow';
+import { sleep } from '../common/clock.js';
+import { uniqueId } from '../common/identifier.js';
+import type { Logger } from '../common/logging.js';
+import type { Machine, MachineListClient } from '../protocol/machine-list.js';
+import type { Manifest } from '../protocol/manifest.js';
+import { API_VERSION } from '../protocol/resource.js';
+import type { ConfigStore, WantedChange } from '../state/config-store.js';
+import type { ConfigView } from '../state/config-view.js';
+
+/** Changes put into one revision at most. */
+const CHANGES_PER_COMMIT = 100;
+
+/** The watcher. */
+export class MachineWatch {
+  constructor(
+    private readonly machines: MachineListClient,
+    private readonly store: ConfigStore,
+    private readonly view: ConfigView,
+    private readonly logger: Logger,
+    private readonly intervalMs: number,
+  ) {}
+
+  /** Watches until the lease is lost. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const listed = await this.machines.list();
+      if (listed.isOk()) await this.record(listed.value);
+      await sleep(this.intervalMs, signal);
+    }
+  }
+
+  private async record(listed: readonly Machine[]): Promise<void> {
+    const changed = listed.filter((machine) => {
+      const known = this.view.get('Machine', machine.name)?.spec;
+      return known?.state !== machine.state || known.zone !== machine.zone;
+    });
+    const batch = changed.slice(0, CHANGES_PER_COMMIT);
+    if (batch.length === 0) return;
+    const committed = await this.store.commit(uniqueId(), batch.map(toChange));
+    if (committed.isErr()) this.logger.warn('machine list not recorded', { reason: committed.error.message });
+  }
+}
+
+function toChange(machine: Machine): WantedChange {
+  const { name, zone, state } = machine;
+  const manifest: Manifest = {
+    apiVersion: API_VERSION,
+    kind: 'Machine',
+    metadata: { name },
+    spec: { zone, state },
+  };
+  return { kind: 'Machine', name, expectedVersion: undefined, update: () => ok(manifest) };
+}
--- /dev/null
+++ b/src/coordination/weight-rollout.ts
@@ -0,0 +1,201 @@
+/**
+ * Weight rollout: the owner of a slice of a model's engines brings them to the target version, a bounded share
+ * at a time so that serving capacity stays, and gives the drain orders. Orders carry the lease's epoch as fence:
+ * an engine that has heard a later owner refuses an earlier one.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { sleep } from '../common/clock.js';
+import { Lifecycle, type LifecycleObserver } from '../common/lifecycle.js';
+import type { EngineClient, EngineOrder, EngineState } from '../protocol/engine.js';
+import type { ResourceOf } from '../protocol/resource.js';
+import type { BackendEntry, BackendRegistry } from '../state/backend-registry.js';
+import type { ConfigView } from '../state/config-view.js';
+import type { DecisionLog } from '../state/decision-log.js';
+import type { HeldLease } from '../state/lease-store.js';
+import { partitionOf } from '../state/rendezvous.js';
+import { isAllowedZone } from './router.js';
+import { targetVersion } from './version-policy.js';
+import type { WorkGate } from './work-gate.js';
+
+type SwapState = 'current' | 'loading' | 'failed';
+type SwapEvent = 'ordered' | 'loaded' | 'loadFailed';
+const SWAP_TABLE = {
+  current: { ordered: 'loading' },
+  loading: { loaded: 'current', loadFailed: 'failed' },
+  failed: { ordered: 'loading' },
+} as const;
+
+const ROUND_MS = 200;
+const DEFAULT_MAX_UNAVAILABLE = 0.34;
+const FIRST_RETRY_DELAY_MS = 500;
+const MAX_RETRY_DELAY_MS = 8_000;
+
+/** What the owner needs. */
+export interface WeightRolloutParts {
+  readonly view: ConfigView;
+  readonly registry: BackendRegistry;
+  readonly engines: EngineClient;
+  readonly gate: WorkGate;
+  readonly decisions: DecisionLog;
+  readonly observer: LifecycleObserver;
+}
+
+/** Whether a back end is to take no new work. */
+export function shouldDrain(view: ConfigView, backend: ResourceOf<'Backend'>): boolean {
+  const { machine, draining } = backend.spec;
+  const listed = machine === undefined ? undefined : view.get('Machine', machine);
+  return draining === true || (listed !== undefined && listed.spec.state !== 'live');
+}
+
+/** The owner of one slice of one model's engines. */
+export class WeightRollout {
+  private readonly swaps = new Map<string, Lifecycle<SwapState, SwapEvent>>();
+  private readonly failures = new Map<string, number>();
+  private readonly busy = new Set<string>();
+
+  constructor(
+    private readonly parts: WeightRolloutParts,
+    private readonly modelName: string,
+    private readonly slice: number,
+    private readonly lease: HeldLease,
+  ) {}
+
+  /** Works until the lease is lost or the model is gone. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const model = this.parts.view.get('Model', this.modelName);
+      if (!model) return;
+      if (this.parts.gate.check().isOk()) this.startOrders(model, signal);
+      await sleep(ROUND_MS, signal);
+    }
+  }
+
+  /** Engines of the slice that may load the model. */
+  private engines(model: ResourceOf<'Model'>): BackendEntry[] {
+    const slices = model.spec.slices ?? 1;
+    const service = this.parts.view.get('Service', model.spec.service);
+    return this.parts.registry
+      .ofService(model.spec.service)
+      .filter((backend) => partitionOf(backend.name, slices) === this.slice)
+      .filter((backend) => isAllowedZone(backend.declaration.spec.zone, model.spec.residency))
+      .filter((backend) => isAllowedZone(backend.declaration.spec.zone, service?.spec.residency));
+  }
+
+  private startOrders(model: ResourceOf<'Model'>, signal: AbortSignal): void {
+    const engines = this.engines(model);
+    for (const backend of engines) if (!this.busy.has(backend.name)) this.startRoleOrder(backend, signal);
+    const target = targetVersion(this.parts.view, model);
+    if (!target) return;
+    const share = model.spec.maxUnavailableFraction ?? DEFAULT_MAX_UNAVAILABLE;
+    const maxLoading = Math.max(1, Math.floor(engines.length * share));
+    for (const backend of engines) {
+      if (this.busy.size >= maxLoading) return;
+      if (this.busy.has(backend.name) || !needsLoad(backend, model, target)) continue;
+      this.runExclusively(backend, () => this.load(backend, target, signal));
+    }
+  }
+
+  private startRoleOrder(backend: BackendEntry, signal: AbortSignal): void {
+    const state = backend.engineState;
+    const role = shouldDrain(this.parts.view, backend.declaration) ? 'draining' : 'serving';
+    if (!state || state.role === role || signal.aborted) return;
+    this.runExclusively(backend, async () => {
+      const ordered = await this.order(backend, { fence: this.lease.epoch, order: 'role', role });
+      if (ordered.isErr()) return;
+      this.parts.decisions.record({
+        kind: 'drain',
+        subjects: [`backend/${backend.name}`],
+        choice: role,
+        reason:
+          backend.declaration.spec.drainReason ?? (role === 'draining' ? 'declared' : 'no longer declared'),
+        inputs: { note: `fence ${this.lease.epoch}` },
+      });
+    });
+  }
+
+  private runExclusively(backend: BackendEntry, task: () => Promise<void>): void {
+    this.busy.add(backend.name);
+    void task().finally(() => this.busy.delete(backend.name));
+  }
+
+  private async load(
+    backend: BackendEntry,
+    target: ResourceOf<'ModelVersion'>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { model, version, weights } = target.spec;
+    const swap = this.swap(backend.name);
+    swap.sendIfTaken('ordered', `version ${version}`);
+    const order: EngineOrder = {
+      fence: this.lease.epoch,
+      order: 'load',
+      model,
+      version,
+      object: weights.object,
+    };
+    const loaded = await this.order(backend, order);
+    const isLoaded = loaded.isOk() && loaded.value.shardVersions.every((one) => one === version);
+    this.noteLoad(backend, target, isLoaded, loaded.isErr() ? loaded.error : describeShards(loaded.value));
+    if (isLoaded) {
+      this.failures.delete(backend.name);
+      swap.sendIfTaken('loaded');
+      return;
+    }
+    swap.sendIfTaken('loadFailed', loaded.isErr() ? loaded.error : describeShards(loaded.value));
+    const failures = (this.failures.get(backend.name) ?? 0) + 1;
+    this.failures.set(backend.name, failures);
+    await sleep(Math.min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS * 2 ** (failures - 1)), signal);
+  }
+
+  /** Gives an order and takes the engine's answer in as its newest report. */
+  private async order(backend: BackendEntry, order: EngineOrder): Promise<Result<EngineState, string>> {
+    const answer = await this.parts.engines.order(backend.declaration.spec.address, order);
+    if (answer.isErr()) return err(answer.error.message);
+    backend.noteReport(answer.value);
+    return ok(answer.value);
+  }
+
+  private noteLoad(
+    backend: BackendEntry,
+    target: ResourceOf<'ModelVersion'>,
+    isLoaded: boolean,
+    detail: string,
+  ): void {
+    const isMixed = backend.lifecycle.current === 'quarantined';
+    this.parts.decisions.record({
+      kind: isMixed ? 'quarantine' : 'weights',
+      subjects: [`backend/${backend.name}`, `model/${this.modelName}`],
+      choice: isLoaded ? `version ${target.spec.version} loaded` : 'retry',
+      reason: isLoaded ? 'newest-allowed' : 'load-failed',
+      inputs: { note: `fence ${this.lease.epoch}; ${detail}` },
+    });
+  }
+
+  private swap(name: string): Lifecycle<SwapState, SwapEvent> {
+    const known = this.swaps.get(name);
+    if (known) return known;
+    const created = new Lifecycle<SwapState, SwapEvent>(
+      'swap',
+      name,
+      'current',
+      SWAP_TABLE,
+      this.parts.observer,
+    );
+    this.swaps.set(name, created);
+    return created;
+  }
+}
+
+function needsLoad(
+  backend: BackendEntry,
+  model: ResourceOf<'Model'>,
+  target: ResourceOf<'ModelVersion'>,
+): boolean {
+  const state = backend.engineState;
+  if (!state || state.swapping) return false;
+  return state.model !== model.metadata.name || backend.version !== target.spec.version;
+}
+
+function describeShards(state: EngineState): string {
+  return `shards at ${[...new Set(state.shardVersions)].join(', ')}`;
+}
--- /dev/null
+++ b/src/coordination/work-gate.ts
@@ -0,0 +1,41 @@
+/** Whether this node may take new work at all: it serves, and its configuration is confirmed. */
+import { err, ok, type Result } from 'neverthrow';
+import type { Lifecycle } from '../common/lifecycle.js';
+import type { ResourceOf } from '../protocol/resource.js';
+import type { FreshnessLease } from '../state/freshness-lease.js';
+import { CoordinationError } from './coordination-error.js';
+
+/** Lifecycle of a node. */
+export type NodeState = 'starting' | 'serving' | 'leaving' | 'stopped';
+export type NodeEvent = 'configured' | 'stopRequested' | 'drained';
+
+export const NODE_TABLE = {
+  starting: { configured: 'serving', stopRequested: 'leaving' },
+  serving: { stopRequested: 'leaving' },
+  leaving: { drained: 'stopped' },
+  stopped: {},
+} as const;
+
+const RETRY_AFTER_MS = 1_000;
+
+/** The gate of one node. */
+export class WorkGate {
+  constructor(
+    private readonly lifecycle: Lifecycle<NodeState, NodeEvent>,
+    private readonly freshness: FreshnessLease,
+  ) {}
+
+  /** Checked at admission and once more right before a dispatch. */
+  check(service?: ResourceOf<'Service'>): Result<void, CoordinationError> {
+    if (this.lifecycle.current === 'leaving' || this.lifecycle.current === 'stopped') {
+      return err(new CoordinationError('leaving', 'no', 'this node is leaving', RETRY_AFTER_MS));
+    }
+    const servesStale =
+      service?.spec.onStaleConfiguration === 'serve' && this.lifecycle.current === 'serving';
+    if (!this.freshness.isFresh && !servesStale) {
+      const message = 'the configuration of this node is not confirmed to be the newest';
+      return err(new CoordinationError('configuration-not-fresh', 'no', message, RETRY_AFTER_MS));
+    }
+    return ok(undefined);
+  }
+}
--- /dev/null
+++ b/src/node/api/completion-routes.ts
@@ -0,0 +1,143 @@
+/** Routes of callers of model services: `/v1/completions` and `/v1/chat/completions`, streamed or whole. */
+import { err, ok, type Result } from 'neverthrow';
+import { REQUEST_ID_HEADER } from '../../coordination/application-relay.js';
+import { CoordinationError } from '../../coordination/coordination-error.js';
+import type { EventTranscript } from '../../coordination/event-transcript.js';
+import type { GenerationOrder, Generator } from '../../coordination/generation.js';
+import { type CompletionRequest, CompletionRequestSchema } from '../../protocol/engine.js';
+import { Validator } from '../../protocol/validation.js';
+import { sendJson } from '../../transport/http-server.js';
+import { writeChunk } from '../../transport/stream-write.js';
+import type { Route } from './api-server.js';
+import { type CallerParts, contextOf, noteRefusal, withinLimits } from './caller-routes.js';
+import { type Exchange, InvalidRequestError, readJson, toProblem } from './exchange.js';
+
+/** What the routes need. */
+export interface CompletionParts extends Pick<CallerParts, 'view' | 'gate' | 'limits' | 'decisions'> {
+  readonly generator: Generator;
+}
+
+const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
+const DEFAULT_TIMEOUT_MS = 120_000;
+const DEFAULT_MAX_TOKENS = 256;
+const DEFAULT_PRIORITY = 5;
+const SEED_LIMIT = 0x7fffffff;
+
+const validator = new Validator(CompletionRequestSchema);
+
+/** Routes of completions. */
+export function completionRoutes(parts: CompletionParts): Route[] {
+  const handler = (exchange: Exchange) => complete(parts, exchange);
+  const common = { method: 'POST' as const, roles: ['caller' as const], isWork: true, handler };
+  return [
+    { ...common, pattern: '/v1/completions' },
+    { ...common, pattern: '/v1/chat/completions' },
+  ];
+}
+
+function promptOf(exchange: Exchange, body: CompletionRequest): Result<string, CoordinationError> {
+  const isChat = exchange.url.pathname.includes('/chat/');
+  const field = isChat ? 'messages' : 'prompt';
+  if (isChat && body.messages)
+    return ok(body.messages.map((one) => `${one.role}: ${one.content}`).join('\n'));
+  if (!isChat && body.prompt !== undefined) return ok(body.prompt);
+  return err(new InvalidRequestError([{ field, message: 'is required' }]));
+}
+
+async function complete(
+  parts: CompletionParts,
+  exchange: Exchange,
+): Promise<Result<void, CoordinationError>> {
+  const body = await readJson(exchange, validator, BODY_LIMIT_BYTES);
+  if (body.isErr()) return err(body.error);
+  const prompt = promptOf(exchange, body.value);
+  if (prompt.isErr()) return err(prompt.error);
+  const model = parts.view.get('Model', body.value.model);
+  const service = model && parts.view.get('Service', model.spec.service);
+  if (!model || !service) {
+    const open = parts.gate.check();
+    const message = `no model ${body.value.model} is declared`;
+    return err(open.isErr() ? open.error : new CoordinationError('not-found', 'no', message));
+  }
+  const context = contextOf(exchange, service.spec.limits?.timeoutMs ?? DEFAULT_TIMEOUT_MS);
+  if (context.isErr()) return err(context.error);
+  const order: GenerationOrder = {
+    service,
+    model: model.metadata.name,
+    prompt: prompt.value,
+    maxTokens: body.value.max_tokens ?? DEFAULT_MAX_TOKENS,
+    seed: body.value.seed ?? Math.floor(Math.random() * SEED_LIMIT),
+    priority: service.spec.priority ?? DEFAULT_PRIORITY,
+    residency: model.spec.residency,
+    subjects: [],
+  };
+  const run = body.value.stream === true ? streamed : whole;
+  return withinLimits(parts, exchange, service, async () => {
+    const outcome = await run(parts, exchange, () => [context.value, order] as const);
+    if (outcome.isErr()) noteRefusal(parts.decisions, exchange.requestId, outcome.error);
+    return outcome;
+  });
+}
+
+type Work = () => readonly [Parameters<Generator['generate']>[0], GenerationOrder];
+
+/** Passes the engine's events on as bytes. A cut that cannot be mended ends in an error event, never silently. */
+async function streamed(
+  parts: CompletionParts,
+  exchange: Exchange,
+  work: Work,
+): Promise<Result<void, CoordinationError>> {
+  const { response, requestId } = exchange;
+  const [context, order] = work();
+  const generated = await parts.generator.generate(context, order, async (events) => {
+    if (!response.headersSent) {
+      response.writeHead(200, { 'content-type': 'text/event-stream', [REQUEST_ID_HEADER]: requestId });
+    }
+    return writeChunk(response, events);
+  });
+  if (generated.isOk()) {
+    response.end();
+    return ok(undefined);
+  }
+  if (!response.headersSent) return err(generated.error);
+  noteRefusal(parts.decisions, requestId, generated.error);
+  response.end(`event: error\ndata: ${JSON.stringify({ error: toProblem(generated.error, requestId) })}\n\n`);
+  return ok(undefined);
+}
+
+async function whole(
+  parts: CompletionParts,
+  exchange: Exchange,
+  work: Work,
+): Promise<Result<void, CoordinationError>> {
+  const [context, order] = work();
+  const generated = await parts.generator.generate(context, order, async () => !exchange.response.destroyed);
+  if (generated.isErr()) return err(generated.error);
+  return sendWhole(exchange, order, generated.value);
+}
+
+function sendWhole(
+  exchange: Exchange,
+  order: GenerationOrder,
+  transcript: EventTranscript,
+): Result<void, CoordinationError> {
+  const read = transcript.read();
+  if (read.isErr()) return err(new CoordinationError('backend-failed', 'yes', read.error));
+  const { text, tokens, segments, finishReason } = read.value;
+  const isChat = exchange.url.pathname.includes('/chat/');
+  const choice = isChat ? { message: { role: 'assistant', content: text } } : { text };
+  sendJson(
+    exchange.response,
+    200,
+    {
+      id: exchange.requestId,
+      object: isChat ? 'chat.completion' : 'text_completion',
+      model: order.model,
+      choices: [{ index: 0, ...choice, finish_reason: finishReason }],
+      usage: { completion_tokens: tokens },
+      segments,
+    },
+    { [REQUEST_ID_HEADER]: exchange.requestId },
+  );
+  return ok(undefined);
+}
--- /dev/null
+++ b/src/node/coordination-parts.ts
@@ -0,0 +1,140 @@
+/** The coordination layer of a node, put together. */
+import type { Lifecycle, LifecycleObserver } from '../common/lifecycle.js';
+import { Random } from '../common/random.js';
+import { ApplicationRelay } from '../coordination/application-relay.js';
+import { ConfigAcceptance } from '../coordination/config-acceptance.js';
+import { ConfigDistribution } from '../coordination/config-distribution.js';
+import { Delivery } from '../coordination/delivery.js';
+import { EngineMonitor } from '../coordination/engine-monitor.js';
+import { Generator } from '../coordination/generation.js';
+import { LeaseDuties } from '../coordination/lease-duties.js';
+import { MachineWatch } from '../coordination/machine-watch.js';
+import { Membership } from '../coordination/membership.js';
+import { Router } from '../coordination/router.js';
+import { type NodeEvent, type NodeState, WorkGate } from '../coordination/work-gate.js';
+import { EngineClient } from '../protocol/engine.js';
+import { MachineListClient } from '../protocol/machine-list.js';
+import { type MemberRecord, PeerClient } from '../protocol/peer.js';
+import type { HttpClient } from '../transport/http-client.js';
+import { listDuties } from './duties.js';
+import type { Settings, Timing } from './settings.js';
+import type { StateParts } from './state-parts.js';
+
+const DEFAULT_SUBSET_SIZE = 64;
+const DEFAULT_FANOUT = 4;
+const PROBES_PER_ROUND = 2;
+const INDIRECT_PROBES = 2;
+const SEED_MODULUS = 0x7fffffff;
+
+/** Coordination of a node. */
+export interface CoordinationParts {
+  readonly peers: PeerClient;
+  readonly membership: Membership;
+  readonly distribution: ConfigDistribution;
+  readonly acceptance: ConfigAcceptance;
+  readonly gate: WorkGate;
+  readonly router: Router;
+  readonly generator: Generator;
+  readonly relay: ApplicationRelay;
+  readonly delivery: Delivery;
+  readonly monitor: EngineMonitor;
+  readonly duties: LeaseDuties;
+}
+
+/** What the layer is built on. */
+export interface CoordinationBase {
+  readonly settings: Settings;
+  readonly timing: Timing;
+  readonly address: string;
+  readonly client: HttpClient;
+  readonly state: StateParts;
+  readonly lifecycle: Lifecycle<NodeState, NodeEvent>;
+  readonly observer: LifecycleObserver;
+}
+
+/** Builds the coordination layer. */
+export function buildCoordination(base: CoordinationBase): CoordinationParts {
+  const { settings, timing, client, state, observer } = base;
+  const { view, decisions, registry } = state;
+  const random = new Random(settings.seed ?? Date.now() % SEED_MODULUS);
+  const peers = new PeerClient(client, settings.access.peerToken);
+  const engines = new EngineClient(client);
+  const membership = buildMembership(base, peers, random);
+  const distribution = buildDistribution(base, membership, peers, random);
+  const gate = new WorkGate(base.lifecycle, state.freshness);
+  const subsetSize = settings.routing?.subsetSize ?? DEFAULT_SUBSET_SIZE;
+  const router = new Router(settings.node.id, view, registry, random, subsetSize);
+  const generator = new Generator(router, engines, gate, decisions, observer.metrics);
+  const dutyParts = {
+    view,
+    rollouts: { nodeId: settings.node.id, view, ledger: state.rollouts, generator, decisions, observer },
+    weights: { view, registry, engines, gate, decisions, observer },
+    machineWatch: buildMachineWatch(base),
+  };
+  return {
+    peers,
+    membership,
+    distribution,
+    gate,
+    router,
+    generator,
+    acceptance: new ConfigAcceptance(view, distribution, membership, peers),
+    relay: new ApplicationRelay(router, client, gate, decisions, observer.metrics),
+    delivery: new Delivery(state.batches, view, decisions, observer.metrics),
+    monitor: new EngineMonitor(view, router, engines, timing.enginePollMs),
+    duties: new LeaseDuties(state.leases, membership, view, decisions, observer, () => listDuties(dutyParts)),
+  };
+}
+
+function buildMembership(base: CoordinationBase, peers: PeerClient, random: Random): Membership {
+  const { settings, timing, address } = base;
+  const { id, zone, machine } = settings.node;
+  const own: MemberRecord = {
+    id,
+    address,
+    zone,
+    machine: machine ?? '',
+    incarnation: Date.now(),
+    state: 'alive',
+  };
+  const options = {
+    probeIntervalMs: timing.probeIntervalMs,
+    probesPerRound: PROBES_PER_ROUND,
+    indirectProbes: INDIRECT_PROBES,
+    suspicionMs: timing.suspicionMs,
+    seeds: (settings.seeds ?? []).filter((seed) => seed !== address),
+  };
+  return new Membership(own, options, peers, random, base.observer, () => base.state.view.revision);
+}
+
+function buildDistribution(
+  base: CoordinationBase,
+  membership: Membership,
+  peers: PeerClient,
+  random: Random,
+): ConfigDistribution {
+  const { settings, timing, state, observer } = base;
+  const options = {
+    headPollMs: timing.headPollMs,
+    holdMs: timing.holdMs,
+    fanout: settings.distribution?.fanout ?? DEFAULT_FANOUT,
+  };
+  return new ConfigDistribution(
+    state.view,
+    state.store,
+    state.freshness,
+    membership,
+    peers,
+    options,
+    random,
+    observer,
+  );
+}
+
+function buildMachineWatch(base: CoordinationBase): MachineWatch | undefined {
+  const { machines } = base.settings.platform;
+  if (machines === undefined) return undefined;
+  const list = new MachineListClient(base.client, machines);
+  const { store, view } = base.state;
+  return new MachineWatch(list, store, view, base.observer.logger, base.timing.machinePollMs);
+}
--- /dev/null
+++ b/src/node/duties.ts
@@ -0,0 +1,57 @@
+/** The duties that the configuration asks for, each a lease that any node may hold. */
+
+import type { Duty } from '../coordination/lease-duties.js';
+import type { MachineWatch } from '../coordination/machine-watch.js';
+import { RolloutOwner, type RolloutOwnerParts } from '../coordination/rollout-owner.js';
+import { WeightRollout, type WeightRolloutParts } from '../coordination/weight-rollout.js';
+import type { ConfigView } from '../state/config-view.js';
+
+/** What the tasks need. */
+export interface DutyParts {
+  readonly view: ConfigView;
+  readonly rollouts: RolloutOwnerParts;
+  readonly weights: WeightRolloutParts;
+  /** Absent when the settings name no machine list. */
+  readonly machineWatch: MachineWatch | undefined;
+}
+
+/** Lists the duties. */
+export function listDuties(parts: DutyParts): Duty[] {
+  const trainers = parts.view.list('Trainer').flatMap((trainer) => {
+    const { name } = trainer.metadata;
+    return shards(trainer.spec.shards ?? 1).map((shard) => rolloutDuty(parts, name, shard));
+  });
+  const models = parts.view.list('Model').flatMap((model) => {
+    const { name } = model.metadata;
+    return shards(model.spec.slices ?? 1).map((slice) => weightDuty(parts, name, slice));
+  });
+  const { machineWatch } = parts;
+  const machines = machineWatch
+    ? [
+        {
+          name: 'machine-watch',
+          run: (_lease: unknown, signals: { stop: AbortSignal }) => machineWatch.run(signals.stop),
+        },
+      ]
+    : [];
+  return [...trainers, ...models, ...machines];
+}
+
+function shards(count: number): number[] {
+  return Array.from({ length: count }, (_, index) => index);
+}
+
+function rolloutDuty(parts: DutyParts, trainer: string, shard: number): Duty {
+  return {
+    name: `rollouts/${trainer}/${shard}`,
+    run: (lease, signals) => new RolloutOwner(parts.rollouts, trainer, shard, lease, signals).run(),
+  };
+}
+
+function weightDuty(parts: DutyParts, model: string, slice: number): Duty {
+  return {
+    name: `weights/${model}/${slice}`,
+    run: (lease, { stop, lost }) =>
+      new WeightRollout(parts.weights, model, slice, lease).run(AbortSignal.any([stop, lost])),
+  };
+}
--- /dev/null
+++ b/src/node/node.ts
@@ -0,0 +1,164 @@
+/** A node: its layers put together, started, and stopped without cutting off what is in flight. */
+import { sleep } from '../common/clock.js';
+import { Lifecycle } from '../common/lifecycle.js';
+import { createLogger, type Logger } from '../common/logging.js';
+import { Metrics } from '../common/metrics.js';
+import { NODE_TABLE, type NodeEvent, type NodeState } from '../coordination/work-gate.js';
+import { HttpClient } from '../transport/http-client.js';
+import { ApiServer } from './api/api-server.js';
+import { callerRoutes } from './api/caller-routes.js';
+import { completionRoutes } from './api/completion-routes.js';
+import { explainRoutes } from './api/explain-routes.js';
+import { healthRoutes } from './api/health-routes.js';
+import { peerRoutes } from './api/peer-routes.js';
+import { resourceRoutes } from './api/resource-routes.js';
+import { trainerRoutes } from './api/trainer-routes.js';
+import { buildCoordination, type CoordinationParts } from './coordination-parts.js';
+import { type Settings, type Timing, timingOf } from './settings.js';
+import { buildState, type StateParts } from './state-parts.js';
+
+/** How a node shares its process. */
+export interface NodeOptions {
+  /** Whether its metrics include those of the process; false when nodes share one. Default true. */
+  readonly processMetrics?: boolean;
+}
+
+const READY_POLL_MS = 20;
+
+/** One node. */
+export class ThymecoveNode {
+  readonly metrics: Metrics;
+  readonly state: StateParts;
+  private readonly logger: Logger;
+  private readonly timing: Timing;
+  private readonly lifecycle: Lifecycle<NodeState, NodeEvent>;
+  private readonly client = new HttpClient();
+  private readonly server: ApiServer;
+  private readonly background = new AbortController();
+  private readonly dutyStop = new AbortController();
+  private running: Promise<unknown> = Promise.resolve();
+  private dutiesEnded: Promise<void> = Promise.resolve();
+  private coordinationParts: CoordinationParts | undefined;
+
+  constructor(
+    private readonly settings: Settings,
+    options: NodeOptions = {},
+  ) {
+    this.timing = timingOf(settings);
+    this.metrics = new Metrics(options.processMetrics ?? true);
+    this.logger = createLogger({ node: settings.node.id, zone: settings.node.zone });
+    const observer = { logger: this.logger, metrics: this.metrics };
+    this.lifecycle = new Lifecycle<NodeState, NodeEvent>(
+      'node',
+      settings.node.id,
+      'starting',
+      NODE_TABLE,
+      observer,
+    );
+    this.state = buildState(settings, this.timing, this.client, observer);
+    this.server = new ApiServer({
+      nodeId: settings.node.id,
+      access: this.state.access,
+      metrics: this.metrics,
+      logger: this.logger,
+      isLeaving: () => this.lifecycle.current === 'leaving' || this.lifecycle.current === 'stopped',
+    });
+  }
+
+  /** The coordination layer; it exists once the node listens. */
+  get coordination(): CoordinationParts {
+    if (!this.coordinationParts) throw new Error('the node has not been started');
+    return this.coordinationParts;
+  }
+
+  /** Bytes that peers, callers and operators have exchanged with this node's server. */
+  trafficBytes(): number {
+    return this.server.http.trafficBytes();
+  }
+
+  /** Listens and starts all tasks. Resolves to the base URL under which it is reached. */
+  async start(): Promise<string> {
+    const { listen, node } = this.settings;
+    const port = await this.server.http.listen(listen.host, listen.port);
+    const address = listen.advertise ?? `http://${listen.host}:${port}`;
+    const observer = { logger: this.logger, metrics: this.metrics };
+    this.coordinationParts = buildCoordination({
+      settings: this.settings,
+      timing: this.timing,
+      address,
+      client: this.client,
+      state: this.state,
+      lifecycle: this.lifecycle,
+      observer,
+    });
+    this.addRoutes();
+    this.logger.info('node listening', { address, id: node.id });
+    this.startTasks();
+    return address;
+  }
+
+  /** Stops as planned: refuses new work, finishes what is in flight, hands the leases over, writes the records. */
+  async stop(): Promise<void> {
+    if (!this.lifecycle.sendIfTaken('stopRequested')) return;
+    this.dutyStop.abort();
+    await Promise.all([this.server.whenIdle(), this.dutiesEnded]);
+    await this.coordination.membership.announceLeaving();
+    this.background.abort();
+    await this.running;
+    await this.state.decisions.flush();
+    await this.server.http.closeGracefully();
+    await this.client.close();
+    this.lifecycle.send('drained');
+  }
+
+  /** Drops everything at once, as a crash would. For nodes that share a process. */
+  async kill(): Promise<void> {
+    this.background.abort();
+    this.dutyStop.abort();
+    this.server.http.destroy();
+    await this.client.close();
+  }
+
+  private startTasks(): void {
+    const { membership, distribution, monitor, duties } = this.coordination;
+    const { signal } = this.background;
+    this.running = Promise.all([
+      membership.run(signal),
+      distribution.run(signal),
+      monitor.run(signal),
+      this.state.decisions.run(signal),
+      this.becomeReady(signal),
+    ]);
+    this.dutiesEnded = duties.run(this.dutyStop.signal);
+  }
+
+  private async becomeReady(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.coordination.distribution.isLoaded) await sleep(READY_POLL_MS, signal);
+    if (!signal.aborted) this.lifecycle.sendIfTaken('configured', `revision ${this.state.view.revision}`);
+  }
+
+  private addRoutes(): void {
+    const { state, settings } = this;
+    const { coordination } = this;
+    const parts = { ...state, ...coordination };
+    this.server.addRoutes([
+      ...healthRoutes(this.metrics, coordination.gate),
+      ...callerRoutes(parts),
+      ...completionRoutes(parts),
+      ...trainerRoutes(parts),
+      ...peerRoutes(parts),
+      ...resourceRoutes({
+        ...parts,
+        acceptTimeoutMs: this.timing.acceptTimeoutMs,
+        leaving: this.dutyStop.signal,
+      }),
+      ...explainRoutes({
+        ...parts,
+        nodeId: settings.node.id,
+        zone: settings.node.zone,
+        nodeState: () => this.lifecycle.current,
+        duties: () => coordination.duties.names(),
+      }),
+    ]);
+  }
+}
--- /dev/null
+++ b/src/protocol/engine.ts
@@ -0,0 +1,168 @@
+/**
+ * Model engines: wire format and client. An engine streams server-sent events in the commonly used shape of
+ * `/v1/completions`; each event names the weight version that produced its tokens. `data: [DONE]` is the
+ * only end of a stream: a closed connection without it is a cut.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import Type, { type Static } from 'typebox';
+import type { HttpClient, IncomingResponse } from '../transport/http-client.js';
+import { readWhole } from '../transport/http-client.js';
+import { exchangeJson, retryAfterMs } from './json-exchange.js';
+import { fromTransport, ProtocolError } from './protocol-error.js';
+import { Validator } from './validation.js';
+
+const CLOSED = { additionalProperties: false } as const;
+
+/** What a caller asks of a model. */
+export const CompletionRequestSchema = Type.Object(
+  {
+    model: Type.String({ minLength: 1 }),
+    prompt: Type.Optional(Type.String()),
+    messages: Type.Optional(
+      Type.Array(Type.Object({ role: Type.String(), content: Type.String() }, CLOSED), { minItems: 1 }),
+    ),
+    max_tokens: Type.Optional(Type.Integer({ minimum: 1, maximum: 131_072 })),
+    stream: Type.Optional(Type.Boolean()),
+    seed: Type.Optional(Type.Integer()),
+    temperature: Type.Optional(Type.Number({ minimum: 0 })),
+  },
+  CLOSED,
+);
+export type CompletionRequest = Static<typeof CompletionRequestSchema>;
+
+/** What a node sends to an engine. */
+export const EngineRequestSchema = Type.Object(
+  {
+    request_id: Type.String(),
+    model: Type.String(),
+    prompt: Type.String(),
+    max_tokens: Type.Integer({ minimum: 1 }),
+    priority: Type.Integer({ minimum: 0, maximum: 9 }),
+    seed: Type.Integer(),
+    /** Text that an earlier attempt had generated, to go on from. */
+    resume: Type.Optional(Type.Object({ text: Type.String(), tokens: Type.Integer({ minimum: 0 }) }, CLOSED)),
+    /** Refuse when the loaded version is older than this. */
+    min_version: Type.Optional(Type.Integer({ minimum: 0 })),
+  },
+  CLOSED,
+);
+export type EngineRequest = Static<typeof EngineRequestSchema>;
+
+/** One streamed event. */
+export const EngineChunkSchema = Type.Object({
+  id: Type.String(),
+  text: Type.String(),
+  tokens: Type.Integer({ minimum: 0 }),
+  weight_version: Type.Integer(),
+  finish_reason: Type.Union([Type.Null(), Type.Literal('stop'), Type.Literal('length')]),
+});
+export type EngineChunk = Static<typeof EngineChunkSchema>;
+const chunkValidator = new Validator(EngineChunkSchema);
+
+/** The end of a complete stream. */
+export const STREAM_END = '[DONE]';
+
+/** What an engine says of itself. Load figures lag. */
+export const EngineStateSchema = Type.Object({
+  model: Type.String(),
+  /** Version of each shard. More than one value means that a swap failed partway. */
+  shardVersions: Type.Array(Type.Integer()),
+  /** Whether it admits new work: `draining` engines refuse it. */
+  role: Type.Union([Type.Literal('serving'), Type.Literal('draining')]),
+  swapping: Type.Boolean(),
+  running: Type.Integer(),
+  queued: Type.Integer(),
+  /** Highest fence seen. */
+  fence: Type.Integer(),
+});
+export type EngineState = Static<typeof EngineStateSchema>;
+
+/** A fenced order. An engine refuses a fence that is lower than the highest it has seen. */
+export const EngineOrderSchema = Type.Union([
+  Type.Object({
+    fence: Type.Integer({ minimum: 0 }),
+    order: Type.Literal('load'),
+    model: Type.String(),
+    version: Type.Integer({ minimum: 0 }),
+    object: Type.String(),
+  }),
+  Type.Object({
+    fence: Type.Integer({ minimum: 0 }),
+    order: Type.Literal('role'),
+    role: Type.Union([Type.Literal('serving'), Type.Literal('draining')]),
+  }),
+]);
+export type EngineOrder = Static<typeof EngineOrderSchema>;
+
+/** Header by which a back end says of a refusal that it did not admit the request. */
+export const NOT_ADMITTED_HEADER = 'x-not-admitted';
+
+const state = new Validator(EngineStateSchema);
+const REFUSAL_LIMIT_BYTES = 64 * 1024;
+const STATE_TIMEOUT_MS = 1_000;
+const ORDER_TIMEOUT_MS = 20_000;
+const ADMISSION_TIMEOUT_MS = 10_000;
+const SILENCE_TIMEOUT_MS = 15_000;
+
+/** An answer to a generation request. */
+export interface EngineStream {
+  readonly response: IncomingResponse;
+}
+
+/** Client of model engines. */
+export class EngineClient {
+  constructor(private readonly client: HttpClient) {}
+
+  /** Starts a generation. A refusal that the engine marks as not admitted has the effect `none`. */
+  async generate(
+    address: string,
+    body: EngineRequest,
+    signal: AbortSignal,
+  ): Promise<Result<EngineStream, ProtocolError>> {
+    const sent = await this.client.send({
+      method: 'POST',
+      url: `${address}/v1/completions`,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+      signal,
+      headTimeoutMs: ADMISSION_TIMEOUT_MS,
+      idleTimeoutMs: SILENCE_TIMEOUT_MS,
+    });
+    if (sent.isErr()) return err(fromTransport(sent.error, 'generate'));
+    if (sent.value.status === 200) return ok({ response: sent.value });
+    await readWhole(sent.value.body, REFUSAL_LIMIT_BYTES);
+    const effect = sent.value.headers[NOT_ADMITTED_HEADER] === 'true' ? 'none' : 'unknown';
+    const wait = retryAfterMs(sent.value.headers);
+    return err(new ProtocolError('refused', effect, `generate: status ${sent.value.status}`, wait));
+  }
+
+  /** Cancels a generation. */
+  async cancel(address: string, requestId: string): Promise<void> {
+    const url = `${address}/v1/completions/${encodeURIComponent(requestId)}`;
+    await this.client.exchange({ method: 'DELETE', url, headTimeoutMs: STATE_TIMEOUT_MS });
+  }
+
+  /** Asks for the state. */
+  state(address: string): Promise<Result<EngineState, ProtocolError>> {
+    const call = { method: 'GET', url: `${address}/state`, headTimeoutMs: STATE_TIMEOUT_MS };
+    return exchangeJson(this.client, call, state);
+  }
+
+  /** Gives a fenced order; resolves when it has been carried out. */
+  order(address: string, order: EngineOrder): Promise<Result<EngineState, ProtocolError>> {
+    const call = { method: 'POST', url: `${address}/orders`, json: order, headTimeoutMs: ORDER_TIMEOUT_MS };
+    return exchangeJson(this.client, call, state);
+  }
+}
+
+/** Reads one `data:` line; `undefined` for other lines. */
+export function parseEventLine(line: string): Result<EngineChunk, string> | 'end' | undefined {
+  if (!line.startsWith('data:')) return undefined;
+  const data = line.slice('data:'.length).trim();
+  if (data === STREAM_END) return 'end';
+  try {
+    return chunkValidator.check(JSON.parse(data)).mapErr((problems) => problems[0]?.message ?? 'malformed');
+  } catch (cause) {
+    return err((cause as Error).message);
+  }
+}
--- /dev/null
+++ b/src/protocol/operator-client.ts
@@ -0,0 +1,198 @@
+/** Client of operators: what the command line uses. */
+import { err, ok, type Result } from 'neverthrow';
+import Type, { type TSchema } from 'typebox';
+import type { HttpClient } from '../transport/http-client.js';
+import { exchangeJson } from './json-exchange.js';
+import type { Manifest } from './manifest.js';
+import {
+  type Changeset,
+  type ChangesetAnswer,
+  ChangesetAnswerSchema,
+  type Explanation,
+  ExplanationSchema,
+  type RevisionReport,
+  RevisionReportSchema,
+  type Status,
+  StatusSchema,
+} from './operator.js';
+import { type Problem, ProblemSchema } from './problem.js';
+import { fromTransport, ProtocolError } from './protocol-error.js';
+import { Validator } from './validation.js';
+
+/** A resource as the interface shows it. */
+export interface ShownResource {
+  readonly apiVersion: string;
+  readonly kind: string;
+  readonly metadata: Record<string, unknown> & { readonly name: string; readonly resourceVersion: number };
+  readonly spec: Record<string, unknown>;
+  readonly status?: { readonly observedGeneration: number; readonly conditions: readonly ShownCondition[] };
+}
+
+/** A condition as the interface shows it. */
+export interface ShownCondition {
+  readonly type: string;
+  readonly status: string;
+  readonly reason: string;
+  readonly message: string;
+}
+
+/** A list of resources at a revision. */
+export interface ResourceList {
+  readonly resourceVersion: number;
+  readonly items: readonly ShownResource[];
+}
+
+const anything = new Validator(Type.Unknown());
+const changesetAnswer = new Validator(ChangesetAnswerSchema);
+const explanation = new Validator(ExplanationSchema);
+const revisionReport = new Validator(RevisionReportSchema);
+const status = new Validator(StatusSchema);
+const problem = new Validator(ProblemSchema);
+
+/** The problem document that came with a refusal. */
+export function problemOf(error: ProtocolError): Problem | undefined {
+  return problem.check(error.detail).unwrapOr(undefined as never);
+}
+
+/** Client of one node. */
+export class OperatorClient {
+  constructor(
+    private readonly client: HttpClient,
+    private readonly baseUrl: string,
+    private readonly token: string,
+  ) {}
+
+  /** Resources of a kind. */
+  async list(kind: string, set?: string): Promise<Result<ResourceList, ProtocolError>> {
+    const query = set === undefined ? '' : `?set=${encodeURIComponent(set)}`;
+    return (await this.call('GET', `/v1/resources/${kind}${query}`, anything)) as Result<
+      ResourceList,
+      ProtocolError
+    >;
+  }
+
+  /** One resource. */
+  async get(kind: string, name: string): Promise<Result<ShownResource, ProtocolError>> {
+    return (await this.call('GET', resourcePath(kind, name), anything)) as Result<
+      ShownResource,
+      ProtocolError
+    >;
+  }
+
+  /** Creates, or with `ifMatch` replaces, a resource. */
+  async put(manifest: Manifest, ifMatch?: number): Promise<Result<ShownResource, ProtocolError>> {
+    const path = resourcePath(manifest.kind, manifest.metadata.name);
+    return (await this.call('PUT', path, anything, manifest, matchHeaders(ifMatch))) as Result<
+      ShownResource,
+      ProtocolError
+    >;
+  }
+
+  /** Changes fields of a resource by a merge patch. */
+  async patch(
+    kind: string,
+    name: string,
+    change: unknown,
+    ifMatch?: number,
+  ): Promise<Result<ShownResource, ProtocolError>> {
+    const answer = await this.call(
+      'PATCH',
+      resourcePath(kind, name),
+      anything,
+      change,
+      matchHeaders(ifMatch),
+    );
+    return answer as Result<ShownResource, ProtocolError>;
+  }
+
+  /** Deletes a resource. */
+  async remove(kind: string, name: string, ifMatch?: number): Promise<Result<unknown, ProtocolError>> {
+    return this.call('DELETE', resourcePath(kind, name), anything, undefined, matchHeaders(ifMatch));
+  }
+
+  /** Commits changes as one revision. */
+  commit(changeset: Changeset): Promise<Result<ChangesetAnswer, ProtocolError>> {
+    return this.call('POST', '/v1/changesets', changesetAnswer, changeset);
+  }
+
+  /** Approves a model version. */
+  async approve(version: string, note?: string): Promise<Result<ShownResource, ProtocolError>> {
+    const path = `/v1/approvals/${encodeURIComponent(version)}`;
+    return (await this.call('POST', path, anything, note ? { note } : {})) as Result<
+      ShownResource,
+      ProtocolError
+    >;
+  }
+
+  /** Who holds a revision. */
+  revision(revision: number): Promise<Result<RevisionReport, ProtocolError>> {
+    return this.call('GET', `/v1/revisions/${revision}`, revisionReport);
+  }
+
+  /** Decisions about a request, a sample or a back end. */
+  explain(subject: string): Promise<Result<Explanation, ProtocolError>> {
+    return this.call('GET', `/v1/explain/${encodeURIComponent(subject)}`, explanation);
+  }
+
+  /** The node's status. */
+  status(): Promise<Result<Status, ProtocolError>> {
+    return this.call('GET', '/v1/status', status);
+  }
+
+  /** Lines of a watch, until the node ends it or `signal` is aborted. */
+  async watch(
+    kind: string,
+    resourceVersion: number | undefined,
+    onLine: (line: string) => void,
+    signal: AbortSignal,
+  ): Promise<Result<void, ProtocolError>> {
+    const from = resourceVersion === undefined ? '' : `&resourceVersion=${resourceVersion}`;
+    const url = `${this.baseUrl}/v1/resources/${kind}?watch=true${from}`;
+    const sent = await this.client.send({ method: 'GET', url, headers: this.headers(), signal });
+    if (sent.isErr()) return err(fromTransport(sent.error, 'watch'));
+    const { status: code, body } = sent.value;
+    let carry = '';
+    try {
+      for await (const chunk of body) {
+        const lines = (carry + chunk.toString('utf8')).split('\n');
+        carry = lines.pop() ?? '';
+        if (code === 200) for (const line of lines) onLine(line);
+      }
+    } catch {
+      if (!signal.aborted) return err(new ProtocolError('unavailable', 'none', 'the watch was cut'));
+    }
+    if (code === 200) return ok(undefined);
+    return err(new ProtocolError('refused', 'none', `watch: status ${code}`, undefined, parseQuietly(carry)));
+  }
+
+  private call<Schema extends TSchema>(
+    method: string,
+    path: string,
+    answer: Validator<Schema>,
+    json?: unknown,
+    extra: Record<string, string> = {},
+  ) {
+    const call = { method, url: `${this.baseUrl}${path}`, json, headers: { ...this.headers(), ...extra } };
+    return exchangeJson(this.client, call, answer);
+  }
+
+  private headers(): Record<string, string> {
+    return { authorization: `Bearer ${this.token}` };
+  }
+}
+
+function resourcePath(kind: string, name: string): string {
+  return `/v1/resources/${kind}/${encodeURIComponent(name)}`;
+}
+
+function matchHeaders(ifMatch: number | undefined): Record<string, string> {
+  return ifMatch === undefined ? {} : { 'if-match': `"${ifMatch}"` };
+}
+
+function parseQuietly(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/protocol/operator.ts
@@ -0,0 +1,99 @@
+/** Messages between operators and nodes, beyond the resources themselves. */
+import Type, { type Static } from 'typebox';
+
+const CLOSED = { additionalProperties: false } as const;
+const MAX_CHANGES = 1_000;
+
+/** Changes to commit as one revision. */
+export const ChangesetSchema = Type.Object(
+  {
+    /** Settles a repeat: the same ID never commits twice. */
+    operationId: Type.String({ minLength: 8, maxLength: 64 }),
+    /** When true nothing is committed; the answer says what would change. */
+    dryRun: Type.Optional(Type.Boolean()),
+    changes: Type.Array(
+      Type.Union([
+        Type.Object(
+          {
+            action: Type.Literal('put'),
+            manifest: Type.Unknown(),
+            expectedVersion: Type.Optional(Type.Integer({ minimum: 0 })),
+          },
+          CLOSED,
+        ),
+        Type.Object(
+          {
+            action: Type.Literal('delete'),
+            kind: Type.String(),
+            name: Type.String(),
+            expectedVersion: Type.Optional(Type.Integer({ minimum: 0 })),
+          },
+          CLOSED,
+        ),
+      ]),
+      { minItems: 1, maxItems: MAX_CHANGES },
+    ),
+  },
+  CLOSED,
+);
+export type Changeset = Static<typeof ChangesetSchema>;
+
+/** What became of a changeset. */
+export const ChangesetAnswerSchema = Type.Object({
+  revision: Type.Integer(),
+  changed: Type.Boolean(),
+  accepted: Type.Boolean(),
+});
+export type ChangesetAnswer = Static<typeof ChangesetAnswerSchema>;
+
+export const ApprovalRequestSchema = Type.Object(
+  { note: Type.Optional(Type.String({ maxLength: 1_000 })) },
+  CLOSED,
+);
+
+/** Who holds a revision. */
+export const RevisionReportSchema = Type.Object({
+  revision: Type.Integer(),
+  accepted: Type.Boolean(),
+  inForceEverywhere: Type.Boolean(),
+  holders: Type.Integer(),
+  members: Type.Integer(),
+});
+export type RevisionReport = Static<typeof RevisionReportSchema>;
+
+/** State of the node that answers and of what it knows. */
+export const StatusSchema = Type.Object({
+  node: Type.Object({
+    id: Type.String(),
+    zone: Type.String(),
+    state: Type.String(),
+    configRevision: Type.Integer(),
+    configurationFresh: Type.Boolean(),
+    duties: Type.Array(Type.String()),
+  }),
+  members: Type.Array(
+    Type.Object({ id: Type.String(), zone: Type.String(), state: Type.String(), address: Type.String() }),
+  ),
+  backends: Type.Array(
+    Type.Object({
+      name: Type.String(),
+      service: Type.String(),
+      zone: Type.String(),
+      health: Type.String(),
+      version: Type.Optional(Type.Integer()),
+      inFlight: Type.Integer(),
+      takesWork: Type.String(),
+    }),
+  ),
+});
+export type Status = Static<typeof StatusSchema>;
+
+/** Answer to `explain`. */
+export const ExplanationSchema = Type.Object({
+  subject: Type.String(),
+  kind: Type.Union([Type.Literal('request'), Type.Literal('sample'), Type.Literal('backend')]),
+  summary: Type.String(),
+  decisions: Type.Array(Type.Unknown()),
+  detail: Type.Optional(Type.Unknown()),
+});
+export type Explanation = Static<typeof ExplanationSchema>;
--- /dev/null
+++ b/src/state/backend-registry.ts
@@ -0,0 +1,156 @@
+/**
+ * What this node knows of each back end: its declaration, its own report, the machine list's word, and the
+ * work that this node has in flight there.
+ */
+import { monotonicMs } from '../common/clock.js';
+import { Lifecycle, type LifecycleObserver } from '../common/lifecycle.js';
+import type { EngineState } from '../protocol/engine.js';
+import type { ResourceOf } from '../protocol/resource.js';
+import type { ConfigView } from './config-view.js';
+
+/** Lifecycle of a back end, as one node sees it. */
+export type BackendHealth = 'unproven' | 'serving' | 'failing' | 'quarantined';
+type BackendEvent = 'answered' | 'failed' | 'mixedVersions' | 'versionsAgree';
+
+const HEALTH_TABLE = {
+  unproven: { answered: 'serving', failed: 'failing', mixedVersions: 'quarantined' },
+  serving: { failed: 'failing', mixedVersions: 'quarantined' },
+  failing: { answered: 'serving', mixedVersions: 'quarantined' },
+  quarantined: { versionsAgree: 'serving' },
+} as const;
+
+/** Failures in a row until a back end is avoided. */
+const FAILURES_UNTIL_AVOIDED = 2;
+/** Age at which a load report counts for nothing, milliseconds. */
+const REPORT_LIFETIME_MS = 5_000;
+/** How long a failing back end is passed over before it is tried again, milliseconds. */
+const AVOIDANCE_MS = 1_000;
+
+/** One back end. */
+export class BackendEntry {
+  readonly lifecycle: Lifecycle<BackendHealth, BackendEvent>;
+  /** Requests that this node has in flight there. */
+  inFlight = 0;
+  private report: EngineState | undefined;
+  private reportedAtMs = 0;
+  private failuresInARow = 0;
+  private failedAtMs = 0;
+
+  constructor(
+    public declaration: ResourceOf<'Backend'>,
+    observer: LifecycleObserver,
+  ) {
+    const name = declaration.metadata.name;
+    this.lifecycle = new Lifecycle<BackendHealth, BackendEvent>(
+      'backend',
+      name,
+      'unproven',
+      HEALTH_TABLE,
+      observer,
+    );
+  }
+
+  get name(): string {
+    return this.declaration.metadata.name;
+  }
+
+  /** The last report of an engine. */
+  get engineState(): EngineState | undefined {
+    return this.report;
+  }
+
+  /** The one version that an engine reported, or `undefined` when it is unknown or mixed. */
+  get version(): number | undefined {
+    const versions = new Set(this.report?.shardVersions ?? []);
+    return versions.size === 1 ? [...versions][0] : undefined;
+  }
+
+  /** Believed load: own work plus the engine's report, which counts less the older it is. */
+  get load(): number {
+    if (!this.report) return this.inFlight;
+    const weight = Math.max(0, 1 - (monotonicMs() - this.reportedAtMs) / REPORT_LIFETIME_MS);
+    return this.inFlight + weight * (this.report.running + this.report.queued);
+  }
+
+  /** Whether it failed so recently that others are to be preferred. */
+  get isAvoided(): boolean {
+    return this.lifecycle.current === 'failing' && monotonicMs() - this.failedAtMs < AVOIDANCE_MS;
+  }
+
+  /** Takes in an engine's report. */
+  noteReport(report: EngineState): void {
+    this.report = report;
+    this.reportedAtMs = monotonicMs();
+    const mixed = new Set(report.shardVersions).size > 1;
+    if (mixed && !report.swapping) {
+      this.lifecycle.sendIfTaken('mixedVersions', `shards at ${report.shardVersions.join(', ')}`);
+    }
+    if (!mixed) this.lifecycle.sendIfTaken('versionsAgree');
+    this.noteSuccess();
+  }
+
+  /** An exchange succeeded. */
+  noteSuccess(): void {
+    this.failuresInARow = 0;
+    this.lifecycle.sendIfTaken('answered');
+  }
+
+  /** An exchange failed. */
+  noteFailure(reason: string): void {
+    this.failuresInARow += 1;
+    this.failedAtMs = monotonicMs();
+    if (this.failuresInARow >= FAILURES_UNTIL_AVOIDED) this.lifecycle.sendIfTaken('failed', reason);
+  }
+}
+
+/** All back ends, kept in step with the configuration. */
+export class BackendRegistry {
+  private readonly entries = new Map<string, BackendEntry>();
+  private readonly byService = new Map<string, BackendEntry[]>();
+
+  constructor(
+    view: ConfigView,
+    private readonly observer: LifecycleObserver,
+  ) {
+    view.subscribe((events) => {
+      if (events.some((event) => event.kind === 'Backend')) this.synchronize(view);
+    });
+    this.synchronize(view);
+  }
+
+  /** One back end. */
+  get(name: string): BackendEntry | undefined {
+    return this.entries.get(name);
+  }
+
+  /** The back ends of a service, by name. */
+  ofService(service: string): readonly BackendEntry[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /** All back ends. */
+  all(): BackendEntry[] {
+    return [...this.entries.values()];
+  }
+
+  private synchronize(view: ConfigView): void {
+    const declared = view.list('Backend');
+    const names = new Set(declared.map((one) => one.metadata.name));
+    for (const name of this.entries.keys()) if (!names.has(name)) this.entries.delete(name);
+    for (const declaration of declared) this.adopt(declaration);
+    this.byService.clear();
+    for (const declaration of declared) {
+      const entry = this.entries.get(declaration.metadata.name) as BackendEntry;
+      const group = this.byService.get(declaration.spec.service) ?? [];
+      group.push(entry);
+      this.byService.set(declaration.spec.service, group);
+    }
+  }
+
+  private adopt(declaration: ResourceOf<'Backend'>): void {
+    const known = this.entries.get(declaration.metadata.name);
+    // A new address is another process: nothing that was learnt of the old one holds.
+    if (known && known.declaration.spec.address === declaration.spec.address) known.declaration = declaration;
+    else this.entries.set(declaration.metadata.name, new BackendEntry(declaration, this.observer));
+  }
+}
--- /dev/null
+++ b/src/state/config-store.ts
@@ -0,0 +1,259 @@
+/**
+ * The configuration in the table service. A change is committed when one transaction has written the head,
+ * the log entry of the revision, the resources, and the operation's own row.
+ *
+ * Rows: `config/head` {revision}, `config/log/{revision}` ConfigEntry, `config/resource/{kind}/{name}`
+ * Resource, `config/operation/{operationId}` {revision}, `published/{model}` {version}.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import type { Manifest } from '../protocol/manifest.js';
+import type { ConfigEntry } from '../protocol/peer.js';
+import { API_VERSION, type Metadata, type Resource, resourceKey } from '../protocol/resource.js';
+import type { Row, Transaction } from '../protocol/table-service.js';
+import { scanAll, type Table } from './platform-table.js';
+import { StateError } from './state-error.js';
+
+const HEAD_KEY = 'config/head';
+const RESOURCE_PREFIX = 'config/resource/';
+const REVISION_DIGITS = 12;
+const MAX_COMMIT_ATTEMPTS = 8;
+
+const logKey = (revision: number) => `config/log/${revision.toString().padStart(REVISION_DIGITS, '0')}`;
+const rowKey = (kind: string, name: string) => `${RESOURCE_PREFIX}${resourceKey(kind, name)}`;
+const operationKey = (operationId: string) => `config/operation/${operationId}`;
+
+/** Key of the row that holds the newest published version of a model. */
+export const publishedKey = (model: string) => `published/${model}`;
+
+/** The version in a `published/{model}` row; 0 when there is no row. */
+export function publishedVersion(row: Row | undefined): number {
+  return (row?.value as { version: number } | undefined)?.version ?? 0;
+}
+
+/** A wanted change of one resource. */
+export interface WantedChange {
+  readonly kind: string;
+  readonly name: string;
+  /** resourceVersion that the writer saw: 0 for none, `undefined` for any. */
+  readonly expectedVersion: number | undefined;
+  /** Works out the new manifest from the stored resource; null deletes. */
+  readonly update: (stored: Resource | undefined) => Result<Manifest | null, StateError>;
+}
+
+/** What a commit did. */
+export interface CommitOutcome {
+  readonly revision: number;
+  /** False when nothing differed and so nothing was written. */
+  readonly changed: boolean;
+  readonly resources: readonly (Resource | null)[];
+}
+
+interface Planned {
+  readonly entry: ConfigEntry;
+  readonly transaction: Transaction;
+  readonly outcome: CommitOutcome;
+}
+
+function stable(value: unknown): string {
+  return JSON.stringify(value, (_key, inner) =>
+    inner && typeof inner === 'object' && !Array.isArray(inner)
+      ? Object.fromEntries(Object.entries(inner).sort(([a], [b]) => (a < b ? -1 : 1)))
+      : inner,
+  );
+}
+
+/** Whether a manifest asks for what is stored. The source revision alone makes no difference. */
+export function sameDeclaration(stored: Resource, manifest: Manifest): boolean {
+  const declared = (labels: unknown, set: unknown, spec: unknown) => stable([labels ?? {}, set ?? '', spec]);
+  return (
+    declared(stored.metadata.labels, stored.metadata.set, stored.spec) ===
+    declared(manifest.metadata.labels, manifest.metadata.set, manifest.spec)
+  );
+}
+
+function storedForm(manifest: Manifest, before: Resource | undefined, revision: number): Resource {
+  const specChanged = before === undefined || stable(before.spec) !== stable(manifest.spec);
+  const { name, labels, source, set } = manifest.metadata;
+  const metadata: Metadata = {
+    name,
+    ...(labels ? { labels } : {}),
+    resourceVersion: revision,
+    generation: (before?.metadata.generation ?? 0) + (specChanged ? 1 : 0),
+    ...(source ? { source } : {}),
+    ...(set ? { set } : {}),
+  };
+  return { apiVersion: API_VERSION, kind: manifest.kind, metadata, spec: manifest.spec } as Resource;
+}
+
+function headRevision(rows: ReadonlyMap<string, Row>): number {
+  return (rows.get(HEAD_KEY)?.value as { revision: number } | undefined)?.revision ?? 0;
+}
+
+/** Reads and commits configuration. */
+export class ConfigStore {
+  constructor(private readonly table: Table) {}
+
+  /** The newest committed revision. */
+  async head(): Promise<Result<number, StateError>> {
+    const rows = await this.table.read([HEAD_KEY]);
+    return rows.map((found) => headRevision(new Map(found.map((row) => [row.key, row]))));
+  }
+
+  /** Log entries with a revision above `after` and at most `upTo`. */
+  async entries(after: number, upTo: number): Promise<Result<ConfigEntry[], StateError>> {
+    const rows = await this.table.scan(
+      'config/log/',
+      Math.max(1, Math.min(1_000, upTo - after)),
+      logKey(after),
+    );
+    return rows.map((found) => found.map((row) => row.value as ConfigEntry));
+  }
+
+  /**
+   * All resources. Rows may be newer than the revision that was read before them; replaying the log from there
+   * makes the view exact.
+   */
+  async snapshot(): Promise<Result<{ revision: number; resources: Resource[] }, StateError>> {
+    const head = await this.head();
+    if (head.isErr()) return err(head.error);
+    const rows = await scanAll(this.table, RESOURCE_PREFIX);
+    return rows.map((found) => ({
+      revision: head.value,
+      resources: found.map((row) => row.value as Resource),
+    }));
+  }
+
+  /**
+   * Commits changes as one revision. The same operation ID never commits twice; repeating it, from any node,
+   * returns the revision of the first time.
+   */
+  async commit(
+    operationId: string,
+    wanted: readonly WantedChange[],
+  ): Promise<Result<CommitOutcome, StateError>> {
+    for (let attempt = 0; attempt < MAX_COMMIT_ATTEMPTS; attempt += 1) {
+      const rows = await this.readForCommit(operationId, wanted);
+      if (rows.isErr()) return err(rows.error);
+      const settled = rows.value.get(operationKey(operationId));
+      if (settled) return this.settledOutcome(settled, wanted, rows.value);
+      const planned = await this.plan(operationId, wanted, rows.value);
+      if (planned.isErr()) return err(planned.error);
+      if (!planned.value.outcome.changed) return ok(planned.value.outcome);
+      const result = await this.table.transact(planned.value.transaction);
+      if (result.isOk() && result.value.committed) return ok(planned.value.outcome);
+      // Either another writer was first, or the answer was lost: the next round reads the operation's row.
+      if (result.isErr() && result.error.effect === 'none' && result.error.failure !== 'conflict') {
+        return err(result.error);
+      }
+    }
+    return err(new StateError('unavailable', 'unknown', 'the commit could not be settled', 1_000));
+  }
+
+  /** Works out what a commit would do, without committing. */
+  async preview(wanted: readonly WantedChange[]): Promise<Result<CommitOutcome, StateError>> {
+    const rows = await this.readForCommit('preview', wanted);
+    if (rows.isErr()) return err(rows.error);
+    const planned = await this.plan('preview', wanted, rows.value);
+    return planned.map((plan) => plan.outcome);
+  }
+
+  private async readForCommit(operationId: string, wanted: readonly WantedChange[]) {
+    const keys = [HEAD_KEY, operationKey(operationId), ...wanted.map((one) => rowKey(one.kind, one.name))];
+    const rows = await this.table.read(keys);
+    return rows.map((found) => new Map(found.map((row) => [row.key, row])));
+  }
+
+  private settledOutcome(
+    settled: Row,
+    wanted: readonly WantedChange[],
+    rows: ReadonlyMap<string, Row>,
+  ): Result<CommitOutcome, StateError> {
+    const { revision } = settled.value as { revision: number };
+    const resources = wanted.map((one) => (rows.get(rowKey(one.kind, one.name))?.value as Resource) ?? null);
+    return ok({ revision, changed: true, resources });
+  }
+
+  private async plan(
+    operationId: string,
+    wanted: readonly WantedChange[],
+    rows: ReadonlyMap<string, Row>,
+  ): Promise<Result<Planned, StateError>> {
+    const revision = headRevision(rows) + 1;
+    const changes: ConfigEntry['changes'] = [];
+    const resources: (Resource | null)[] = [];
+    const transaction: Transaction = { conditions: [], writes: [] };
+    for (const want of wanted) {
+      const row = rows.get(rowKey(want.kind, want.name));
+      const next = nextResource(want, row?.value as Resource | undefined, revision);
+      if (next.isErr()) return err(next.error);
+      resources.push(next.value.resource);
+      if (!next.value.changed) continue;
+      changes.push({ kind: want.kind, name: want.name, resource: next.value.resource });
+      transaction.conditions.push({ key: rowKey(want.kind, want.name), version: row?.version ?? 0 });
+      transaction.writes.push({ key: rowKey(want.kind, want.name), value: next.value.resource });
+    }
+    if (changes.length === 0) return ok(unchanged(revision - 1, resources));
+    const entry: ConfigEntry = { revision, operationId, changes };
+    const published = await this.publishedWrites(changes);
+    if (published.isErr()) return err(published.error);
+    transaction.conditions.push(...published.value.conditions);
+    transaction.writes.push(...published.value.writes);
+    transaction.conditions.push({ key: HEAD_KEY, version: rows.get(HEAD_KEY)?.version ?? 0 });
+    transaction.conditions.push({ key: operationKey(operationId), version: 0 });
+    transaction.writes.push({ key: HEAD_KEY, value: { revision } });
+    transaction.writes.push({ key: logKey(revision), value: entry });
+    transaction.writes.push({ key: operationKey(operationId), value: { revision } });
+    return ok({ entry, transaction, outcome: { revision, changed: true, resources } });
+  }
+
+  /** Rows that keep, for each model, the newest published version, for the staleness check of draws. */
+  private async publishedWrites(changes: ConfigEntry['changes']): Promise<Result<Transaction, StateError>> {
+    const newest = new Map<string, number>();
+    for (const change of changes) {
+      const resource = change.resource as Resource | null;
+      if (resource?.kind !== 'ModelVersion') continue;
+      const { model, version } = resource.spec;
+      newest.set(model, Math.max(version, newest.get(model) ?? 0));
+    }
+    const transaction: Transaction = { conditions: [], writes: [] };
+    if (newest.size === 0) return ok(transaction);
+    const rows = await this.table.read([...newest.keys()].map(publishedKey));
+    if (rows.isErr()) return err(rows.error);
+    const stored = new Map(rows.value.map((row) => [row.key, row]));
+    for (const [model, version] of newest) {
+      const row = stored.get(publishedKey(model));
+      if (publishedVersion(row) >= version && row) continue;
+      transaction.conditions.push({ key: publishedKey(model), version: row?.version ?? 0 });
+      transaction.writes.push({ key: publishedKey(model), value: { version } });
+    }
+    return ok(transaction);
+  }
+}
+
+function unchanged(revision: number, resources: readonly (Resource | null)[]): Planned {
+  return {
+    entry: { revision, operationId: '', changes: [] },
+    transaction: { conditions: [], writes: [] },
+    outcome: { revision, changed: false, resources },
+  };
+}
+
+function nextResource(
+  want: WantedChange,
+  stored: Resource | undefined,
+  revision: number,
+): Result<{ resource: Resource | null; changed: boolean }, StateError> {
+  const current = stored?.metadata.resourceVersion ?? 0;
+  const manifest = want.update(stored);
+  if (manifest.isErr()) return err(manifest.error);
+  if (manifest.value !== null && stored && sameDeclaration(stored, manifest.value)) {
+    return ok({ resource: stored, changed: false });
+  }
+  if (want.expectedVersion !== undefined && want.expectedVersion !== current) {
+    const versions = { expected: want.expectedVersion, current };
+    const message = `${want.kind}/${want.name} is at version ${current}, not ${want.expectedVersion}`;
+    return err(new StateError('conflict', 'none', message, undefined, versions));
+  }
+  if (manifest.value === null) return ok({ resource: null, changed: stored !== undefined });
+  return ok({ resource: storedForm(manifest.value, stored, revision), changed: true });
+}
--- /dev/null
+++ b/src/state/decision-log.ts
@@ -0,0 +1,164 @@
+/**
+ * Decision records. The newest stand in a bounded ring in memory; all are flushed in compressed batches to
+ * the object store, under `decisions/{nodeId}/{first ms}-{last ms}-{sequence}`, so that they outlive the node.
+ */
+import { promisify } from 'node:util';
+import { gunzip, gzip } from 'node:zlib';
+import { sleep, wallTime } from '../common/clock.js';
+import { uniqueId } from '../common/identifier.js';
+import type { Objects } from './platform-objects.js';
+
+const compress = promisify(gzip);
+const decompress = promisify(gunzip);
+
+/** Sorts of decisions. */
+export type DecisionKind =
+  | 'route'
+  | 'retry'
+  | 'resume'
+  | 'refuse'
+  | 'deliver'
+  | 'discard'
+  | 'drain'
+  | 'quarantine'
+  | 'weights'
+  | 'lease';
+
+/** What was considered, as shown to an operator. */
+export interface DecisionInputs {
+  /** Back ends that could take the work, with the load that was believed. */
+  readonly candidates?: readonly {
+    readonly backend: string;
+    readonly load: number;
+    readonly version?: number;
+  }[];
+  /** Back ends that were passed over, and why. */
+  readonly rejected?: readonly { readonly backend: string; readonly reason: string }[];
+  /** Versions that mattered: the sample's oldest, the newest published, the bound. */
+  readonly staleness?: { readonly oldest: number; readonly newest: number; readonly bound: number };
+  /** Anything else, in words. */
+  readonly note?: string;
+}
+
+/** A decision. `subjects` are what it can be looked up by: request, sample, `backend/{name}`, trainer. */
+export interface DecisionRecord {
+  readonly id: string;
+  readonly at: string;
+  readonly node: string;
+  readonly kind: DecisionKind;
+  readonly subjects: readonly string[];
+  readonly choice: string;
+  readonly reason: string;
+  readonly configRevision: number;
+  readonly inputs: DecisionInputs;
+}
+
+/** What the decider gives; the rest is filled in. */
+export type Decision = Omit<DecisionRecord, 'id' | 'at' | 'node' | 'configRevision'>;
+
+const RING_LIMIT = 20_000;
+const FLUSH_INTERVAL_MS = 2_000;
+const PENDING_LIMIT = 50_000;
+const CLOCK_SLACK_MS = 10 * 60 * 1_000;
+
+interface TimedRecord {
+  readonly atMs: number;
+  readonly record: DecisionRecord;
+}
+
+function batchName(nodeId: string, batch: readonly TimedRecord[], sequence: number): string {
+  return `decisions/${nodeId}/${batch[0]?.atMs ?? 0}-${batch.at(-1)?.atMs ?? 0}-${sequence}`;
+}
+
+/** Whether a batch may hold records of a time. */
+function mayHold(name: string, atMs: number): boolean {
+  const [first, last] = (name.split('/').at(-1) ?? '').split('-').map(Number);
+  return (
+    first !== undefined &&
+    last !== undefined &&
+    first - 1_000 <= atMs + CLOCK_SLACK_MS &&
+    last >= atMs - 1_000
+  );
+}
+
+/** The decisions of one node. */
+export class DecisionLog {
+  private ring: TimedRecord[] = [];
+  private pending: TimedRecord[] = [];
+  private sequence = 0;
+  private dropped = 0;
+
+  constructor(
+    private readonly nodeId: string,
+    private readonly objects: Objects,
+    private readonly configRevision: () => number,
+  ) {}
+
+  /** Records a decision and returns it. */
+  record(decision: Decision): DecisionRecord {
+    const record: DecisionRecord = {
+      id: uniqueId(),
+      at: wallTime(),
+      node: this.nodeId,
+      configRevision: this.configRevision(),
+      ...decision,
+    };
+    const timed = { atMs: Date.now(), record };
+    this.ring.push(timed);
+    this.pending.push(timed);
+    if (this.ring.length > RING_LIMIT) this.ring = this.ring.slice(RING_LIMIT / 2);
+    if (this.pending.length > PENDING_LIMIT) {
+      this.pending.shift();
+      this.dropped += 1;
+    }
+    return record;
+  }
+
+  /** Records about a subject that this node still has in memory. */
+  find(subject: string): DecisionRecord[] {
+    return this.ring.filter((one) => one.record.subjects.includes(subject)).map((one) => one.record);
+  }
+
+  /** Records that could not be kept because the object store was away too long. */
+  get droppedCount(): number {
+    return this.dropped;
+  }
+
+  /** Flushes until stopped. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(FLUSH_INTERVAL_MS, signal);
+      await this.flush();
+    }
+  }
+
+  /** Writes what has not been written yet. Records stay pending when the object store is away. */
+  async flush(): Promise<void> {
+    const batch = this.pending;
+    if (batch.length === 0) return;
+    this.pending = [];
+    this.sequence += 1;
+    const bytes = await compress(JSON.stringify(batch.map((one) => one.record)));
+    const written = await this.objects.put(batchName(this.nodeId, batch, this.sequence), bytes);
+    if (written.isErr()) this.pending = [...batch, ...this.pending].slice(-PENDING_LIMIT);
+  }
+}
+
+/** Records about a subject in the batches that a node wrote around a time. Works when the node is gone. */
+export async function findFlushedDecisions(
+  objects: Objects,
+  nodeId: string,
+  subject: string,
+  atMs: number,
+): Promise<DecisionRecord[]> {
+  const names = await objects.list(`decisions/${nodeId}/`);
+  if (names.isErr()) return [];
+  const found: DecisionRecord[] = [];
+  for (const name of names.value.filter((one) => mayHold(one, atMs))) {
+    const bytes = await objects.get(name);
+    if (bytes.isErr() || !bytes.value) continue;
+    const records = JSON.parse((await decompress(bytes.value)).toString('utf8')) as DecisionRecord[];
+    found.push(...records.filter((record) => record.subjects.includes(subject)));
+  }
+  return found;
+}
--- /dev/null
+++ b/src/state/lease-store.ts
@@ -0,0 +1,232 @@
+/**
+ * Leases in the table service. A node keeps one session row alive; each lease names the session that holds
+ * it, so that renewing costs one write for a node however many leases it holds.
+ *
+ * A taker watches the holder's session row on its own monotonic clock and takes over only when the row has
+ * not changed for the whole lease time, in a transaction conditional on it. Each change of holder raises the
+ * epoch. Holders are not trusted to notice that they were paused: writes made under a lease are conditional
+ * on the version of its epoch row, and orders to engines carry the epoch as fence.
+ *
+ * Rows: `session/{nodeId}` {session, beat}, `lease/{name}` {holder, session, epoch}, `lease-epoch/{name}` {epoch}.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { monotonicMs } from '../common/clock.js';
+import type { Row } from '../protocol/table-service.js';
+import type { Table } from './platform-table.js';
+import { StateError } from './state-error.js';
+
+interface SessionRow {
+  readonly session: string;
+  readonly beat: number;
+}
+
+interface LeaseRow {
+  /** Node that holds the lease; empty when it was released. */
+  readonly holder: string;
+  readonly session: string;
+  readonly epoch: number;
+}
+
+/** A lease that this node holds. */
+export interface HeldLease {
+  readonly name: string;
+  /** Grows by one with each change of holder. */
+  readonly epoch: number;
+  /** Condition to add to every transaction made under the lease. */
+  readonly condition: { readonly key: string; readonly version: number };
+}
+
+interface Observation {
+  readonly version: number;
+  readonly sinceMs: number;
+}
+
+const sessionKey = (nodeId: string) => `session/${nodeId}`;
+const leaseKey = (name: string) => `lease/${name}`;
+const epochKey = (name: string) => `lease-epoch/${name}`;
+
+/** The leases of one node. */
+export class LeaseStore {
+  private readonly held = new Map<string, HeldLease>();
+  private readonly observations = new Map<string, Observation>();
+  private sessionVersion = 0;
+  private beat = 0;
+  private renewedAtMs = Number.NEGATIVE_INFINITY;
+
+  /** `leaseMs`: how long a holder may be silent before others take over, milliseconds. */
+  constructor(
+    private readonly table: Table,
+    private readonly nodeId: string,
+    private readonly session: string,
+    readonly leaseMs: number,
+  ) {}
+
+  /** Whether the session is certain to be unexpired. Saves work; safety rests on conditions and fences. */
+  get isValid(): boolean {
+    return monotonicMs() - this.renewedAtMs < this.leaseMs;
+  }
+
+  /**
+   * The lease, unless it is known to be lost. While the table cannot be reached nobody can take it either, so
+   * work under it goes on; the conditions of its writes decide in the end.
+   */
+  get(name: string): HeldLease | undefined {
+    return this.held.get(name);
+  }
+
+  /** Renews the session. After a gap in which it may have lapsed, leases that were taken over are dropped. */
+  async renew(): Promise<Result<void, StateError>> {
+    const mayHaveLapsed = !this.isValid;
+    const renewed = await this.writeBeat();
+    if (renewed.isErr()) {
+      if (renewed.error.failure === 'conflict') this.held.clear();
+      return renewed;
+    }
+    return mayHaveLapsed ? this.dropTakenOver() : renewed;
+  }
+
+  private async dropTakenOver(): Promise<Result<void, StateError>> {
+    const rows = await this.table.read([...this.held.keys()].map(leaseKey));
+    if (rows.isErr()) return err(rows.error);
+    const byKey = new Map(rows.value.map((row) => [row.key, row.value as LeaseRow]));
+    for (const [name, lease] of this.held) {
+      const row = byKey.get(leaseKey(name));
+      if (row?.session !== this.session || row.epoch !== lease.epoch) this.held.delete(name);
+    }
+    return ok(undefined);
+  }
+
+  private async writeBeat(): Promise<Result<void, StateError>> {
+    const startedAt = monotonicMs();
+    const beat = this.beat + 1;
+    const value: SessionRow = { session: this.session, beat };
+    const written = await this.table.transact({
+      conditions: [{ key: sessionKey(this.nodeId), version: this.sessionVersion }],
+      writes: [{ key: sessionKey(this.nodeId), value }],
+    });
+    if (written.isOk() && written.value.committed) {
+      this.noteRenewed(this.sessionVersion + 1, beat, startedAt);
+      return ok(undefined);
+    }
+    if (written.isErr() && written.error.effect === 'none') return err(written.error);
+    return this.settleRenewal(beat, startedAt);
+  }
+
+  /** Finds out what became of a renewal whose answer was lost or whose condition failed. */
+  private async settleRenewal(beat: number, startedAt: number): Promise<Result<void, StateError>> {
+    const rows = await this.table.read([sessionKey(this.nodeId)]);
+    if (rows.isErr()) return err(rows.error);
+    const row = rows.value[0];
+    const value = row?.value as SessionRow | undefined;
+    this.sessionVersion = row?.version ?? 0;
+    if (value?.session === this.session && value.beat === beat) {
+      this.noteRenewed(this.sessionVersion, beat, startedAt);
+      return ok(undefined);
+    }
+    return err(new StateError('conflict', 'none', 'the session row was written by another one'));
+  }
+
+  private noteRenewed(version: number, beat: number, startedAt: number): void {
+    this.sessionVersion = version;
+    this.beat = beat;
+    this.renewedAtMs = startedAt;
+  }
+
+  /** Takes a lease that is free or whose holder is silent; `undefined` while another node holds it. */
+  async tryAcquire(name: string): Promise<Result<HeldLease | undefined, StateError>> {
+    const known = this.get(name);
+    if (known) return ok(known);
+    if (!this.isValid) return ok(undefined);
+    const rows = await this.table.read([leaseKey(name), epochKey(name)]);
+    if (rows.isErr()) return err(rows.error);
+    const byKey = new Map(rows.value.map((row) => [row.key, row]));
+    const lease = byKey.get(leaseKey(name));
+    const epochRow = byKey.get(epochKey(name));
+    const value = lease?.value as LeaseRow | undefined;
+    if (value?.session === this.session) return ok(this.adopt(name, value.epoch, epochRow));
+    const silent = await this.holderCondition(value);
+    if (silent.isErr()) return err(silent.error);
+    if (silent.value === undefined) return ok(undefined);
+    return this.take(name, lease, epochRow, silent.value);
+  }
+
+  /** Who holds a lease, as the table says. */
+  async holder(name: string): Promise<Result<string | undefined, StateError>> {
+    const rows = await this.table.read([leaseKey(name)]);
+    return rows.map((found) => (found[0]?.value as LeaseRow | undefined)?.holder || undefined);
+  }
+
+  /** Gives a lease back, so that another node need not wait for it to lapse. */
+  async release(lease: HeldLease): Promise<void> {
+    this.held.delete(lease.name);
+    const rows = await this.table.read([leaseKey(lease.name)]);
+    const row = rows.isOk() ? rows.value[0] : undefined;
+    const stored = row?.value as LeaseRow | undefined;
+    if (!row || stored?.session !== this.session || stored.epoch !== lease.epoch) return;
+    const value: LeaseRow = { holder: '', session: '', epoch: lease.epoch };
+    await this.table.transact({
+      conditions: [{ key: row.key, version: row.version }],
+      writes: [{ key: row.key, value }],
+    });
+  }
+
+  /** Drops a lease that turned out to be lost. */
+  forget(name: string): void {
+    this.held.delete(name);
+  }
+
+  /** The conditions under which the holder may be replaced; `undefined` while it may be alive. */
+  private async holderCondition(
+    value: LeaseRow | undefined,
+  ): Promise<Result<{ key: string; version: number }[] | undefined, StateError>> {
+    if (!value || value.holder === '') return ok([]);
+    const rows = await this.table.read([sessionKey(value.holder)]);
+    if (rows.isErr()) return err(rows.error);
+    const row = rows.value[0];
+    const version = row?.version ?? 0;
+    const condition = [{ key: sessionKey(value.holder), version }];
+    // The holder came back under another session: the old one can no longer be renewed.
+    if ((row?.value as SessionRow | undefined)?.session !== value.session) return ok(condition);
+    const seen = this.observations.get(value.holder);
+    if (seen?.version !== version) {
+      this.observations.set(value.holder, { version, sinceMs: monotonicMs() });
+      return ok(undefined);
+    }
+    return ok(monotonicMs() - seen.sinceMs > this.leaseMs ? condition : undefined);
+  }
+
+  private async take(
+    name: string,
+    lease: Row | undefined,
+    epochRow: Row | undefined,
+    holderCondition: readonly { key: string; version: number }[],
+  ): Promise<Result<HeldLease | undefined, StateError>> {
+    const epoch = ((epochRow?.value as { epoch: number } | undefined)?.epoch ?? 0) + 1;
+    const value: LeaseRow = { holder: this.nodeId, session: this.session, epoch };
+    const taken = await this.table.transact({
+      conditions: [
+        { key: leaseKey(name), version: lease?.version ?? 0 },
+        { key: epochKey(name), version: epochRow?.version ?? 0 },
+        ...holderCondition,
+      ],
+      writes: [
+        { key: leaseKey(name), value },
+        { key: epochKey(name), value: { epoch } },
+      ],
+    });
+    // A lost answer is settled by the next try, which finds the lease held by this session.
+    if (taken.isErr()) return err(taken.error);
+    if (!taken.value.committed) return ok(undefined);
+    return ok(this.hold(name, epoch, (epochRow?.version ?? 0) + 1));
+  }
+
+  private adopt(name: string, epoch: number, epochRow: Row | undefined): HeldLease | undefined {
+    return epochRow === undefined ? undefined : this.hold(name, epoch, epochRow.version);
+  }
+
+  private hold(name: string, epoch: number, version: number): HeldLease {
+    const lease = { name, epoch, condition: { key: epochKey(name), version } };
+    this.held.set(name, lease);
+    return lease;
+  }
+}
--- /dev/null
+++ b/src/state/platform-objects.ts
@@ -0,0 +1,64 @@
+/** The object store as the rest of the node sees it: within the node's share of the rate, and counted. */
+import { err, type Result } from 'neverthrow';
+import { sleep } from '../common/clock.js';
+import type { Metrics } from '../common/metrics.js';
+import type { ObjectStoreClient } from '../protocol/object-store.js';
+import type { ProtocolError } from '../protocol/protocol-error.js';
+import { fromProtocol, type StateError } from './state-error.js';
+import { TokenBucket } from './token-bucket.js';
+
+const MAX_TRIES = 3;
+const RETRY_DELAY_MS = 50;
+const BURST = 64;
+
+/** What a node reads and writes of the object store. Objects are written once, so repeating a call is safe. */
+export interface Objects {
+  put(name: string, bytes: Buffer): Promise<Result<void, StateError>>;
+  get(name: string): Promise<Result<Buffer | undefined, StateError>>;
+  list(prefix: string): Promise<Result<string[], StateError>>;
+}
+
+/** The budgeted object store. */
+export class PlatformObjects implements Objects {
+  private readonly bucket: TokenBucket;
+
+  constructor(
+    private readonly client: ObjectStoreClient,
+    private readonly metrics: Metrics,
+    callsPerSecond: number,
+  ) {
+    this.bucket = new TokenBucket(callsPerSecond, BURST);
+  }
+
+  put(name: string, bytes: Buffer): Promise<Result<void, StateError>> {
+    return this.repeated('put-object', () => this.client.put(name, bytes));
+  }
+
+  get(name: string): Promise<Result<Buffer | undefined, StateError>> {
+    return this.repeated('get-object', () => this.client.get(name));
+  }
+
+  list(prefix: string): Promise<Result<string[], StateError>> {
+    return this.repeated('list-objects', () => this.client.list(prefix));
+  }
+
+  private async repeated<T>(
+    operation: string,
+    call: () => Promise<Result<T, ProtocolError>>,
+  ): Promise<Result<T, StateError>> {
+    let last: ProtocolError | undefined;
+    for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
+      await this.awaitBudget();
+      const answer = await call();
+      this.metrics.platformCalls.inc({ operation, outcome: answer.isOk() ? 'ok' : answer.error.failure });
+      if (answer.isOk()) return answer.mapErr(fromProtocol);
+      last = answer.error;
+      await sleep(last.retryAfterMs ?? RETRY_DELAY_MS * 2 ** attempt);
+    }
+    return err(fromProtocol(last as ProtocolError));
+  }
+
+  private async awaitBudget(): Promise<void> {
+    for (let waitMs = this.bucket.take(); waitMs > 0; waitMs = this.bucket.take()) await sleep(waitMs);
+  }
+}
--- /dev/null
+++ b/src/state/token-bucket.ts
@@ -0,0 +1,40 @@
+/** A token bucket: a rate with a bounded burst. */
+import { monotonicMs } from '../common/clock.js';
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Hands out tokens at `ratePerSecond`, at most `burst` at once. */
+export class TokenBucket {
+  private tokens: number;
+  private updatedAtMs = monotonicMs();
+
+  constructor(
+    private ratePerSecond: number,
+    private readonly burst: number,
+  ) {
+    this.tokens = burst;
+  }
+
+  /** Changes the rate from now on. */
+  setRate(ratePerSecond: number): void {
+    this.refill();
+    this.ratePerSecond = ratePerSecond;
+  }
+
+  /** Takes a token when there is one; otherwise returns the wait until the next one, milliseconds. */
+  take(): number {
+    this.refill();
+    if (this.tokens >= 1) {
+      this.tokens -= 1;
+      return 0;
+    }
+    return ((1 - this.tokens) / this.ratePerSecond) * MILLISECONDS_PER_SECOND;
+  }
+
+  private refill(): void {
+    const now = monotonicMs();
+    const gained = ((now - this.updatedAtMs) / MILLISECONDS_PER_SECOND) * this.ratePerSecond;
+    this.tokens = Math.min(this.burst, this.tokens + gained);
+    this.updatedAtMs = now;
+  }
+}
--- /dev/null
+++ b/src/transport/http-server.ts
@@ -0,0 +1,129 @@
+/** HTTP server (polka) with bounded heads, header time-outs against slow senders, and traffic counts. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import polka from 'polka';
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const HEADERS_TIMEOUT_MS = 5_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+const KEEP_ALIVE_TIMEOUT_MS = 8_000;
+const CONNECTION_CHECK_INTERVAL_MS = 500;
+const MAX_CONNECTIONS = 20_000;
+
+/** Handles one request; it must answer. A rejection is answered by `onFailure`. */
+export type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+/** Answers for what no handler answered. */
+export interface ServerFallbacks {
+  readonly notFound: Handler;
+  readonly failed: (cause: unknown, request: IncomingMessage, response: ServerResponse) => void;
+}
+
+/** One listening server. Routes are matched by method and the first path segments. */
+export class HttpServer {
+  private readonly app;
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+  private closedSocketBytes = 0;
+
+  constructor(private readonly fallbacks: ServerFallbacks) {
+    this.server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+    });
+    this.server.maxConnections = MAX_CONNECTIONS;
+    this.server.on('connection', (socket) => this.track(socket));
+    this.app = polka({
+      server: this.server,
+      onNoMatch: (request, response) => {
+        void this.run(this.fallbacks.notFound, request, response as ServerResponse);
+      },
+    });
+  }
+
+  /** Adds a handler for a method (or `ALL`) and a route pattern of Trouter (`/a/:b`, `/a/*`). */
+  route(
+    method: 'ALL' | 'GET' | 'PUT' | 'POST' | 'PATCH' | 'DELETE',
+    pattern: string,
+    handler: Handler,
+  ): void {
+    const run = (request: IncomingMessage, response: ServerResponse) => {
+      void this.run(handler, request, response);
+    };
+    if (method === 'ALL') this.app.all(pattern, run as never);
+    else this.app.add(method, pattern, run as never);
+  }
+
+  /** Starts listening; port 0 takes a free one. Resolves to the port. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.app.listen({ host, port } as never, () => resolve((this.server.address() as AddressInfo).port));
+    });
+  }
+
+  /** Stops accepting connections and resolves when the open exchanges have ended. */
+  async closeGracefully(): Promise<void> {
+    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
+    this.server.closeIdleConnections();
+    await closed;
+  }
+
+  /** Drops everything at once. */
+  destroy(): void {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  /** Bytes received and sent on all connections that this server accepted. */
+  trafficBytes(): number {
+    let bytes = this.closedSocketBytes;
+    for (const socket of this.sockets) bytes += socket.bytesRead + socket.bytesWritten;
+    return bytes;
+  }
+
+  private track(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.on('close', () => {
+      this.sockets.delete(socket);
+      this.closedSocketBytes += socket.bytesRead + socket.bytesWritten;
+    });
+  }
+
+  private async run(handler: Handler, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      await handler(request, response);
+    } catch (cause) {
+      this.fallbacks.failed(cause, request, response);
+    }
+  }
+}
+
+/** Aborts when the caller's connection closes before the answer was finished. */
+export function callerGone(response: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  return controller.signal;
+}
+
+/** Sends a JSON answer. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Record<string, string> = {},
+): void {
+  if (response.headersSent || response.destroyed) return;
+  const body = JSON.stringify(value);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body).toString(),
+    ...headers,
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/src/transport/transport-error.ts
@@ -0,0 +1,52 @@
+/** Failures of the transport layer. */
+
+/** How an exchange failed. */
+export type TransportFailure =
+  | 'connect-failed'
+  | 'timed-out'
+  | 'connection-lost'
+  | 'cancelled'
+  | 'body-too-large';
+
+/**
+ * An HTTP exchange that failed. `requestSent` is false only when it is certain that no byte of the
+ * request reached the other side; when in doubt it is true.
+ */
+export class TransportError extends Error {
+  override readonly name = 'TransportError';
+
+  constructor(
+    readonly failure: TransportFailure,
+    readonly requestSent: boolean,
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+const CONNECT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'ENOTFOUND',
+]);
+const TIMEOUT_CODES = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
+
+function codeOf(cause: unknown): string {
+  return (cause as { code?: string } | undefined)?.code ?? '';
+}
+
+/** Classifies an error thrown by undici or by a stream. */
+export function toTransportError(cause: unknown): TransportError {
+  if (cause instanceof TransportError) return cause;
+  const message = cause instanceof Error ? cause.message : String(cause);
+  const code = codeOf(cause);
+  const name = (cause as Error | undefined)?.name;
+  if (name === 'TimeoutError') return new TransportError('timed-out', true, 'deadline passed');
+  if (name === 'AbortError' || code === 'UND_ERR_ABORTED')
+    return new TransportError('cancelled', true, message);
+  if (CONNECT_CODES.has(code)) return new TransportError('connect-failed', false, message);
+  if (TIMEOUT_CODES.has(code)) return new TransportError('timed-out', true, message);
+  return new TransportError('connection-lost', true, message);
+}
--- /dev/null
+++ b/test/support/system.ts
@@ -0,0 +1,256 @@
+/** A whole system of real processes: platform, engines, application back ends, nodes, each behind a proxy. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { stringify } from 'yaml';
+import {
+  EMULATOR_APPLICATION,
+  EMULATOR_MODEL,
+  EMULATOR_MODEL_SERVICE,
+  EMULATOR_TOKENS,
+  EMULATOR_TRAINER,
+  emulatorSettings,
+} from '../../emulator/cluster.js';
+import { uniqueId } from '../../src/common/identifier.js';
+import type { Settings } from '../../src/node/settings.js';
+import { OperatorClient } from '../../src/protocol/operator-client.js';
+import { TrainerClient } from '../../src/protocol/trainer-client.js';
+import { HttpClient } from '../../src/transport/http-client.js';
+import { FaultProxy } from './fault-proxy.js';
+import { killProcess, type ReadyProcess, startEmulator, startNode } from './processes.js';
+import { until } from './wait.js';
+
+/** Times short enough for tests; no verdict depends on them. */
+const TEST_TIMING: Settings['timing'] = {
+  freshnessMs: 1_500,
+  headPollMs: 50,
+  holdMs: 200,
+  probeIntervalMs: 150,
+  suspicionMs: 600,
+  leaseMs: 1_200,
+  enginePollMs: 100,
+  machinePollMs: 100,
+};
+
+/** Sizes of a system. */
+export interface SystemOptions {
+  readonly nodes: number;
+  readonly engines?: number;
+  readonly applications?: number;
+  readonly stalenessBound?: number;
+  readonly stepMs?: number;
+  readonly medianTokens?: number;
+  readonly timing?: Settings['timing'];
+  /** Changes of the declared specs, by `Kind/name`. */
+  readonly specs?: Readonly<Record<string, object>>;
+}
+
+/** A node process, the proxy that others reach it through, and its own way to the platform. */
+export interface SystemNode {
+  readonly id: string;
+  process: ReadyProcess;
+  readonly address: string;
+  readonly platformProxy: FaultProxy;
+  readonly settingsFile: string;
+}
+
+/** A back end process behind a proxy. */
+export interface SystemBackend {
+  readonly name: string;
+  readonly process: ReadyProcess;
+  /** Address of the process itself, for control. */
+  readonly direct: string;
+  readonly proxy: FaultProxy;
+}
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+
+/** One system. */
+export class TestSystem {
+  readonly nodes: SystemNode[] = [];
+  readonly engines: SystemBackend[] = [];
+  readonly applications: SystemBackend[] = [];
+  readonly client = new HttpClient();
+  platformAddress = '';
+  private platform: ReadyProcess | undefined;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'thymecove-test-'));
+
+  constructor(private readonly options: SystemOptions) {}
+
+  /** Starts all processes and brings the declarations into force. */
+  async start(): Promise<void> {
+    this.platform = await startEmulator(['platform']);
+    this.platformAddress = this.platform.ready.address as string;
+    for (let index = 0; index < (this.options.engines ?? 0); index += 1) await this.addEngine(index);
+    for (let index = 0; index < (this.options.applications ?? 0); index += 1)
+      await this.addApplication(index);
+    for (let index = 0; index < this.options.nodes; index += 1)
+      await this.addNode(`node-${index}`, ZONES[0] as string);
+    await this.untilMembers(this.options.nodes);
+    await this.declare(this.declarations());
+  }
+
+  /** Ends everything at once. */
+  async stop(): Promise<void> {
+    const processes = [...this.nodes, ...this.engines, ...this.applications].map((one) => one.process);
+    if (this.platform) processes.push(this.platform);
+    for (const one of processes) one.child.kill('SIGCONT');
+    await Promise.all(processes.map((one) => killProcess(one)));
+    for (const node of this.nodes) node.platformProxy.stop();
+    for (const backend of [...this.engines, ...this.applications]) backend.proxy.stop();
+    await this.client.close();
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  /** Starts one more node. */
+  async addNode(id: string, zone: string): Promise<SystemNode> {
+    const platformProxy = await FaultProxy.start(this.platformAddress);
+    const seeds = this.nodes.map((node) => node.address);
+    const timing = { ...TEST_TIMING, ...this.options.timing };
+    const settings = emulatorSettings(id, zone, platformProxy.address, seeds, { timing });
+    const settingsFile = join(this.folder, `${id}-${uniqueId()}.yaml`);
+    writeFileSync(settingsFile, stringify(settings));
+    const process = await startNode(['--settings', settingsFile]);
+    const node = { id, process, address: process.ready.address as string, platformProxy, settingsFile };
+    this.nodes.push(node);
+    return node;
+  }
+
+  /** Starts a killed node again, under its address. */
+  async restartNode(node: SystemNode): Promise<void> {
+    const port = new URL(node.address).port;
+    const seeds = this.nodes.filter((one) => one !== node).flatMap((one) => ['--seed-node', one.address]);
+    node.process = await startNode(['--settings', node.settingsFile, '--port', port, ...seeds]);
+  }
+
+  /** Waits until every node takes work and knows so many members. */
+  async untilMembers(count: number): Promise<void> {
+    for (const node of this.nodes) {
+      await until(`${node.id} knows ${count} members`, async () => {
+        const status = await this.operator(node).status();
+        if (status.isErr() || !status.value.node.configurationFresh) return false;
+        return status.value.members.filter((member) => member.state === 'alive').length === count;
+      });
+    }
+  }
+
+  /** Puts resources into force as one revision; resolves to it. */
+  async declare(manifests: readonly unknown[]): Promise<number> {
+    const changes = manifests.map((manifest) => ({ action: 'put' as const, manifest }));
+    const done = await this.operator(this.nodes[0] as SystemNode).commit({
+      operationId: uniqueId(),
+      changes,
+    });
+    if (done.isErr()) throw new Error(`${done.error.message} ${JSON.stringify(done.error.detail)}`);
+    return done.value.revision;
+  }
+
+  /** An operator at a node. */
+  operator(node: SystemNode): OperatorClient {
+    return new OperatorClient(this.client, node.address, EMULATOR_TOKENS.operator);
+  }
+
+  /** An approver at a node. */
+  approver(node: SystemNode): OperatorClient {
+    return new OperatorClient(this.client, node.address, EMULATOR_TOKENS.approver);
+  }
+
+  /** The trainer at a node. */
+  trainer(node: SystemNode): TrainerClient {
+    return new TrainerClient(this.client, node.address, EMULATOR_TRAINER, EMULATOR_TOKENS.trainer);
+  }
+
+  /** Sends a request to the application service through a node. */
+  async callApplication(node: SystemNode, workId: string, headers: Record<string, string> = {}) {
+    const answer = await this.client.exchange({
+      method: 'POST',
+      url: `${node.address}/services/${EMULATOR_APPLICATION}/work`,
+      headers: { authorization: `Bearer ${EMULATOR_TOKENS.caller}`, 'x-work-id': workId, ...headers },
+      body: `body of ${workId}`,
+    });
+    return answer.map(({ status, headers: answered, body }) => {
+      const text = body.toString('utf8');
+      return { status, headers: answered, json: JSON.parse(text) as Record<string, unknown> };
+    });
+  }
+
+  /** How often each request ran, over all application back ends. */
+  async runs(): Promise<Record<string, number>> {
+    const total: Record<string, number> = {};
+    for (const backend of this.applications) {
+      const answer = await this.client.exchange({ method: 'GET', url: `${backend.direct}/control/runs` });
+      const { runs } = JSON.parse(answer._unsafeUnwrap().body.toString('utf8')) as {
+        runs: Record<string, number>;
+      };
+      for (const [workId, count] of Object.entries(runs)) total[workId] = (total[workId] ?? 0) + count;
+    }
+    return total;
+  }
+
+  /** Sets faults or other control values of a stand-in. */
+  async control(base: string, path: string, value: object): Promise<void> {
+    const body = JSON.stringify(value);
+    const answer = await this.client.exchange({ method: 'PUT', url: `${base}${path}`, body });
+    if (answer.isErr() || answer.value.status !== 200) throw new Error(`control ${path} failed`);
+  }
+
+  private async addEngine(index: number): Promise<void> {
+    const args = [
+      '--weights',
+      `${this.platformAddress}/weights`,
+      '--model',
+      EMULATOR_MODEL,
+      '--version',
+      '1',
+    ];
+    if (this.options.stepMs) args.push('--step-ms', String(this.options.stepMs));
+    if (this.options.medianTokens) args.push('--median-tokens', String(this.options.medianTokens));
+    const process = await startEmulator(['engines', ...args]);
+    this.engines.push(await this.behindProxy(`engine-${index}`, process));
+  }
+
+  private async addApplication(index: number): Promise<void> {
+    const process = await startEmulator(['application', '--name', `app-${index}`]);
+    this.applications.push(await this.behindProxy(`app-${index}`, process));
+  }
+
+  private async behindProxy(name: string, process: ReadyProcess): Promise<SystemBackend> {
+    const [direct] = process.ready.addresses as [string];
+    return { name, process, direct, proxy: await FaultProxy.start(direct) };
+  }
+
+  private declarations(): unknown[] {
+    const manifest = (kind: string, name: string, spec: object) => ({
+      apiVersion: 'thymecove/v1',
+      kind,
+      metadata: { name },
+      spec: { ...spec, ...this.options.specs?.[`${kind}/${name}`] },
+    });
+    const backends = (service: string, list: readonly SystemBackend[]) =>
+      list.map((one) =>
+        manifest('Backend', one.name, {
+          service,
+          address: one.proxy.address,
+          zone: ZONES[0],
+          machine: `m-${one.name}`,
+        }),
+      );
+    return [
+      manifest('Service', EMULATOR_MODEL_SERVICE, { type: 'model', repeatable: true }),
+      manifest('Service', EMULATOR_APPLICATION, { type: 'application', repeatable: false }),
+      manifest('Model', EMULATOR_MODEL, { service: EMULATOR_MODEL_SERVICE }),
+      manifest('ModelVersion', `${EMULATOR_MODEL}-v1`, {
+        model: EMULATOR_MODEL,
+        version: 1,
+        weights: { object: `${EMULATOR_MODEL}/1` },
+      }),
+      manifest('Trainer', EMULATOR_TRAINER, {
+        models: [EMULATOR_MODEL],
+        stalenessBound: this.options.stalenessBound ?? 1,
+        batchSize: 16,
+      }),
+      ...backends(EMULATOR_MODEL_SERVICE, this.engines),
+      ...backends(EMULATOR_APPLICATION, this.applications),
+    ];
+  }
+}
