--- a/src/cli/commands/node.ts
+++ b/src/cli/commands/node.ts
@@ -58,8 +58,8 @@
     process.once('SIGTERM', stop);
     process.once('SIGINT', stop);
     try {
-      const address = await node.start();
-      process.stdout.write(`${JSON.stringify({ ready: true, id: settings.value.node.id, address })}\n`);
+      const listening = await node.start();
+      process.stdout.write(`${JSON.stringify({ ready: true, id: settings.value.node.id, listening })}\n`);
     } catch (cause) {
       printNote(`error: cannot listen: ${(cause as Error).message}`);
       process.exit(ExitCode.failed);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -32,7 +32,7 @@
   private readonly logger: Logger;
   private readonly timing: Timing;
   private readonly lifecycle: Lifecycle<NodeState, NodeEvent>;
-  private readonly client = new HttpClient();
+  private readonly client: HttpClient;
   private readonly server: ApiServer;
   private readonly background = new AbortController();
   private readonly dutyStop = new AbortController();
@@ -45,6 +45,7 @@
     options: NodeOptions = {},
   ) {
     this.timing = timingOf(settings);
+    this.client = new HttpClient({ localAddress: settings.listen.outboundHost });
     this.metrics = new Metrics(options.processMetrics ?? true);
     this.logger = createLogger({ node: settings.node.id, zone: settings.node.zone });
     const observer = { logger: this.logger, metrics: this.metrics };
@@ -76,11 +77,12 @@
     return this.server.http.trafficBytes();
   }
 
-  /** Listens and starts all tasks. Resolves to the base URL under which it is reached. */
+  /** Listens and starts all tasks. Resolves to the base URL on which it listens. */
   async start(): Promise<string> {
     const { listen, node } = this.settings;
     const port = await this.server.http.listen(listen.host, listen.port);
-    const address = listen.advertise ?? `http://${listen.host}:${port}`;
+    const listening = `http://${listen.host}:${port}`;
+    const address = listen.advertise ?? listening;
     const observer = { logger: this.logger, metrics: this.metrics };
     this.coordinationParts = buildCoordination({
       settings: this.settings,
@@ -94,7 +96,7 @@
     this.addRoutes();
     this.logger.info('node listening', { address, id: node.id });
     this.startTasks();
-    return address;
+    return listening;
   }
 
   /** Stops as planned: refuses new work, finishes what is in flight, hands the leases over, writes the records. */
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -37,6 +37,12 @@
           description: 'Port to listen on; 0 takes a free one.',
         }),
         advertise: Type.Optional(BaseUrl('Base URL under which peers reach it. Default: host and port.')),
+        outboundHost: Type.Optional(
+          Type.String({
+            minLength: 1,
+            description: 'IP address of outgoing connections. Default: chosen by the system.',
+          }),
+        ),
       },
       CLOSED,
     ),
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -40,6 +40,15 @@
   readonly body: Buffer;
 }
 
+/** How a client connects. */
+export interface HttpClientOptions {
+  /** Connections to each other side at most; further requests queue. Default 256. */
+  readonly connectionsPerOrigin?: number;
+  /** IP address that connections come from. Default: chosen by the system. */
+  readonly localAddress?: string;
+}
+
+const DEFAULT_CONNECTIONS_PER_ORIGIN = 256;
 const DEFAULT_HEAD_TIMEOUT_MS = 30_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
 const CONNECT_TIMEOUT_MS = 2_000;
@@ -70,9 +79,10 @@
   private readonly pooled: Agent;
   private readonly fresh: Agent;
 
-  /** `connectionsPerOrigin` bounds the pool to each other side; further requests queue. */
-  constructor(connectionsPerOrigin = 256) {
-    const shared = { connections: connectionsPerOrigin, connect: { timeout: CONNECT_TIMEOUT_MS } };
+  constructor(options: HttpClientOptions = {}) {
+    const { connectionsPerOrigin = DEFAULT_CONNECTIONS_PER_ORIGIN, localAddress } = options;
+    const connect = { timeout: CONNECT_TIMEOUT_MS, ...(localAddress ? { localAddress } : {}) };
+    const shared = { connections: connectionsPerOrigin, connect };
     this.pooled = new Agent({ ...shared, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_MS });
     this.fresh = new Agent({ ...shared, pipelining: 0 });
   }
--- a/test/support/fault-proxy.ts
+++ b/test/support/fault-proxy.ts
@@ -19,18 +19,15 @@
   private readonly server: Server;
   private readonly pairs = new Set<{ near: Socket; far: Socket }>();
   private mode: ProxyMode = 'pass';
+  private blockedSources: ReadonlySet<string> = new Set();
 
-  private constructor(
-    private readonly targetHost: string,
-    private readonly targetPort: number,
-  ) {
+  private constructor(private target: URL) {
     this.server = createServer((near) => this.accept(near));
   }
 
-  /** Starts a proxy in front of a base URL; resolves to the proxy. */
-  static async start(target: string): Promise<FaultProxy> {
-    const { hostname, port } = new URL(target);
-    const proxy = new FaultProxy(hostname, Number(port));
+  /** Starts a proxy in front of a base URL, which may be set later; resolves to the proxy. */
+  static async start(target = 'http://127.0.0.1:9'): Promise<FaultProxy> {
+    const proxy = new FaultProxy(new URL(target));
     await new Promise<void>((resolve) => proxy.server.listen(0, '127.0.0.1', resolve));
     return proxy;
   }
@@ -40,6 +37,17 @@
     return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
+  /** Sets what stands behind the proxy. */
+  setTarget(target: string): void {
+    this.target = new URL(target);
+  }
+
+  /** Refuses connections from these IP addresses and breaks the open ones. */
+  blockSources(sources: readonly string[]): void {
+    this.blockedSources = new Set(sources);
+    for (const { near } of [...this.pairs]) if (this.isBlocked(near)) near.destroy();
+  }
+
   /** Changes what happens from now on; open connections follow. */
   set(mode: ProxyMode): void {
     this.mode = mode;
@@ -64,11 +72,11 @@
   }
 
   private accept(near: Socket): void {
-    if (this.mode === 'cut') {
+    if (this.mode === 'cut' || this.isBlocked(near)) {
       near.destroy();
       return;
     }
-    const far = connect(this.targetPort, this.targetHost);
+    const far = connect(Number(this.target.port), this.target.hostname);
     const pair = { near, far };
     this.pairs.add(pair);
     const close = () => {
@@ -90,4 +98,8 @@
       far.pause();
     }
   }
+
+  private isBlocked(near: Socket): boolean {
+    return this.blockedSources.has(near.remoteAddress ?? '');
+  }
 }
--- a/test/support/system.ts
+++ b/test/support/system.ts
@@ -49,7 +49,12 @@
 export interface SystemNode {
   readonly id: string;
   process: ReadyProcess;
+  /** Address of the process itself, for callers. */
   readonly address: string;
+  /** IP address that its connections come from. */
+  readonly host: string;
+  /** What other nodes reach it through. */
+  readonly peerProxy: FaultProxy;
   readonly platformProxy: FaultProxy;
   readonly settingsFile: string;
 }
@@ -63,6 +68,7 @@
   readonly proxy: FaultProxy;
 }
 
+const FIRST_HOST = 11;
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 
 /** One system. */
@@ -81,11 +87,14 @@
   async start(): Promise<void> {
     this.platform = await startEmulator(['platform']);
     this.platformAddress = this.platform.ready.address as string;
-    for (let index = 0; index < (this.options.engines ?? 0); index += 1) await this.addEngine(index);
-    for (let index = 0; index < (this.options.applications ?? 0); index += 1)
-      await this.addApplication(index);
-    for (let index = 0; index < this.options.nodes; index += 1)
-      await this.addNode(`node-${index}`, ZONES[0] as string);
+    const indices = (count = 0) => Array.from({ length: count }, (_, index) => index);
+    const [engines, applications] = await Promise.all([
+      Promise.all(indices(this.options.engines).map((index) => this.startEngine(index))),
+      Promise.all(indices(this.options.applications).map((index) => this.startApplication(index))),
+      this.addNodes(indices(this.options.nodes).map((index) => `node-${index}`)),
+    ]);
+    this.engines.push(...engines);
+    this.applications.push(...applications);
     await this.untilMembers(this.options.nodes);
     await this.declare(this.declarations());
   }
@@ -96,33 +105,69 @@
     if (this.platform) processes.push(this.platform);
     for (const one of processes) one.child.kill('SIGCONT');
     await Promise.all(processes.map((one) => killProcess(one)));
-    for (const node of this.nodes) node.platformProxy.stop();
+    for (const node of this.nodes) {
+      node.platformProxy.stop();
+      node.peerProxy.stop();
+    }
     for (const backend of [...this.engines, ...this.applications]) backend.proxy.stop();
     await this.client.close();
     rmSync(this.folder, { recursive: true, force: true });
   }
 
-  /** Starts one more node. */
-  async addNode(id: string, zone: string): Promise<SystemNode> {
+  /** Starts nodes. Each has an IP address of its own, so that proxies can tell who connects. */
+  async addNodes(ids: readonly string[], zone = ZONES[0] as string): Promise<SystemNode[]> {
+    const known = this.nodes.map((node) => node.peerProxy.address);
+    const proxies = await Promise.all(ids.map(() => FaultProxy.start()));
+    const seeds = [...known, ...proxies.map((proxy) => proxy.address)];
+    const added = await Promise.all(
+      ids.map((id, index) =>
+        this.startNode(id, zone, proxies[index] as FaultProxy, seeds, known.length + index),
+      ),
+    );
+    this.nodes.push(...added);
+    return added;
+  }
+
+  private async startNode(
+    id: string,
+    zone: string,
+    peerProxy: FaultProxy,
+    seeds: readonly string[],
+    index: number,
+  ): Promise<SystemNode> {
     const platformProxy = await FaultProxy.start(this.platformAddress);
-    const seeds = this.nodes.map((node) => node.address);
     const timing = { ...TEST_TIMING, ...this.options.timing };
-    const settings = emulatorSettings(id, zone, platformProxy.address, seeds, { timing });
-    const settingsFile = join(this.folder, `${id}-${uniqueId()}.yaml`);
+    const host = `127.0.0.${FIRST_HOST + index}`;
+    const listen = { host, port: 0, advertise: peerProxy.address, outboundHost: host };
+    const settings = emulatorSettings(id, zone, platformProxy.address, seeds, { timing, listen });
+    const settingsFile = join(this.folder, `${id}.yaml`);
     writeFileSync(settingsFile, stringify(settings));
     const process = await startNode(['--settings', settingsFile]);
-    const node = { id, process, address: process.ready.address as string, platformProxy, settingsFile };
-    this.nodes.push(node);
-    return node;
+    const address = process.ready.listening as string;
+    peerProxy.setTarget(address);
+    return { id, process, address, host, peerProxy, platformProxy, settingsFile };
   }
 
   /** Starts a killed node again, under its address. */
   async restartNode(node: SystemNode): Promise<void> {
     const port = new URL(node.address).port;
-    const seeds = this.nodes.filter((one) => one !== node).flatMap((one) => ['--seed-node', one.address]);
+    const others = this.nodes.filter((one) => one !== node);
+    const seeds = others.flatMap((one) => ['--seed-node', one.peerProxy.address]);
     node.process = await startNode(['--settings', node.settingsFile, '--port', port, ...seeds]);
   }
 
+  /** Cuts a node off from the other nodes, in both directions; callers and the platform still reach it. */
+  isolate(node: SystemNode): void {
+    const others = this.nodes.filter((one) => one !== node);
+    node.peerProxy.blockSources(others.map((one) => one.host));
+    for (const other of others) other.peerProxy.blockSources([node.host]);
+  }
+
+  /** Mends all cuts between nodes. */
+  reconnect(): void {
+    for (const node of this.nodes) node.peerProxy.blockSources([]);
+  }
+
   /** Waits until every node takes work and knows so many members. */
   async untilMembers(count: number): Promise<void> {
     for (const node of this.nodes) {
@@ -194,7 +239,7 @@
     if (answer.isErr() || answer.value.status !== 200) throw new Error(`control ${path} failed`);
   }
 
-  private async addEngine(index: number): Promise<void> {
+  private async startEngine(index: number): Promise<SystemBackend> {
     const args = [
       '--weights',
       `${this.platformAddress}/weights`,
@@ -206,12 +251,12 @@
     if (this.options.stepMs) args.push('--step-ms', String(this.options.stepMs));
     if (this.options.medianTokens) args.push('--median-tokens', String(this.options.medianTokens));
     const process = await startEmulator(['engines', ...args]);
-    this.engines.push(await this.behindProxy(`engine-${index}`, process));
+    return this.behindProxy(`engine-${index}`, process);
   }
 
-  private async addApplication(index: number): Promise<void> {
+  private async startApplication(index: number): Promise<SystemBackend> {
     const process = await startEmulator(['application', '--name', `app-${index}`]);
-    this.applications.push(await this.behindProxy(`app-${index}`, process));
+    return this.behindProxy(`app-${index}`, process);
   }
 
   private async behindProxy(name: string, process: ReadyProcess): Promise<SystemBackend> {
