Oldest version asked of an engine is never negative

Cause: with a staleness bound above the newest version (bound 5, version 1) the oldest version allowed came out as -4, which the engine's wire format refuses; the owner tried the slot again for ever and no sample was generated. Ruled out: load (no engine had work in flight), leases (the owner held its lease throughout), the weight swap (it came later). The owner's counter showed 360 refused attempts in 5 s. Change: the bound is cut off at 0; the text of an engine's refusal is kept in the decision record.

--- a/emulator/main.ts
+++ b/emulator/main.ts
@@ -69,7 +69,7 @@
   handler: async (args) => {
     const addresses: string[] = [];
     for (let index = 0; index < args.count; index += 1) {
-      const server = new ApplicationServer(`${args.name}-${index}`);
+      const server = new ApplicationServer(args.count === 1 ? args.name : `${args.name}-${index}`);
       addresses.push(await server.start(HOST, portOf(args.port, index)));
     }
     ready({ addresses });
--- a/src/coordination/rollout-owner.ts
+++ b/src/coordination/rollout-owner.ts
@@ -195,7 +195,7 @@
     const context = this.contextOf(signal);
     const sampleId = formatSampleId({ trainer: this.trainerName, ...task });
     const minVersion = () =>
-      newestPublished(this.parts.view, model.metadata.name) - trainer.spec.stalenessBound;
+      Math.max(0, newestPublished(this.parts.view, model.metadata.name) - trainer.spec.stalenessBound);
     const generated = await this.parts.generator.generate(
       context,
       {
--- a/src/protocol/engine.ts
+++ b/src/protocol/engine.ts
@@ -130,10 +130,11 @@
     });
     if (sent.isErr()) return err(fromTransport(sent.error, 'generate'));
     if (sent.value.status === 200) return ok({ response: sent.value });
-    await readWhole(sent.value.body, REFUSAL_LIMIT_BYTES);
+    const reason = await readWhole(sent.value.body, REFUSAL_LIMIT_BYTES);
     const effect = sent.value.headers[NOT_ADMITTED_HEADER] === 'true' ? 'none' : 'unknown';
     const wait = retryAfterMs(sent.value.headers);
-    return err(new ProtocolError('refused', effect, `generate: status ${sent.value.status}`, wait));
+    const text = reason.map((bytes) => bytes.toString('utf8')).unwrapOr('');
+    return err(new ProtocolError('refused', effect, `generate: status ${sent.value.status} ${text}`, wait));
   }
 
   /** Cancels a generation. */
