--- a/src/coordination/config-acceptance.ts
+++ b/src/coordination/config-acceptance.ts
@@ -4,7 +4,7 @@
  * mended, but it is not reported as accepted while the majority still acts on the revision before.
  */
 import { monotonicMs, sleep } from '../common/clock.js';
-import type { PeerClient } from '../protocol/peer.js';
+import type { PeerClient, RevisionQuery } from '../protocol/peer.js';
 import type { ConfigView } from '../state/config-view.js';
 import type { ConfigDistribution } from './config-distribution.js';
 import type { Membership } from './membership.js';
@@ -21,6 +21,8 @@
 
 const ROUND_WAIT_MS = 500;
 const RETRY_DELAY_MS = 50;
+/** Newest entries that go along with the question; a member that is further behind fetches them. */
+const PUSHED_ENTRIES = 4;
 
 /** Finds out who holds a revision. */
 export class ConfigAcceptance {
@@ -43,11 +45,16 @@
   }
 
   /**
-   * Asks every member; each may take `waitMs` to get there. Members that are behind are woken by the question. With
-   * `untilMajority` the slow ones are not waited for.
+   * Asks every member; each may take `waitMs` to get there. The question brings the entries along, so that a majority
+   * does not depend on the tree, of which a part may be paused. With `untilMajority` the slow ones are not waited for.
    */
   async report(revision: number, waitMs: number, untilMajority = false): Promise<AcceptanceReport> {
     const others = this.membership.members.others();
+    const query = {
+      atLeast: revision,
+      waitMs,
+      entries: [...this.view.newestEntries(PUSHED_ENTRIES)],
+    };
     const members = this.distribution.electorateSize();
     let holders = this.view.revision >= revision ? 1 : 0;
     const isMajority = () => holders > members / 2;
@@ -57,7 +64,7 @@
         if (pending === 0 || (untilMajority && isMajority())) resolve();
       };
       for (const member of others) {
-        void this.holds(member.address, revision, waitMs).then((holds) => {
+        void this.holds(member.address, query).then((holds) => {
           pending -= 1;
           if (holds) holders += 1;
           finishIfDone();
@@ -74,8 +81,8 @@
     };
   }
 
-  private async holds(address: string, revision: number, waitMs: number): Promise<boolean> {
-    const answer = await this.peers.revision(address, { atLeast: revision, waitMs });
-    return answer.isOk() && answer.value.revision >= revision;
+  private async holds(address: string, query: RevisionQuery): Promise<boolean> {
+    const answer = await this.peers.revision(address, query);
+    return answer.isOk() && answer.value.revision >= query.atLeast;
   }
 }
--- a/src/coordination/config-distribution.ts
+++ b/src/coordination/config-distribution.ts
@@ -34,13 +34,17 @@
   readonly fanout: number;
 }
 
-/** Part of the freshness lease after which a node asks others than its parent. */
+/**
+ * Part of the freshness lease after which a node asks others than its parent. Members that pass an ageing
+ * confirmation round among themselves must come to ask a majority before the lease lapses.
+ */
 const IMPATIENCE = 0.6;
 const RETRY_DELAY_MS = 100;
 
 /** One node's part in the distribution. */
 export class ConfigDistribution {
   private hasLoaded = false;
+  private hasReadTable = false;
   private wakeUp = new AbortController();
 
   constructor(
@@ -56,6 +60,14 @@
     view.subscribe((_events, revision) => observer.metrics.configRevision.set(revision));
   }
 
+  /**
+   * Whether this node may vote in a majority: only once it has read the table itself since it started. A node that
+   * learnt everything from others would repeat their vote, not add one.
+   */
+  get isVoter(): boolean {
+    return this.hasReadTable;
+  }
+
   /** Whether this node has loaded the configuration since it started. */
   get isLoaded(): boolean {
     return this.hasLoaded;
@@ -70,7 +82,7 @@
       const updated = parent
         ? await this.pullFrom(parent, this.options.holdMs, interrupt)
         : await this.readTable();
-      if (!updated && this.lease.ageMs() > IMPATIENCE * this.lease.lengthMs) await this.askOthers(parent);
+      if (!updated && !this.isRecent()) await this.askOthers(parent);
       if (!parent) await sleep(this.options.headPollMs, interrupt);
       else if (!updated) await sleep(RETRY_DELAY_MS, interrupt);
     }
@@ -103,9 +115,10 @@
 
   /** Answers a member's question for the revision in force. */
   async answerRevision(query: RevisionQuery): Promise<RevisionAnswer> {
+    if (this.hasLoaded) for (const entry of query.entries) this.view.apply(entry);
     if (query.atLeast > this.view.revision) this.wake();
     await this.view.waitForRevision(query.atLeast, query.waitMs);
-    return { id: this.membership.members.own.id, revision: this.view.revision, loaded: this.hasLoaded };
+    return { id: this.membership.members.own.id, revision: this.view.revision, voter: this.isVoter };
   }
 
   /** Members whose vote makes a majority: this node's electorate and the seeds of which nothing is known. */
@@ -127,6 +140,7 @@
       const entries = await this.store.entries(this.view.revision, head.value);
       if (entries.isErr() || !entries.value.some((entry) => this.view.apply(entry))) return false;
     }
+    this.hasReadTable = true;
     this.confirm(askedAt);
     return true;
   }
@@ -162,7 +176,12 @@
     if (confirmedAgeMs === undefined || this.view.revision < revision) return false;
     const confirmedAt = askedAt + heldMs - confirmedAgeMs;
     this.confirm(confirmedAt);
-    return this.lease.isFresh;
+    return this.isRecent();
+  }
+
+  /** Whether the last confirmation is recent enough to rely on the same source again. */
+  private isRecent(): boolean {
+    return this.lease.ageMs() < IMPATIENCE * this.lease.lengthMs;
   }
 
   private takeOver(answer: ConfigPullAnswer): void {
@@ -173,18 +192,16 @@
     for (const entry of answer.entries) this.view.apply(entry);
   }
 
-  /** A majority that holds no newer revision confirms this one. Only members that have loaded one vote. */
+  /** A majority that holds no newer revision confirms this one. */
   private async confirmByMajority(): Promise<boolean> {
     const askedAt = monotonicMs();
     const others = this.membership.members.others();
-    const query = { atLeast: 0, waitMs: 0 };
+    const query = { atLeast: 0, waitMs: 0, entries: [] };
     const answers = await Promise.all(others.map((member) => this.peers.revision(member.address, query)));
     const votes = answers.flatMap((answer, index) =>
-      answer.isOk() && answer.value.loaded
-        ? [{ member: others[index] as MemberRecord, ...answer.value }]
-        : [],
+      answer.isOk() && answer.value.voter ? [{ member: others[index] as MemberRecord, ...answer.value }] : [],
     );
-    const own = this.hasLoaded ? 1 : 0;
+    const own = this.isVoter ? 1 : 0;
     if (votes.length + own <= this.electorateSize() / 2) return false;
     const newest = votes.reduce(
       (a, b) => (b.revision > a.revision ? b : a),
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -72,13 +72,15 @@
 export const RevisionQuerySchema = Type.Object({
   atLeast: Type.Integer({ minimum: 0 }),
   waitMs: Type.Integer({ minimum: 0, maximum: 10_000 }),
+  /** Committed entries up to `atLeast`, so that the member need not fetch them. */
+  entries: Type.Array(ConfigEntrySchema),
 });
 export type RevisionQuery = Static<typeof RevisionQuerySchema>;
 export const RevisionAnswerSchema = Type.Object({
   id: Type.String(),
   revision: Type.Integer(),
-  /** Whether the member has loaded the configuration since it started; others have no vote. */
-  loaded: Type.Boolean(),
+  /** Whether the member has read the table itself since it started; others have no vote. */
+  voter: Type.Boolean(),
 });
 export type RevisionAnswer = Static<typeof RevisionAnswerSchema>;
 
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -81,8 +81,8 @@
 
   constructor(options: HttpClientOptions = {}) {
     const { connectionsPerOrigin = DEFAULT_CONNECTIONS_PER_ORIGIN, localAddress } = options;
-    const connect = { timeout: CONNECT_TIMEOUT_MS, ...(localAddress ? { localAddress } : {}) };
-    const shared = { connections: connectionsPerOrigin, connect };
+    const connect = { timeout: CONNECT_TIMEOUT_MS };
+    const shared = { connections: connectionsPerOrigin, connect, ...(localAddress ? { localAddress } : {}) };
     this.pooled = new Agent({ ...shared, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_MS });
     this.fresh = new Agent({ ...shared, pipelining: 0 });
   }
--- a/test/weights.test.ts
+++ b/test/weights.test.ts
@@ -70,15 +70,13 @@
   });
 
   it('are named token by token when they change in the middle of a sample', async () => {
-    await system
-      .trainer(node)
-      .submit({
-        rolloutId: 'swapped',
-        model: EMULATOR_MODEL,
-        prompts: ['a', 'b'],
-        samplesPerPrompt: 12,
-        maxTokens: 600,
-      });
+    await system.trainer(node).submit({
+      rolloutId: 'swapped',
+      model: EMULATOR_MODEL,
+      prompts: ['a', 'b'],
+      samplesPerPrompt: 12,
+      maxTokens: 600,
+    });
     await until('samples are being generated', async () => {
       const status = (await system.operator(system.nodes[0] as SystemNode).status())._unsafeUnwrap();
       const other = (await system.operator(system.nodes[1] as SystemNode).status())._unsafeUnwrap();
