--- a/emulator/cluster.ts
+++ b/emulator/cluster.ts
@@ -69,6 +69,8 @@
   readonly stalenessBound: number;
   readonly engine?: Partial<EngineOptions>;
   readonly settings?: Partial<Settings>;
+  /** Further fields of the trainer's spec. */
+  readonly trainer?: object;
 }
 
 /** An embedded system. */
@@ -184,6 +186,7 @@
         models: [EMULATOR_MODEL],
         stalenessBound: this.options.stalenessBound,
         batchSize: 32,
+        ...this.options.trainer,
       }),
     ];
   }
--- a/emulator/platform/platform-server.ts
+++ b/emulator/platform/platform-server.ts
@@ -38,6 +38,7 @@
   private readonly server: HttpServer = createStandInServer();
   private readonly faults: Record<Part, FaultInjector>;
   private weightReads = 0;
+  private calls = 0;
 
   constructor(private readonly options: PlatformOptions = {}) {
     this.faults = Object.fromEntries(PARTS.map((part) => [part, new FaultInjector()])) as Record<
@@ -51,6 +52,11 @@
     this.addMachineRoutes();
   }
 
+  /** Calls of the table service so far. */
+  get callCount(): number {
+    return this.calls;
+  }
+
   /** Starts; resolves to the base URL. */
   async start(host: string, port: number): Promise<string> {
     return `http://${host}:${await this.server.listen(host, port)}`;
@@ -67,6 +73,7 @@
         'POST',
         `/table/${path}`,
         this.faults.table.around(async (request, response) => {
+          this.calls += 1;
           const value = check(await readControlJson(request, BODY_LIMIT_BYTES));
           sendJson(response, 200, answer(value));
         }),
--- a/test/support/system.ts
+++ b/test/support/system.ts
@@ -41,6 +41,8 @@
   readonly stepMs?: number;
   readonly medianTokens?: number;
   readonly timing?: Settings['timing'];
+  /** Declares back ends by their own addresses, not behind proxies: for benchmarks. */
+  readonly directBackends?: boolean;
   /** Changes of the declared specs, by `Kind/name`. */
   readonly specs?: Readonly<Record<string, object>>;
 }
@@ -275,7 +277,7 @@
       list.map((one) =>
         manifest('Backend', one.name, {
           service,
-          address: one.proxy.address,
+          address: this.options.directBackends ? one.direct : one.proxy.address,
           zone: ZONES[0],
           machine: `m-${one.name}`,
         }),
