--- a/emulator/main.ts
+++ b/emulator/main.ts
@@ -1,9 +1,10 @@
 /**
- * The emulator as processes of their own: `platform`, `engines`, `application`. Each prints one JSON line with its
- * addresses when it is ready.
+ * The emulator as processes of their own: `platform`, `engines`, `application` print one JSON line with
+ * their addresses when they are ready; `trainer` runs to its end and prints what it counted.
  */
-import { command, number, option, run, string, subcommands } from 'cmd-ts';
+import { array, command, multioption, number, option, run, string, subcommands } from 'cmd-ts';
 import { ApplicationServer } from './application/application-server.js';
+import { TrainerLoop } from './clients/trainer-loop.js';
 import { EngineServer } from './engine/engine-server.js';
 import { PlatformServer } from './platform/platform-server.js';
 
@@ -76,5 +77,50 @@
   },
 });
 
+const trainer = command({
+  name: 'trainer',
+  description: 'A trainer that runs some steps and prints what it counted',
+  args: {
+    nodes: multioption({
+      type: array(string),
+      long: 'node',
+      description: 'Base URL of a node; may be repeated.',
+    }),
+    name: option({ type: string, long: 'trainer' }),
+    model: option({ type: string, long: 'model' }),
+    token: option({ type: string, long: 'token' }),
+    steps: option({ type: number, long: 'steps', defaultValue: () => 3 }),
+    bound: option({ type: number, long: 'staleness-bound', defaultValue: () => 1 }),
+    version: option({
+      type: number,
+      long: 'version',
+      defaultValue: () => 1,
+      description: 'Version that is loaded now.',
+    }),
+  },
+  handler: async ({ nodes, name, model, token, steps, bound, version }) => {
+    const report = await new TrainerLoop({
+      trainer: name,
+      token,
+      model,
+      nodes,
+      stalenessBound: bound,
+      steps,
+      promptsPerStep: 16,
+      samplesPerPrompt: 4,
+      maxTokens: 400,
+      seed: 1,
+      firstVersion: version,
+      trainMs: 200,
+      timeoutMs: 120_000,
+      runName: `run-${Date.now()}`,
+    }).run();
+    process.stdout.write(`${JSON.stringify(report)}\n`);
+  },
+});
+
 process.on('SIGTERM', () => process.exit(0));
-await run(subcommands({ name: 'emulator', cmds: { platform, engines, application } }), process.argv.slice(2));
+await run(
+  subcommands({ name: 'emulator', cmds: { platform, engines, application, trainer } }),
+  process.argv.slice(2),
+);
--- a/src/coordination/rollout-owner.ts
+++ b/src/coordination/rollout-owner.ts
@@ -31,7 +31,7 @@
 }
 
 const SCAN_INTERVAL_MS = 300;
-const DEFAULT_CONCURRENCY = 32;
+const DEFAULT_CONCURRENCY = 128;
 const SAMPLE_DEADLINE_MS = 30 * 60 * 1_000;
 const RETRY_DELAY_MS = 200;
 const MAX_RETRY_DELAY_MS = 3_000;
--- a/src/coordination/weight-rollout.ts
+++ b/src/coordination/weight-rollout.ts
@@ -47,6 +47,11 @@
   return draining === true || (listed !== undefined && listed.spec.state !== 'live');
 }
 
+/** Whether an engine is to serve a model. */
+export function isAssigned(backend: BackendEntry, model: string): boolean {
+  return (backend.declaration.spec.model ?? model) === model;
+}
+
 /** The owner of one slice of one model's engines. */
 export class WeightRollout {
   private readonly swaps = new Map<string, Lifecycle<SwapState, SwapEvent>>();
@@ -77,6 +82,7 @@
     return this.parts.registry
       .ofService(model.spec.service)
       .filter((backend) => partitionOf(backend.name, slices) === this.slice)
+      .filter((backend) => isAssigned(backend, this.modelName))
       .filter((backend) => isAllowedZone(backend.declaration.spec.zone, model.spec.residency))
       .filter((backend) => isAllowedZone(backend.declaration.spec.zone, service?.spec.residency));
   }
--- a/src/node/api/resource-routes.ts
+++ b/src/node/api/change-routes.ts
@@ -1,45 +1,27 @@
-/** Routes of operators for resources: read, change, watch, approve. */
+/** Routes that change resources: put, patch, delete, approve, changesets. */
 import { err, ok, type Result } from 'neverthrow';
 import { wallTime } from '../../common/clock.js';
 import { uniqueId } from '../../common/identifier.js';
-import type { ConfigAcceptance } from '../../coordination/config-acceptance.js';
 import { CoordinationError, fromState } from '../../coordination/coordination-error.js';
 import { checkManifest, isKind, type Manifest } from '../../protocol/manifest.js';
 import { ApprovalRequestSchema, type Changeset, ChangesetSchema } from '../../protocol/operator.js';
-import { KINDS, type Kind, READ_ONLY_KINDS, type Resource, ROLLOUT_KIND } from '../../protocol/resource.js';
+import { READ_ONLY_KINDS, type Resource, type ResourceOf } from '../../protocol/resource.js';
 import { Validator } from '../../protocol/validation.js';
-import type { BackendRegistry } from '../../state/backend-registry.js';
-import type { CommitOutcome, ConfigStore, WantedChange } from '../../state/config-store.js';
-import type { ConfigView } from '../../state/config-view.js';
-import type { RolloutLedger } from '../../state/rollout-ledger.js';
+import type { CommitOutcome, WantedChange } from '../../state/config-store.js';
 import { StateError } from '../../state/state-error.js';
 import { sendJson } from '../../transport/http-server.js';
 import type { ApiHandler, Route } from './api-server.js';
 import { type Exchange, InvalidRequestError, readAnyJson, readJson } from './exchange.js';
 import { mergePatch } from './merge-patch.js';
-import { statusOf } from './resource-status.js';
-import { watchResources } from './watch.js';
-
-/** What the routes need. */
-export interface ResourceParts {
-  readonly view: ConfigView;
-  readonly store: ConfigStore;
-  readonly registry: BackendRegistry;
-  readonly acceptance: ConfigAcceptance;
-  readonly rollouts: RolloutLedger;
-  readonly acceptTimeoutMs: number;
-  /** Aborted when the node begins to leave; open watches end then. */
-  readonly leaving: AbortSignal;
-}
+import { isOperator, kindOf, type ResourceParts, withStatus } from './resource-common.js';
 
 const BODY_LIMIT_BYTES = 8 * 1024 * 1024;
 const OPERATION_HEADER = 'x-operation-id';
 const changeset = new Validator(ChangesetSchema);
 const approvalRequest = new Validator(ApprovalRequestSchema);
 
-/** Routes of operators for resources. */
-export function resourceRoutes(parts: ResourceParts): Route[] {
-  const readers = ['operator' as const, 'approver' as const, 'trainer' as const];
+/** Routes that change resources. */
+export function changeRoutes(parts: ResourceParts): Route[] {
   const writers = ['operator' as const, 'approver' as const];
   const publishers = [...writers, 'trainer' as const];
   const base = '/v1/resources/:kind';
@@ -48,8 +30,6 @@
     (exchange) =>
       handler(parts, exchange);
   return [
-    { method: 'GET', pattern: base, roles: readers, isWork: true, handler: bind(list) },
-    { method: 'GET', pattern: `${base}/:name`, roles: readers, isWork: true, handler: bind(read) },
     { method: 'PUT', pattern: `${base}/:name`, roles: publishers, isWork: true, handler: bind(put) },
     { method: 'PATCH', pattern: `${base}/:name`, roles: writers, isWork: true, handler: bind(patch) },
     { method: 'DELETE', pattern: `${base}/:name`, roles: writers, isWork: true, handler: bind(remove) },
@@ -67,87 +47,9 @@
       isWork: true,
       handler: bind(commitChangeset),
     },
-    {
-      method: 'GET',
-      pattern: '/v1/revisions/:revision',
-      roles: writers,
-      isWork: true,
-      handler: bind(revision),
-    },
   ];
 }
 
-function kindOf(exchange: Exchange): Result<Kind, CoordinationError> {
-  const { kind } = exchange.params;
-  if (kind === 'AccessPolicy' && !isOperator(exchange)) {
-    return err(new CoordinationError('forbidden', 'no', 'only operators may see access policies'));
-  }
-  if (isKind(kind)) return ok(kind);
-  const message = `kind ${kind} is not one of ${[...KINDS, ROLLOUT_KIND].join(', ')}`;
-  return err(new CoordinationError('not-found', 'no', message));
-}
-
-/** Whether the principal acts for the operators, not for a trainer. */
-function isOperator(exchange: Exchange): boolean {
-  return exchange.principal.roles.some((role) => role === 'operator' || role === 'approver');
-}
-
-const withStatus = (parts: ResourceParts, resource: Resource) => ({
-  ...resource,
-  status: statusOf(parts.view, parts.registry, resource),
-});
-
-async function list(parts: ResourceParts, exchange: Exchange): Promise<Result<void, CoordinationError>> {
-  if (exchange.params.kind === ROLLOUT_KIND) return listRollouts(parts, exchange);
-  const kind = kindOf(exchange);
-  if (kind.isErr()) return err(kind.error);
-  if (exchange.url.searchParams.get('watch') === 'true') {
-    return watchResources(parts.view, exchange, kind.value, parts.leaving);
-  }
-  const set = exchange.url.searchParams.get('set');
-  const found = parts.view.list(kind.value) as Resource[];
-  const items = found.filter((one) => set === null || one.metadata.set === set);
-  sendJson(exchange.response, 200, {
-    resourceVersion: parts.view.revision,
-    items: items.map((one) => withStatus(parts, one)),
-  });
-  return ok(undefined);
-}
-
-async function listRollouts(
-  parts: ResourceParts,
-  exchange: Exchange,
-): Promise<Result<void, CoordinationError>> {
-  const own = exchange.principal.trainer;
-  const names = own ? [own] : parts.view.list('Trainer').map((trainer) => trainer.metadata.name);
-  const items: unknown[] = [];
-  for (const trainer of names) {
-    const rollouts = await parts.rollouts.list(trainer);
-    if (rollouts.isErr()) return err(fromState(rollouts.error));
-    for (const { rolloutId, row } of rollouts.value) {
-      const metadata = { name: rolloutId, resourceVersion: 0, generation: 1 };
-      const spec = { trainer, model: row.model, slots: row.slots, state: row.state };
-      items.push({ apiVersion: 'thymecove/v1', kind: ROLLOUT_KIND, metadata, spec });
-    }
-  }
-  sendJson(exchange.response, 200, { resourceVersion: parts.view.revision, items });
-  return ok(undefined);
-}
-
-async function read(parts: ResourceParts, exchange: Exchange): Promise<Result<void, CoordinationError>> {
-  const kind = kindOf(exchange);
-  if (kind.isErr()) return err(kind.error);
-  const resource = parts.view.get(kind.value, exchange.params.name ?? '') as Resource | undefined;
-  if (!resource) return err(notFound(exchange));
-  const etag = `"${resource.metadata.resourceVersion}"`;
-  sendJson(exchange.response, 200, withStatus(parts, resource), { etag });
-  return ok(undefined);
-}
-
-function notFound(exchange: Exchange): CoordinationError {
-  return new CoordinationError('not-found', 'no', `no ${exchange.params.kind} ${exchange.params.name}`);
-}
-
 /** The version in `If-Match`: a number in quotes, `*` for any. */
 function ifMatch(exchange: Exchange): Result<number | 'any' | undefined, CoordinationError> {
   const header = exchange.request.headers['if-match'];
@@ -312,7 +214,8 @@
   const committed = await commitAndAccept(parts, operationId(exchange), [want]);
   if (committed.isErr()) return err(committed.error);
   const [resource] = committed.value.resources;
-  const { revision } = committed.value;
+  const { revision, changed } = committed.value;
+  if (changed && resource?.kind === 'Backend') noteBackendChange(parts, exchange, resource);
   if (!resource) sendJson(exchange.response, 200, { deleted: true, resourceVersion: revision });
   else {
     const etag = `"${resource.metadata.resourceVersion}"`;
@@ -321,6 +224,18 @@
   return ok(undefined);
 }
 
+/** Keeps who took a back end out of use or back into it, for `explain`. */
+function noteBackendChange(parts: ResourceParts, exchange: Exchange, backend: ResourceOf<'Backend'>): void {
+  const { name, resourceVersion } = backend.metadata;
+  parts.decisions.record({
+    kind: 'drain',
+    subjects: [`backend/${name}`, exchange.requestId],
+    choice: backend.spec.draining ? 'draining' : 'in use',
+    reason: backend.spec.drainReason ?? 'declared',
+    inputs: { note: `by ${exchange.principal.identity}, version ${resourceVersion}` },
+  });
+}
+
 /** A commit counts as accepted when a majority of the members holds it. */
 async function commitAndAccept(
   parts: ResourceParts,
@@ -395,12 +310,3 @@
   if (!(error instanceof InvalidRequestError)) return error;
   return new InvalidRequestError(error.fields.map((one) => ({ ...one, field: `${prefix}.${one.field}` })));
 }
-
-async function revision(parts: ResourceParts, exchange: Exchange): Promise<Result<void, CoordinationError>> {
-  const asked = Number(exchange.params.revision);
-  if (!Number.isInteger(asked) || asked < 0) {
-    return err(new InvalidRequestError([{ field: 'revision', message: 'must be a whole number' }]));
-  }
-  sendJson(exchange.response, 200, await parts.acceptance.report(asked, 0));
-  return ok(undefined);
-}
--- /dev/null
+++ b/src/node/api/read-routes.ts
@@ -0,0 +1,91 @@
+/** Routes that read resources: list, watch, read, and who holds a revision. */
+import { err, ok, type Result } from 'neverthrow';
+import { CoordinationError, fromState } from '../../coordination/coordination-error.js';
+import { type Resource, ROLLOUT_KIND } from '../../protocol/resource.js';
+import { sendJson } from '../../transport/http-server.js';
+import type { ApiHandler, Route } from './api-server.js';
+import { type Exchange, InvalidRequestError } from './exchange.js';
+import { kindOf, type ResourceParts, withStatus } from './resource-common.js';
+import { watchResources } from './watch.js';
+
+/** Routes that read resources. */
+export function readRoutes(parts: ResourceParts): Route[] {
+  const readers = ['operator' as const, 'approver' as const, 'trainer' as const];
+  const operators = ['operator' as const, 'approver' as const];
+  const base = '/v1/resources/:kind';
+  const bind =
+    (handler: (parts: ResourceParts, exchange: Exchange) => ReturnType<ApiHandler>): ApiHandler =>
+    (exchange) =>
+      handler(parts, exchange);
+  return [
+    { method: 'GET', pattern: base, roles: readers, isWork: true, handler: bind(list) },
+    { method: 'GET', pattern: `${base}/:name`, roles: readers, isWork: true, handler: bind(read) },
+    {
+      method: 'GET',
+      pattern: '/v1/revisions/:revision',
+      roles: operators,
+      isWork: true,
+      handler: bind(revision),
+    },
+  ];
+}
+
+async function list(parts: ResourceParts, exchange: Exchange): Promise<Result<void, CoordinationError>> {
+  if (exchange.params.kind === ROLLOUT_KIND) return listRollouts(parts, exchange);
+  const kind = kindOf(exchange);
+  if (kind.isErr()) return err(kind.error);
+  if (exchange.url.searchParams.get('watch') === 'true') {
+    return watchResources(parts.view, exchange, kind.value, parts.leaving);
+  }
+  const set = exchange.url.searchParams.get('set');
+  const found = parts.view.list(kind.value) as Resource[];
+  const items = found.filter((one) => set === null || one.metadata.set === set);
+  sendJson(exchange.response, 200, {
+    resourceVersion: parts.view.revision,
+    items: items.map((one) => withStatus(parts, one)),
+  });
+  return ok(undefined);
+}
+
+async function listRollouts(
+  parts: ResourceParts,
+  exchange: Exchange,
+): Promise<Result<void, CoordinationError>> {
+  const own = exchange.principal.trainer;
+  const names = own ? [own] : parts.view.list('Trainer').map((trainer) => trainer.metadata.name);
+  const items: unknown[] = [];
+  for (const trainer of names) {
+    const rollouts = await parts.rollouts.list(trainer);
+    if (rollouts.isErr()) return err(fromState(rollouts.error));
+    for (const { rolloutId, row } of rollouts.value) {
+      const metadata = { name: rolloutId, resourceVersion: 0, generation: 1 };
+      const spec = { trainer, model: row.model, slots: row.slots, state: row.state };
+      items.push({ apiVersion: 'thymecove/v1', kind: ROLLOUT_KIND, metadata, spec });
+    }
+  }
+  sendJson(exchange.response, 200, { resourceVersion: parts.view.revision, items });
+  return ok(undefined);
+}
+
+async function read(parts: ResourceParts, exchange: Exchange): Promise<Result<void, CoordinationError>> {
+  const kind = kindOf(exchange);
+  if (kind.isErr()) return err(kind.error);
+  const resource = parts.view.get(kind.value, exchange.params.name ?? '') as Resource | undefined;
+  if (!resource) return err(notFound(exchange));
+  const etag = `"${resource.metadata.resourceVersion}"`;
+  sendJson(exchange.response, 200, withStatus(parts, resource), { etag });
+  return ok(undefined);
+}
+
+function notFound(exchange: Exchange): CoordinationError {
+  return new CoordinationError('not-found', 'no', `no ${exchange.params.kind} ${exchange.params.name}`);
+}
+
+async function revision(parts: ResourceParts, exchange: Exchange): Promise<Result<void, CoordinationError>> {
+  const asked = Number(exchange.params.revision);
+  if (!Number.isInteger(asked) || asked < 0) {
+    return err(new InvalidRequestError([{ field: 'revision', message: 'must be a whole number' }]));
+  }
+  sendJson(exchange.response, 200, await parts.acceptance.report(asked, 0));
+  return ok(undefined);
+}
--- /dev/null
+++ b/src/node/api/resource-common.ts
@@ -0,0 +1,48 @@
+/** What reading and changing resources share. */
+import { err, ok, type Result } from 'neverthrow';
+import type { ConfigAcceptance } from '../../coordination/config-acceptance.js';
+import { CoordinationError } from '../../coordination/coordination-error.js';
+import { isKind } from '../../protocol/manifest.js';
+import { KINDS, type Kind, type Resource, ROLLOUT_KIND } from '../../protocol/resource.js';
+import type { BackendRegistry } from '../../state/backend-registry.js';
+import type { ConfigStore } from '../../state/config-store.js';
+import type { ConfigView } from '../../state/config-view.js';
+import type { DecisionLog } from '../../state/decision-log.js';
+import type { RolloutLedger } from '../../state/rollout-ledger.js';
+import type { Exchange } from './exchange.js';
+import { statusOf } from './resource-status.js';
+
+/** What the routes need. */
+export interface ResourceParts {
+  readonly view: ConfigView;
+  readonly store: ConfigStore;
+  readonly registry: BackendRegistry;
+  readonly acceptance: ConfigAcceptance;
+  readonly rollouts: RolloutLedger;
+  readonly decisions: DecisionLog;
+  readonly acceptTimeoutMs: number;
+  /** Aborted when the node begins to leave; open watches end then. */
+  readonly leaving: AbortSignal;
+}
+
+/** The kind that the route names. */
+export function kindOf(exchange: Exchange): Result<Kind, CoordinationError> {
+  const { kind } = exchange.params;
+  if (kind === 'AccessPolicy' && !isOperator(exchange)) {
+    return err(new CoordinationError('forbidden', 'no', 'only operators may see access policies'));
+  }
+  if (isKind(kind)) return ok(kind);
+  const message = `kind ${kind} is not one of ${[...KINDS, ROLLOUT_KIND].join(', ')}`;
+  return err(new CoordinationError('not-found', 'no', message));
+}
+
+/** Whether the principal acts for the operators, not for a trainer. */
+export function isOperator(exchange: Exchange): boolean {
+  return exchange.principal.roles.some((role) => role === 'operator' || role === 'approver');
+}
+
+/** A resource with its status, as this node sees it. */
+export const withStatus = (parts: ResourceParts, resource: Resource) => ({
+  ...resource,
+  status: statusOf(parts.view, parts.registry, resource),
+});
--- a/src/node/api/resource-status.ts
+++ b/src/node/api/resource-status.ts
@@ -1,7 +1,7 @@
 /** Status of resources, worked out by the node that answers. */
 
 import { isApproved, targetVersion } from '../../coordination/version-policy.js';
-import { shouldDrain } from '../../coordination/weight-rollout.js';
+import { isAssigned, shouldDrain } from '../../coordination/weight-rollout.js';
 import type { Condition, Resource, ResourceOf, ResourceStatus } from '../../protocol/resource.js';
 import type { BackendRegistry } from '../../state/backend-registry.js';
 import type { ConfigView } from '../../state/config-view.js';
@@ -49,7 +49,9 @@
   model: ResourceOf<'Model'>,
 ): Condition[] {
   const target = targetVersion(view, model)?.spec.version;
-  const engines = registry.ofService(model.spec.service);
+  const engines = registry
+    .ofService(model.spec.service)
+    .filter((engine) => isAssigned(engine, model.metadata.name));
   const behind = engines.filter((engine) => engine.version !== target).map((engine) => engine.name);
   const message =
     target === undefined
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -7,11 +7,12 @@
 import { HttpClient } from '../transport/http-client.js';
 import { ApiServer } from './api/api-server.js';
 import { callerRoutes } from './api/caller-routes.js';
+import { changeRoutes } from './api/change-routes.js';
 import { completionRoutes } from './api/completion-routes.js';
 import { explainRoutes } from './api/explain-routes.js';
 import { healthRoutes } from './api/health-routes.js';
 import { peerRoutes } from './api/peer-routes.js';
-import { resourceRoutes } from './api/resource-routes.js';
+import { readRoutes } from './api/read-routes.js';
 import { trainerRoutes } from './api/trainer-routes.js';
 import { buildCoordination, type CoordinationParts } from './coordination-parts.js';
 import { type Settings, type Timing, timingOf } from './settings.js';
@@ -143,17 +144,19 @@
     const { state, settings } = this;
     const { coordination } = this;
     const parts = { ...state, ...coordination };
+    const resourceParts = {
+      ...parts,
+      acceptTimeoutMs: this.timing.acceptTimeoutMs,
+      leaving: this.dutyStop.signal,
+    };
     this.server.addRoutes([
       ...healthRoutes(this.metrics, coordination.gate),
       ...callerRoutes(parts),
       ...completionRoutes(parts),
       ...trainerRoutes(parts),
       ...peerRoutes(parts),
-      ...resourceRoutes({
-        ...parts,
-        acceptTimeoutMs: this.timing.acceptTimeoutMs,
-        leaving: this.dutyStop.signal,
-      }),
+      ...readRoutes(resourceParts),
+      ...changeRoutes(resourceParts),
       ...explainRoutes({
         ...parts,
         nodeId: settings.node.id,
--- a/src/protocol/resource.ts
+++ b/src/protocol/resource.ts
@@ -75,6 +75,11 @@
     machine: Type.Optional(
       Type.String({ description: 'Machine that it runs on, as the machine list names it.' }),
     ),
+    model: Type.Optional(
+      Name(
+        'Model that an engine is to serve, in a service with several models. Default: the one model of the service.',
+      ),
+    ),
     maxInFlight: Type.Optional(
       Type.Integer({ minimum: 1, description: 'Requests that one node sends it at a time. Default 64.' }),
     ),
@@ -162,7 +167,7 @@
       Type.Integer({
         minimum: 1,
         maximum: 4096,
-        description: 'Samples generated at a time by one owner. Default 32.',
+        description: 'Samples generated at a time by one owner. Default 128.',
       }),
     ),
   },
