A draw that was overtaken takes nothing back

Cause: a draw that a frozen node handles after the trainer has given it up, asked again elsewhere and received the batch, could find samples too old by then, void the batch that the trainer had trained on, and have its samples made and delivered again. Ruled out: lost answers of the table and owners without a lease (the same schedules without late draws passed). Change: each draw carries a sequence that grows; a lower one than the newest handled is refused as overtaken; a redelivery notes the request that it answered. The draw request has a new required field.

--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -3,6 +3,7 @@
  * tokens, through a node beside the direct path to the same back end. Separate processes; the paths take turns.
  */
 
+import { nextSequence } from '../emulator/clients/trainer-loop.js';
 import { EMULATOR_APPLICATION, EMULATOR_MODEL, EMULATOR_TOKENS } from '../emulator/cluster.js';
 import { sleep } from '../src/common/clock.js';
 import type { HttpClient, OutgoingRequest } from '../src/transport/http-client.js';
@@ -112,6 +113,7 @@
     for (let got = 0; got < STREAMS; ) {
       const batch = await trainer.draw({
         cursor,
+        sequence: nextSequence(),
         versions: { [EMULATOR_MODEL]: 1 },
         previous,
         waitMs: 10_000,
--- a/emulator/clients/trainer-loop.ts
+++ b/emulator/clients/trainer-loop.ts
@@ -64,6 +64,14 @@
   return true_.length === claimed.length && true_.every((version, index) => version === claimed[index]);
 }
 
+let lastSequence = Date.now();
+
+/** A number for the next draw: it grows with each request, also over restarts of the trainer. */
+export function nextSequence(): number {
+  lastSequence += 1;
+  return lastSequence;
+}
+
 /** One trainer. */
 export class TrainerLoop {
   private readonly client = new HttpClient();
@@ -140,6 +148,7 @@
   private async draw(): Promise<Batch | undefined> {
     const drawn = await this.anyNode().draw({
       cursor: this.cursor,
+      sequence: nextSequence(),
       versions: { [this.options.model]: this.version },
       waitMs: DRAW_WAIT_MS,
       ...(this.previous ? { previous: this.previous } : {}),
--- a/src/state/batch-ledger.ts
+++ b/src/state/batch-ledger.ts
@@ -71,6 +71,7 @@
 const MAX_TRIES = 12;
 const NO_CURSOR: CursorRow = {
   cursor: 0,
+  sequence: 0,
   attempt: 0,
   digest: '',
   samples: [],
@@ -181,11 +182,11 @@
     const row = state.cursorRow ?? NO_CURSOR;
     const redelivered = row.cursor === request.cursor ? row.samples : [];
     const fresh = redelivered.every((sample) => this.isFresh(terms, state, sample));
-    if (redelivered.length > 0 && fresh) return ok({ row, discarded: [] });
+    if (redelivered.length > 0 && fresh) return this.redeliver(terms, request, state, row);
     const selection = await this.select(terms, request, state, redelivered);
     if (selection.isErr()) return err(selection.error);
     const { chosen, discarded } = selection.value;
-    const next = nextCursorRow(row, request.cursor, chosen, state.newest);
+    const next = nextCursorRow(row, request, chosen, state.newest);
     if (chosen.length === 0 && discarded.length === 0) return ok({ row: next, discarded });
     const transaction = this.drawTransaction(terms, state, selection.value, row, next);
     const written = await this.table.transact(transaction);
@@ -193,6 +194,19 @@
     return ok(written.value.committed ? { row: next, discarded } : undefined);
   }
 
+  /** Hands a batch out again, and notes for which request. */
+  private async redeliver(terms: DrawTerms, request: DrawRequest, state: DrawState, row: CursorRow) {
+    if (row.sequence === request.sequence) return ok({ row, discarded: [] });
+    const key = ledgerKeys.cursor(terms.trainer);
+    const next: CursorRow = { ...row, sequence: request.sequence };
+    const written = await this.table.transact({
+      conditions: [{ key, version: state.cursorVersion }, ...state.publishedConditions],
+      writes: [{ key, value: next }],
+    });
+    if (written.isErr()) return err(written.error);
+    return ok(written.value.committed ? { row: next, discarded: [] } : undefined);
+  }
+
   private isFresh(terms: DrawTerms, state: DrawState, sample: ReadySample): boolean {
     const newest = state.newest.get(sample.model) ?? 0;
     return isWithinBound(sample.oldestVersion, newest, terms.stalenessBound);
@@ -313,12 +327,19 @@
 }
 
 /**
- * Checks that the cursor is the current one, or the next one with the current batch acknowledged by its attempt
+ * Checks that no later request has been handled, and that the cursor is the current one, or the next one with the current batch acknowledged by its attempt
  * and digest: a trainer that holds a void attempt must not acknowledge the one that replaced it.
  */
 function cursorClash(row: CursorRow | undefined, request: DrawRequest): StateError | undefined {
   const current = row ?? NO_CURSOR;
-  const { cursor, previous } = request;
+  const { cursor, previous, sequence } = request;
+  if (sequence < current.sequence) {
+    const message = `request ${sequence} was overtaken by request ${current.sequence}`;
+    return new StateError('conflict', 'none', message, undefined, {
+      expected: sequence,
+      current: current.sequence,
+    });
+  }
   const isHandedOut = current.samples.length > 0;
   if (cursor === current.cursor && !(current.acknowledged && isHandedOut)) return undefined;
   const isAcknowledged =
@@ -336,7 +357,7 @@
 
 function nextCursorRow(
   before: CursorRow,
-  cursor: number,
+  { cursor, sequence }: DrawRequest,
   chosen: readonly Candidate[],
   newest: ReadonlyMap<string, number>,
 ): CursorRow {
@@ -347,6 +368,7 @@
   );
   return {
     cursor,
+    sequence,
     attempt,
     digest,
     samples,
--- a/src/state/ledger-rows.ts
+++ b/src/state/ledger-rows.ts
@@ -97,6 +97,8 @@
 /** The batch that a trainer's newest cursor stands for. */
 export interface CursorRow {
   readonly cursor: number;
+  /** Newest request that the batch was handed out to. */
+  readonly sequence: number;
   readonly attempt: number;
   readonly digest: string;
   readonly samples: readonly ReadySample[];
--- a/test/full-path.test.ts
+++ b/test/full-path.test.ts
@@ -1,6 +1,6 @@
 /** A request served end to end by separate processes. */
 import { expect } from 'chai';
-import { namesTrueVersions } from '../emulator/clients/trainer-loop.js';
+import { namesTrueVersions, nextSequence } from '../emulator/clients/trainer-loop.js';
 import { EMULATOR_MODEL, EMULATOR_TOKENS } from '../emulator/cluster.js';
 import { uniqueId } from '../src/common/identifier.js';
 import { type SystemNode, TestSystem } from './support/system.js';
@@ -31,7 +31,13 @@
     let previous: { attempt: number; digest: string } | undefined;
     while (slots.size < 6) {
       const node = cursor % 2 === 1 ? second : first;
-      const request = { cursor, versions: { [EMULATOR_MODEL]: 1 }, waitMs: 2_000, previous };
+      const request = {
+        cursor,
+        sequence: nextSequence(),
+        versions: { [EMULATOR_MODEL]: 1 },
+        waitMs: 2_000,
+        previous,
+      };
       const batch = (await system.trainer(node).draw(request))._unsafeUnwrap();
       if (batch.samples.length === 0) continue;
       for (const sample of batch.samples) {
--- /dev/null
+++ b/test/ledger-properties.test.ts
@@ -0,0 +1,204 @@
+/**
+ * The sample ledger under random schedules: owners that lose their lease, lost answers, draws that are repeated,
+ * overtaken or handled late, versions published in between. What the trainer acknowledged must be every slot once.
+ */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { MemoryTable } from '../emulator/platform/table.js';
+import { sleep } from '../src/common/clock.js';
+import { uniqueId } from '../src/common/identifier.js';
+import { Random } from '../src/common/random.js';
+import type { Batch, DrawRequest } from '../src/protocol/trainer.js';
+import { BatchLedger, type DrawTerms } from '../src/state/batch-ledger.js';
+import { type HeldLease, LeaseStore } from '../src/state/lease-store.js';
+import { formatSampleId } from '../src/state/ledger-rows.js';
+import { RolloutLedger, type SlotTask } from '../src/state/rollout-ledger.js';
+import { FaultyTable, MemoryObjects } from './support/faulty-platform.js';
+
+const MODEL = 'm';
+const TRAINER = 't';
+const ROLLOUT = 'r';
+const SLOTS = 8;
+const BOUND = 1;
+const TERMS: DrawTerms = { trainer: TRAINER, models: [MODEL], stalenessBound: BOUND, batchSize: 3 };
+const LEASE = 'rollouts/t/0';
+const FAULT_SHARE = 0.15;
+const STEPS = 60;
+/** Rounds without faults in which whatever is left must be delivered. */
+const FINISHING_ROUNDS = 50;
+
+/** One trainer, two owners and a network that delays draws. */
+class Schedule {
+  private readonly random: Random;
+  private readonly table: FaultyTable;
+  private readonly rollouts: RolloutLedger;
+  private readonly batches: BatchLedger;
+  private readonly owners: { store: LeaseStore; lease: HeldLease | undefined }[] = [];
+  private readonly delayed: DrawRequest[] = [];
+  private version = 1;
+  private cursor = 1;
+  private sequence = 0;
+  private held: Batch | undefined;
+  private readonly trained = new Map<string, number>();
+  readonly problems: string[] = [];
+
+  constructor(seed: number) {
+    this.random = new Random(seed);
+    this.table = new FaultyTable(new MemoryTable(), this.random);
+    const objects = new MemoryObjects();
+    this.rollouts = new RolloutLedger(this.table, objects);
+    this.batches = new BatchLedger(this.table, objects);
+    for (const id of ['a', 'b']) {
+      this.owners.push({ store: new LeaseStore(this.table, id, uniqueId(), 1), lease: undefined });
+    }
+  }
+
+  async run(): Promise<void> {
+    await this.publish(1);
+    const prompts = Array.from({ length: SLOTS }, (_, index) => `p${index}`);
+    await this.rollouts.submit(
+      TRAINER,
+      { rolloutId: ROLLOUT, model: MODEL, prompts, samplesPerPrompt: 1, maxTokens: 1 },
+      1,
+    );
+    this.table.faultShare = FAULT_SHARE;
+    for (let step = 0; step < STEPS; step += 1) await this.step();
+    this.table.faultShare = 0;
+    for (let round = 0; round < FINISHING_ROUNDS && this.trained.size < SLOTS; round += 1)
+      await this.finishOneRound();
+    if (this.trained.size < SLOTS)
+      this.problems.push(`only ${this.trained.size} of ${SLOTS} slots were delivered`);
+    await this.draw('received');
+  }
+
+  /** Slots that were trained on more often than once. */
+  doubled(): string[] {
+    return [...this.trained].filter(([, count]) => count > 1).map(([slot]) => slot);
+  }
+
+  /** The trainer does one thing at a time; owners and frozen nodes act meanwhile. */
+  private async step(): Promise<void> {
+    const others = Array.from({ length: this.random.integer(4) }, () => {
+      const choice = this.random.integer(6);
+      if (choice < 4) return this.generate(this.random.integer(2));
+      return choice < 5 ? this.handleDelayed() : this.acquire(this.random.integer(2));
+    });
+    const choice = this.random.integer(5);
+    const fate = this.random.pick(['received', 'received', 'lost', 'delayed'] as const);
+    await Promise.all([...others, choice < 4 ? this.draw(fate) : this.publish(this.version + 1)]);
+  }
+
+  private async finishOneRound(): Promise<void> {
+    await this.acquire(0);
+    await sleep(2);
+    await this.acquire(0);
+    for (let count = 0; count < SLOTS; count += 1) await this.generate(0);
+    await this.draw('received');
+  }
+
+  private async acquire(index: number): Promise<void> {
+    const owner = this.owners[index];
+    if (!owner) return;
+    await owner.store.renew();
+    const taken = await owner.store.tryAcquire(LEASE);
+    if (taken.isOk() && taken.value) owner.lease = taken.value;
+  }
+
+  /** An owner commits a sample of some slot; it may believe in a lease that it has lost. */
+  private async generate(index: number): Promise<void> {
+    const lease = this.owners[index]?.lease;
+    const loaded = await this.rollouts.load(TRAINER, ROLLOUT);
+    if (!lease || loaded.isErr() || !loaded.value) return;
+    const free = await this.rollouts.freeSlots(TRAINER, loaded.value, 0);
+    const expired = await this.rollouts.regenerations(TRAINER, 0);
+    if (free.isErr() || expired.isErr()) return;
+    const tasks = [...expired.value, ...free.value];
+    if (tasks.length === 0) return;
+    await this.commit(lease, this.random.pick(tasks), loaded.value.rowVersion);
+  }
+
+  private async commit(lease: HeldLease, task: SlotTask, rolloutVersion: number): Promise<void> {
+    const sampleId = formatSampleId({ trainer: TRAINER, ...task });
+    const segments = [{ version: this.version, firstToken: 0, tokenCount: 1, engine: 'e' }];
+    const sample = { sampleId, rolloutId: ROLLOUT, model: MODEL, promptIndex: task.slot, sampleIndex: 0 };
+    await this.rollouts.commit(TRAINER, lease, [
+      {
+        task,
+        shard: 0,
+        rolloutVersion,
+        sample: { ...sample, text: uniqueId(), segments, finishReason: 'stop' },
+        decision: {
+          requestId: uniqueId(),
+          node: 'n',
+          epoch: 1,
+          configRevision: 1,
+          reason: '',
+          engines: ['e'],
+        },
+      },
+    ]);
+  }
+
+  private nextRequest(): DrawRequest {
+    this.sequence += 1;
+    const previous = this.held ? { attempt: this.held.attempt, digest: this.held.digest } : undefined;
+    return { cursor: this.cursor, sequence: this.sequence, versions: { [MODEL]: this.version }, previous };
+  }
+
+  /** The trainer asks for its next batch; it takes the answer to its newest request only. */
+  private async draw(fate: 'received' | 'lost' | 'delayed'): Promise<void> {
+    const request = this.nextRequest();
+    if (fate === 'delayed') {
+      this.delayed.push(request);
+      return;
+    }
+    const answer = await this.batches.draw(TERMS, request);
+    if (fate === 'lost' || answer.isErr()) {
+      if (answer.isErr() && answer.error.failure === 'conflict') {
+        this.problems.push(`request ${request.sequence}: ${answer.error.message}`);
+      }
+      return;
+    }
+    const { batch } = answer.value;
+    // The next cursor was drawn, so the batch before is acknowledged and its samples are trained on for good.
+    if (batch.samples.length === 0) return;
+    for (const sample of batch.samples) {
+      const slot = String(sample.promptIndex);
+      this.trained.set(slot, (this.trained.get(slot) ?? 0) + 1);
+      const oldest = Math.min(...sample.segments.map((segment) => segment.version));
+      if (this.version - oldest > BOUND) this.problems.push(`${sample.sampleId} is too old`);
+    }
+    this.held = batch;
+    this.cursor = batch.cursor + 1;
+  }
+
+  /** A node that was frozen handles a request that the trainer has long given up. */
+  private async handleDelayed(): Promise<void> {
+    const [request] = this.delayed.splice(this.random.integer(Math.max(1, this.delayed.length)), 1);
+    if (request) await this.batches.draw(TERMS, request);
+  }
+
+  private async publish(version: number): Promise<void> {
+    const rows = await this.table.read([`published/${MODEL}`]);
+    if (rows.isErr()) return;
+    const written = await this.table.transact({
+      conditions: [{ key: `published/${MODEL}`, version: rows.value[0]?.version ?? 0 }],
+      writes: [{ key: `published/${MODEL}`, value: { version } }],
+    });
+    if (written.isOk() || written.error.effect === 'unknown') this.version = version;
+  }
+}
+
+describe('the sample ledger under random schedules', () => {
+  it('hands every slot to the trainer once, within the bound, and never takes back what was received', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.integer({ min: 1, max: 1_000_000 }), async (seed) => {
+        const schedule = new Schedule(seed);
+        await schedule.run();
+        expect(schedule.problems).to.deep.equal([]);
+        expect(schedule.doubled()).to.deep.equal([]);
+      }),
+      { numRuns: 150, seed: 42 },
+    );
+  });
+});
--- a/test/staleness.test.ts
+++ b/test/staleness.test.ts
@@ -1,6 +1,6 @@
 /** No delivered sample is older than the staleness bound of its trainer, also when a batch is delivered again. */
 import { expect } from 'chai';
-import { versionsInText } from '../emulator/clients/trainer-loop.js';
+import { nextSequence, versionsInText } from '../emulator/clients/trainer-loop.js';
 import { EMULATOR_MODEL } from '../emulator/cluster.js';
 import type { Batch } from '../src/protocol/trainer.js';
 import { type SystemNode, TestSystem } from './support/system.js';
@@ -26,7 +26,13 @@
       .then((answer) => answer._unsafeUnwrap());
 
   const drawAt = (node: SystemNode, version: number) =>
-    system.trainer(node).draw({ cursor, versions: { [EMULATOR_MODEL]: version }, previous, waitMs: 2_000 });
+    system.trainer(node).draw({
+      cursor,
+      sequence: nextSequence(),
+      versions: { [EMULATOR_MODEL]: version },
+      previous,
+      waitMs: 2_000,
+    });
 
   const drawSamples = (node: SystemNode, version: number): Promise<Batch> =>
     until('samples are ready', async () => {
@@ -73,6 +79,7 @@
     expect(late.isErr()).to.equal(true);
     const next = await system.trainer(first).draw({
       cursor: lost.cursor + 1,
+      sequence: nextSequence(),
       versions: { [EMULATOR_MODEL]: 3 },
       previous: { attempt: lost.attempt, digest: lost.digest },
     });
--- a/test/weights.test.ts
+++ b/test/weights.test.ts
@@ -1,6 +1,6 @@
 /** Weight versions: named truly through swaps, failed swaps, fences, approvals and residency. */
 import { expect } from 'chai';
-import { namesTrueVersions } from '../emulator/clients/trainer-loop.js';
+import { namesTrueVersions, nextSequence } from '../emulator/clients/trainer-loop.js';
 import { EMULATOR_MODEL, EMULATOR_MODEL_SERVICE } from '../emulator/cluster.js';
 import { EngineClient } from '../src/protocol/engine.js';
 import type { Sample } from '../src/protocol/trainer.js';
@@ -46,7 +46,13 @@
   async function collect(rolloutId: string, count: number): Promise<Sample[]> {
     const samples: Sample[] = [];
     while (samples.length < count) {
-      const request = { cursor, versions: { [EMULATOR_MODEL]: 1 }, previous, waitMs: 2_000 };
+      const request = {
+        cursor,
+        sequence: nextSequence(),
+        versions: { [EMULATOR_MODEL]: 1 },
+        previous,
+        waitMs: 2_000,
+      };
       const batch = (await system.trainer(node).draw(request))._unsafeUnwrap();
       if (batch.samples.length === 0) continue;
       samples.push(...batch.samples.filter((sample) => sample.rolloutId === rolloutId));
