Idle duties move to the node that is first in line

Ruled out: moving duties at once (a step in progress would wait for its longest sample, or lose it to the fence). Change: after three rounds without a change of members or configuration a holder gives idle duties back for which another node is first in line; duties are tasks that say whether they are idle. Before: with 12 shards on one node and two nodes joining, the test waited in vain until each node holds some. After: every node holds some, each shard has one holder, and samples go on (duties.test.ts).

--- a/src/coordination/lease-duties.ts
+++ b/src/coordination/lease-duties.ts
@@ -19,16 +19,26 @@
   readonly lost: AbortSignal;
 }
 
-/** A duty and its task. */
+/** A duty's task while it runs. */
+export interface DutyTask {
+  /** Works until it is told to end. */
+  run(): Promise<void>;
+  /** Whether nothing is in progress that a change of holder would hold up. */
+  isIdle(): boolean;
+}
+
+/** A duty. */
 export interface Duty {
   /** Name of the lease. */
   readonly name: string;
-  readonly run: (lease: HeldLease, signals: DutySignals) => Promise<void>;
+  readonly createTask: (lease: HeldLease, signals: DutySignals) => DutyTask;
 }
 
 /** Nodes in line for a duty that try to take it. */
 const CANDIDATES = 3;
 const RENEWALS_PER_LEASE = 4;
+/** Rounds without a change of members or configuration after which duties move to the node that is first in line. */
+const ROUNDS_UNTIL_HANDOVER = 3;
 /** Tries of a node that is not first in line, one in so many rounds. */
 const SECONDARY_ROUNDS = 2;
 
@@ -44,6 +54,7 @@
 
 interface RunningDuty {
   readonly lease: HeldLease;
+  readonly task: DutyTask;
   readonly stop: AbortController;
   readonly lost: AbortController;
   readonly done: Promise<void>;
@@ -55,6 +66,7 @@
   private readonly lifecycles = new Map<string, Lifecycle<LeaseState, LeaseEvent>>();
   private candidacies: readonly Candidacy[] = [];
   private candidacyKey = '';
+  private candidacySinceRound = 0;
   private round = 0;
   private hasSession = false;
 
@@ -104,6 +116,20 @@
       const acquired = await this.leases.tryAcquire(duty.name);
       if (acquired.isOk() && acquired.value) this.start(duty, acquired.value);
     }
+    this.handOver();
+  }
+
+  /**
+   * Gives back idle duties for which another node is first in line, once the members have been the same for a while.
+   * Without this a node that started first, or took over for a restarted one, would keep them for ever.
+   */
+  private handOver(): void {
+    if (this.round - this.candidacySinceRound < ROUNDS_UNTIL_HANDOVER) return;
+    const ranks = new Map(this.candidacies.map((one) => [one.duty.name, one.rank]));
+    for (const [name, { task, stop }] of this.running) {
+      if (ranks.get(name) === 0 || stop.signal.aborted || !task.isIdle()) continue;
+      void this.stopAndRelease(name);
+    }
   }
 
   private async renewSession(): Promise<void> {
@@ -120,6 +146,7 @@
     const key = `${this.view.revision}|${memberIds.join(',')}`;
     if (key === this.candidacyKey) return;
     this.candidacyKey = key;
+    this.candidacySinceRound = this.round;
     const ownId = this.membership.members.own.id;
     const duties = this.listDuties();
     this.candidacies = duties
@@ -140,11 +167,12 @@
       reason: 'in-line',
       inputs: { note: `epoch ${lease.epoch}` },
     });
-    const done = duty.run(lease, { stop: stop.signal, lost: lost.signal }).then(
+    const task = duty.createTask(lease, { stop: stop.signal, lost: lost.signal });
+    const done = task.run().then(
       () => this.noteEnded(duty.name, 'task ended'),
       (cause: unknown) => this.noteEnded(duty.name, `task failed: ${String(cause)}`),
     );
-    this.running.set(duty.name, { lease, stop, lost, done });
+    this.running.set(duty.name, { lease, task, stop, lost, done });
   }
 
   private noteEnded(name: string, reason: string): void {
--- a/src/coordination/rollout-owner.ts
+++ b/src/coordination/rollout-owner.ts
@@ -15,7 +15,7 @@
 import type { LoadedRollout, RolloutLedger, SlotTask } from '../state/rollout-ledger.js';
 import type { GeneratedText } from './event-transcript.js';
 import type { Generator } from './generation.js';
-import type { DutySignals } from './lease-duties.js';
+import type { DutySignals, DutyTask } from './lease-duties.js';
 import type { RequestContext } from './request-context.js';
 import { SampleCommitter } from './sample-committer.js';
 import { newestPublished } from './version-policy.js';
@@ -50,7 +50,7 @@
 }
 
 /** The owner of one shard. */
-export class RolloutOwner {
+export class RolloutOwner implements DutyTask {
   private readonly active = new Map<string, ActiveRollout>();
   private readonly inProgress = new Set<string>();
   private readonly committer: SampleCommitter;
@@ -84,6 +84,13 @@
     await Promise.all(this.running);
   }
 
+  /** Whether no slot is waiting or in progress. */
+  isIdle(): boolean {
+    return (
+      this.inProgress.size === 0 && [...this.active.values()].every((rollout) => rollout.waiting.length === 0)
+    );
+  }
+
   private trainer(): ResourceOf<'Trainer'> | undefined {
     return this.parts.view.get('Trainer', this.trainerName);
   }
--- a/src/coordination/weight-rollout.ts
+++ b/src/coordination/weight-rollout.ts
@@ -13,6 +13,7 @@
 import type { DecisionLog } from '../state/decision-log.js';
 import type { HeldLease } from '../state/lease-store.js';
 import { partitionOf } from '../state/rendezvous.js';
+import type { DutyTask } from './lease-duties.js';
 import { isAllowedZone } from './router.js';
 import { targetVersion } from './version-policy.js';
 import type { WorkGate } from './work-gate.js';
@@ -53,7 +54,7 @@
 }
 
 /** The owner of one slice of one model's engines. */
-export class WeightRollout {
+export class WeightRollout implements DutyTask {
   private readonly swaps = new Map<string, Lifecycle<SwapState, SwapEvent>>();
   private readonly failures = new Map<string, number>();
   private readonly busy = new Set<string>();
@@ -63,10 +64,17 @@
     private readonly modelName: string,
     private readonly slice: number,
     private readonly lease: HeldLease,
+    private readonly signal: AbortSignal,
   ) {}
 
+  /** Whether no order is being carried out. */
+  isIdle(): boolean {
+    return this.busy.size === 0;
+  }
+
   /** Works until the lease is lost or the model is gone. */
-  async run(signal: AbortSignal): Promise<void> {
+  async run(): Promise<void> {
+    const { signal } = this;
     while (!signal.aborted) {
       const model = this.parts.view.get('Model', this.modelName);
       if (!model) return;
--- a/src/node/duties.ts
+++ b/src/node/duties.ts
@@ -25,16 +25,7 @@
     const { name } = model.metadata;
     return shards(model.spec.slices ?? 1).map((slice) => weightDuty(parts, name, slice));
   });
-  const { machineWatch } = parts;
-  const machines = machineWatch
-    ? [
-        {
-          name: 'machine-watch',
-          run: (_lease: unknown, signals: { stop: AbortSignal }) => machineWatch.run(signals.stop),
-        },
-      ]
-    : [];
-  return [...trainers, ...models, ...machines];
+  return [...trainers, ...models, ...machineDuties(parts)];
 }
 
 function shards(count: number): number[] {
@@ -44,14 +35,24 @@
 function rolloutDuty(parts: DutyParts, trainer: string, shard: number): Duty {
   return {
     name: `rollouts/${trainer}/${shard}`,
-    run: (lease, signals) => new RolloutOwner(parts.rollouts, trainer, shard, lease, signals).run(),
+    createTask: (lease, signals) => new RolloutOwner(parts.rollouts, trainer, shard, lease, signals),
   };
 }
 
 function weightDuty(parts: DutyParts, model: string, slice: number): Duty {
   return {
     name: `weights/${model}/${slice}`,
-    run: (lease, { stop, lost }) =>
-      new WeightRollout(parts.weights, model, slice, lease).run(AbortSignal.any([stop, lost])),
+    createTask: (lease, { stop, lost }) =>
+      new WeightRollout(parts.weights, model, slice, lease, AbortSignal.any([stop, lost])),
   };
 }
+
+function machineDuties(parts: DutyParts): Duty[] {
+  const { machineWatch } = parts;
+  if (!machineWatch) return [];
+  const createTask: Duty['createTask'] = (_lease, { stop, lost }) => ({
+    run: () => machineWatch.run(AbortSignal.any([stop, lost])),
+    isIdle: () => true,
+  });
+  return [{ name: 'machine-watch', createTask }];
+}
