Settled engines are asked rarely; more proofs for callers

Ruled out: dropping the questions (versions and roles are learnt by them), larger intervals for all (routing by version would lag at each swap). Change: an engine that serves its target version in its declared role is asked every eighth interval; a change of the configuration ends the long wait. The newest version of a model comes from an index made once a revision. The emulator's declarations stand in one place.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,12 +1,14 @@
-/** Benchmarks: `npm run bench -- relay|control|rollout`. Speeds live here, never in tests. */
+/** Benchmarks: `npm run bench -- relay|control|engines|rollout`. Speeds live here, never in tests. */
 import { configureLogging } from '../src/common/logging.js';
 import { benchControl } from './control.js';
+import { benchEngines } from './engines.js';
 import { benchRelay } from './relay.js';
 import { benchRollout } from './rollout.js';
 
 const BENCHMARKS: Readonly<Record<string, () => Promise<void>>> = {
   relay: benchRelay,
   control: benchControl,
+  engines: benchEngines,
   rollout: benchRollout,
 };
 
--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -4,7 +4,8 @@
  */
 
 import { nextSequence } from '../emulator/clients/trainer-loop.js';
-import { EMULATOR_APPLICATION, EMULATOR_MODEL, EMULATOR_TOKENS } from '../emulator/cluster.js';
+import { EMULATOR_TOKENS } from '../emulator/cluster.js';
+import { EMULATOR_APPLICATION, EMULATOR_MODEL } from '../emulator/declarations.js';
 import { sleep } from '../src/common/clock.js';
 import type { HttpClient, OutgoingRequest } from '../src/transport/http-client.js';
 import { TestSystem } from '../test/support/system.js';
--- a/bench/rollout.ts
+++ b/bench/rollout.ts
@@ -1,7 +1,8 @@
 /** Trainer idle time and staleness of whole runs on the emulator, several seeds, variants taking turns. */
 
 import { TrainerLoop, type TrainerReport } from '../emulator/clients/trainer-loop.js';
-import { Cluster, EMULATOR_MODEL, EMULATOR_TOKENS, EMULATOR_TRAINER } from '../emulator/cluster.js';
+import { Cluster, EMULATOR_TOKENS } from '../emulator/cluster.js';
+import { EMULATOR_MODEL, EMULATOR_TRAINER } from '../emulator/declarations.js';
 import { median, printFigures } from './report.js';
 
 const SEEDS = [1, 2, 3];
--- a/emulator/clients/trainer-loop.ts
+++ b/emulator/clients/trainer-loop.ts
@@ -59,9 +59,9 @@
 
 /** Whether a sample's segments name, token by token, the versions that produced it. */
 export function namesTrueVersions(sample: Sample): boolean {
-  const true_ = versionsInText(sample.text);
+  const produced = versionsInText(sample.text);
   const claimed = sample.segments.flatMap((one) => Array.from({ length: one.tokenCount }, () => one.version));
-  return true_.length === claimed.length && true_.every((version, index) => version === claimed[index]);
+  return produced.length === claimed.length && produced.every((version, index) => version === claimed[index]);
 }
 
 let lastSequence = Date.now();
--- a/emulator/cluster.ts
+++ b/emulator/cluster.ts
@@ -4,10 +4,18 @@
 import { ThymecoveNode } from '../src/node/node.js';
 import { checkSettings, type Settings } from '../src/node/settings.js';
 import { OperatorClient } from '../src/protocol/operator-client.js';
-import { API_VERSION, type Role } from '../src/protocol/resource.js';
+import type { Role } from '../src/protocol/resource.js';
 import { formatProblems } from '../src/protocol/validation.js';
 import { HttpClient } from '../src/transport/http-client.js';
 import { ApplicationServer } from './application/application-server.js';
+import {
+  EMULATOR_APPLICATION,
+  EMULATOR_MODEL,
+  EMULATOR_MODEL_SERVICE,
+  EMULATOR_TRAINER,
+  type EmulatedBackend,
+  emulatorDeclarations,
+} from './declarations.js';
 import type { EngineOptions } from './engine/engine.js';
 import { EngineServer } from './engine/engine-server.js';
 import { PlatformServer } from './platform/platform-server.js';
@@ -25,11 +33,6 @@
   peer: 'peer-token-of-the-emulator',
 } as const satisfies Record<Role, string>;
 
-export const EMULATOR_TRAINER = 'demo-trainer';
-export const EMULATOR_MODEL = 'demo-model';
-export const EMULATOR_MODEL_SERVICE = 'demo-llm';
-export const EMULATOR_APPLICATION = 'demo-app';
-
 /** Settings of a node in front of the emulator. */
 export function emulatorSettings(
   id: string,
@@ -91,7 +94,7 @@
     const backends = [...(await this.startEngines()), ...(await this.startApplications())];
     for (let index = 0; index < this.options.nodes; index += 1) await this.addNode(index);
     await this.untilReady();
-    await this.declare([...this.baseDeclarations(), ...backends]);
+    await this.declare(this.declarations(backends));
   }
 
   /** An operator's client at a node. */
@@ -132,63 +135,45 @@
     this.nodes.push(node);
   }
 
-  private async startEngines(): Promise<unknown[]> {
-    const manifests: unknown[] = [];
+  private async startEngines(): Promise<EmulatedBackend[]> {
+    const backends: EmulatedBackend[] = [];
     for (let index = 0; index < this.options.engines; index += 1) {
       const server = new EngineServer(
         { model: EMULATOR_MODEL, version: 1, ...this.options.engine },
         `${this.platformAddress}/weights`,
       );
       this.engines.push(server);
-      manifests.push(
-        this.backend(`engine-${index}`, EMULATOR_MODEL_SERVICE, await server.start(HOST, 0), index),
-      );
+      const address = await server.start(HOST, 0);
+      backends.push({
+        name: `engine-${index}`,
+        service: EMULATOR_MODEL_SERVICE,
+        address,
+        zone: this.zone(index),
+      });
     }
-    return manifests;
+    return backends;
   }
 
-  private async startApplications(): Promise<unknown[]> {
-    const manifests: unknown[] = [];
+  private async startApplications(): Promise<EmulatedBackend[]> {
+    const backends: EmulatedBackend[] = [];
     for (let index = 0; index < this.options.applications; index += 1) {
-      const server = new ApplicationServer(`app-${index}`);
+      const name = `app-${index}`;
+      const server = new ApplicationServer(name);
       this.applications.push(server);
-      manifests.push(this.backend(`app-${index}`, EMULATOR_APPLICATION, await server.start(HOST, 0), index));
+      const address = await server.start(HOST, 0);
+      backends.push({ name, service: EMULATOR_APPLICATION, address, zone: this.zone(index) });
     }
-    return manifests;
-  }
-
-  private backend(name: string, service: string, address: string, index: number): unknown {
-    return {
-      apiVersion: API_VERSION,
-      kind: 'Backend',
-      metadata: { name },
-      spec: { service, address, zone: this.zone(index) },
-    };
+    return backends;
   }
 
-  private baseDeclarations(): unknown[] {
-    const manifest = (kind: string, name: string, spec: unknown) => ({
-      apiVersion: API_VERSION,
-      kind,
-      metadata: { name },
-      spec,
+  private declarations(backends: readonly EmulatedBackend[]): object[] {
+    const specs = { [`Trainer/${EMULATOR_TRAINER}`]: this.options.trainer ?? {} };
+    return emulatorDeclarations({
+      stalenessBound: this.options.stalenessBound,
+      batchSize: 32,
+      backends,
+      specs,
     });
-    return [
-      manifest('Service', EMULATOR_MODEL_SERVICE, { type: 'model', repeatable: true }),
-      manifest('Service', EMULATOR_APPLICATION, { type: 'application', repeatable: false }),
-      manifest('Model', EMULATOR_MODEL, { service: EMULATOR_MODEL_SERVICE }),
-      manifest('ModelVersion', `${EMULATOR_MODEL}-v1`, {
-        model: EMULATOR_MODEL,
-        version: 1,
-        weights: { object: `${EMULATOR_MODEL}/1` },
-      }),
-      manifest('Trainer', EMULATOR_TRAINER, {
-        models: [EMULATOR_MODEL],
-        stalenessBound: this.options.stalenessBound,
-        batchSize: 32,
-        ...this.options.trainer,
-      }),
-    ];
   }
 
   /** Waits until every node knows every other one and has loaded the configuration. */
--- a/emulator/demo.ts
+++ b/emulator/demo.ts
@@ -5,13 +5,8 @@
 import { configureLogging } from '../src/common/logging.js';
 import { CallerLoop } from './clients/caller-loop.js';
 import { TrainerLoop } from './clients/trainer-loop.js';
-import {
-  Cluster,
-  EMULATOR_APPLICATION,
-  EMULATOR_MODEL,
-  EMULATOR_TOKENS,
-  EMULATOR_TRAINER,
-} from './cluster.js';
+import { Cluster, EMULATOR_TOKENS } from './cluster.js';
+import { EMULATOR_APPLICATION, EMULATOR_MODEL, EMULATOR_TRAINER } from './declarations.js';
 
 const NODES = 2;
 const STALENESS_BOUND = 1;
--- a/src/coordination/engine-monitor.ts
+++ b/src/coordination/engine-monitor.ts
@@ -1,17 +1,24 @@
-/** Watches the engines that this node uses: one task for each, asking for its state. */
+/**
+ * Watches the engines that this node uses: one task for each, asking for its state. An engine that is as it should
+ * be is asked rarely; one that is changing, failing, or behind the version that it is to load is asked often.
+ */
 import { sleep } from '../common/clock.js';
 import type { EngineClient } from '../protocol/engine.js';
 import type { BackendEntry } from '../state/backend-registry.js';
 import type { ConfigView } from '../state/config-view.js';
 import type { Router } from './router.js';
+import { targetVersion } from './version-policy.js';
+import { shouldDrain } from './weight-rollout.js';
 
 const TASK_REFRESH_MS = 200;
+/** Times by which the interval is longer for an engine that is as it should be. */
+const SETTLED_FACTOR = 8;
 
 /** The watching of one node. */
 export class EngineMonitor {
   private readonly tasks = new Map<BackendEntry, AbortController>();
 
-  /** `intervalMs`: time between two questions to one engine, milliseconds. */
+  /** `intervalMs`: time between two questions to an engine that is not settled, milliseconds. */
   constructor(
     private readonly view: ConfigView,
     private readonly router: Router,
@@ -48,7 +55,25 @@
       const state = await this.engines.state(backend.declaration.spec.address);
       if (state.isOk()) backend.noteReport(state.value);
       else backend.noteFailure(state.error.message);
+      await this.pause(backend, signal);
+    }
+  }
+
+  /** Waits for the next question; a change that unsettles the engine ends a long wait early. */
+  private async pause(backend: BackendEntry, signal: AbortSignal): Promise<void> {
+    for (let waited = 0; waited < SETTLED_FACTOR; waited += 1) {
       await sleep(this.intervalMs, signal);
+      if (signal.aborted || !this.isSettled(backend)) return;
     }
   }
+
+  /** Whether an engine serves its model's target version and its role is the declared one. */
+  private isSettled(backend: BackendEntry): boolean {
+    const state = backend.engineState;
+    if (!state || state.swapping || backend.lifecycle.current !== 'serving') return false;
+    const wantedRole = shouldDrain(this.view, backend.declaration) ? 'draining' : 'serving';
+    const model = this.view.get('Model', state.model);
+    const target = model && targetVersion(this.view, model);
+    return state.role === wantedRole && target !== undefined && backend.version === target.spec.version;
+  }
 }
--- a/src/coordination/version-policy.ts
+++ b/src/coordination/version-policy.ts
@@ -2,10 +2,38 @@
 import type { ResourceOf } from '../protocol/resource.js';
 import type { ConfigView } from '../state/config-view.js';
 
+type ModelVersions = ReadonlyMap<string, readonly ResourceOf<'ModelVersion'>[]>;
+
+interface VersionIndex {
+  readonly revision: number;
+  readonly byModel: ModelVersions;
+}
+
+const indices = new WeakMap<ConfigView, VersionIndex>();
+
+/** The versions of a model, newest first. Worked out once for each revision of the configuration. */
+function versionsOf(view: ConfigView, model: string): readonly ResourceOf<'ModelVersion'>[] {
+  let index = indices.get(view);
+  if (index?.revision !== view.revision) {
+    index = { revision: view.revision, byModel: groupByModel(view.list('ModelVersion')) };
+    indices.set(view, index);
+  }
+  return index.byModel.get(model) ?? [];
+}
+
+function groupByModel(versions: readonly ResourceOf<'ModelVersion'>[]): ModelVersions {
+  const groups = new Map<string, ResourceOf<'ModelVersion'>[]>();
+  for (const version of [...versions].sort((a, b) => b.spec.version - a.spec.version)) {
+    const group = groups.get(version.spec.model) ?? [];
+    group.push(version);
+    groups.set(version.spec.model, group);
+  }
+  return groups;
+}
+
 /** The newest published version of a model, approved or not; 0 when there is none. */
 export function newestPublished(view: ConfigView, model: string): number {
-  const versions = view.list('ModelVersion').filter((one) => one.spec.model === model);
-  return Math.max(0, ...versions.map((one) => one.spec.version));
+  return versionsOf(view, model)[0]?.spec.version ?? 0;
 }
 
 /** Whether a version may be served. */
@@ -19,9 +47,7 @@
   model: ResourceOf<'Model'>,
 ): ResourceOf<'ModelVersion'> | undefined {
   const { pinnedVersion } = model.spec;
-  const allowed = view
-    .list('ModelVersion')
-    .filter((one) => one.spec.model === model.metadata.name && isApproved(model, one))
-    .filter((one) => pinnedVersion === undefined || one.spec.version === pinnedVersion);
-  return allowed.sort((a, b) => b.spec.version - a.spec.version)[0];
+  return versionsOf(view, model.metadata.name).find(
+    (one) => isApproved(model, one) && (pinnedVersion === undefined || one.spec.version === pinnedVersion),
+  );
 }
--- a/src/node/api/completion-routes.ts
+++ b/src/node/api/completion-routes.ts
@@ -4,6 +4,7 @@
 import { CoordinationError } from '../../coordination/coordination-error.js';
 import type { EventTranscript } from '../../coordination/event-transcript.js';
 import type { GenerationOrder, Generator } from '../../coordination/generation.js';
+import type { RequestContext } from '../../coordination/request-context.js';
 import { type CompletionRequest, CompletionRequestSchema } from '../../protocol/engine.js';
 import { Validator } from '../../protocol/validation.js';
 import { sendJson } from '../../transport/http-server.js';
@@ -73,22 +74,20 @@
   };
   const run = body.value.stream === true ? streamed : whole;
   return withinLimits(parts, exchange, service, async () => {
-    const outcome = await run(parts, exchange, () => [context.value, order] as const);
+    const outcome = await run(parts, exchange, context.value, order);
     if (outcome.isErr()) noteRefusal(parts.decisions, exchange.requestId, outcome.error);
     return outcome;
   });
 }
 
-type Work = () => readonly [Parameters<Generator['generate']>[0], GenerationOrder];
-
 /** Passes the engine's events on as bytes. A cut that cannot be mended ends in an error event, never silently. */
 async function streamed(
   parts: CompletionParts,
   exchange: Exchange,
-  work: Work,
+  context: RequestContext,
+  order: GenerationOrder,
 ): Promise<Result<void, CoordinationError>> {
   const { response, requestId } = exchange;
-  const [context, order] = work();
   const generated = await parts.generator.generate(context, order, async (events) => {
     if (!response.headersSent) {
       response.writeHead(200, { 'content-type': 'text/event-stream', [REQUEST_ID_HEADER]: requestId });
@@ -108,9 +107,9 @@
 async function whole(
   parts: CompletionParts,
   exchange: Exchange,
-  work: Work,
+  context: RequestContext,
+  order: GenerationOrder,
 ): Promise<Result<void, CoordinationError>> {
-  const [context, order] = work();
   const generated = await parts.generator.generate(context, order, async () => !exchange.response.destroyed);
   if (generated.isErr()) return err(generated.error);
   return sendWhole(exchange, order, generated.value);
--- /dev/null
+++ b/test/callers.test.ts
@@ -0,0 +1,129 @@
+/** Deadlines, leaving callers, limits, and explanations of what callers were told. */
+import { expect } from 'chai';
+import { EMULATOR_TOKENS } from '../emulator/cluster.js';
+import { EMULATOR_APPLICATION, EMULATOR_MODEL, EMULATOR_TRAINER } from '../emulator/declarations.js';
+import { parseRequestId, uniqueId } from '../src/common/identifier.js';
+import { Metrics } from '../src/common/metrics.js';
+import { EngineClient } from '../src/protocol/engine.js';
+import { ObjectStoreClient } from '../src/protocol/object-store.js';
+import { findFlushedDecisions } from '../src/state/decision-log.js';
+import { PlatformObjects } from '../src/state/platform-objects.js';
+import { killProcess } from './support/processes.js';
+import { type SystemBackend, type SystemNode, TestSystem } from './support/system.js';
+import { until } from './support/wait.js';
+
+const LIMIT = 3;
+
+describe('callers', () => {
+  const system = new TestSystem({
+    nodes: 2,
+    engines: 1,
+    applications: 1,
+    stepMs: 10,
+    medianTokens: 100_000,
+    specs: { [`Service/${EMULATOR_APPLICATION}`]: { limits: { maxInFlightPerCaller: LIMIT } } },
+  });
+  let first: SystemNode;
+  let second: SystemNode;
+  let application: SystemBackend;
+  let engine: SystemBackend;
+
+  before(async () => {
+    await system.start();
+    [first, second] = system.nodes as [SystemNode, SystemNode];
+    [application] = system.applications as [SystemBackend];
+    [engine] = system.engines as [SystemBackend];
+    await system.untilEnginesServe(first);
+  });
+  after(() => system.stop());
+  afterEach(() => system.control(application.direct, '/control/faults', {}));
+
+  const setWork = (workMs: number) => system.control(application.direct, '/control/faults', { workMs });
+  const authorization = `Bearer ${EMULATOR_TOKENS.caller}`;
+
+  it('get their final answer when their deadline has passed, and it does not claim that nothing ran', async () => {
+    await setWork(60_000);
+    const answer = (
+      await system.callApplication(first, uniqueId(), { 'x-request-timeout-ms': '300' })
+    )._unsafeUnwrap();
+    expect(answer.status).to.equal(504);
+    expect(answer.json).to.include({ code: 'deadline-passed', executed: 'unknown' });
+  });
+
+  it('that name a deadline which is not a number are told so', async () => {
+    const answer = (
+      await system.callApplication(first, uniqueId(), { 'x-request-timeout-ms': 'soon' })
+    )._unsafeUnwrap();
+    expect(answer.json).to.include({ code: 'invalid-request', executed: 'no' });
+    expect(JSON.stringify(answer.json.fields)).to.contain('x-request-timeout-ms');
+  });
+
+  it('that leave cancel the generation behind them', async () => {
+    const engines = new EngineClient(system.client);
+    const running = async () => (await engines.state(engine.direct))._unsafeUnwrap().running;
+    const leave = new AbortController();
+    const sent = await system.client.send({
+      method: 'POST',
+      url: `${first.address}/v1/completions`,
+      headers: { authorization },
+      body: JSON.stringify({ model: EMULATOR_MODEL, prompt: 'x', max_tokens: 100_000, stream: true }),
+      signal: leave.signal,
+    });
+    const { body } = sent._unsafeUnwrap();
+    body.on('error', () => {});
+    body.resume();
+    await until('the engine is at work', async () => (await running()) === 1);
+    leave.abort();
+    await until('the engine has stopped', async () => (await running()) === 0);
+  });
+
+  it('beyond their limit are refused at once with when to come back, and the others are served', async () => {
+    await setWork(1_500);
+    const answers = await Promise.all(
+      Array.from({ length: LIMIT + 2 }, () => system.callApplication(first, uniqueId())),
+    );
+    const statuses = answers.map((answer) => answer._unsafeUnwrap().status).sort();
+    expect(statuses).to.deep.equal([200, 200, 200, 429, 429]);
+    const refused = answers.map((answer) => answer._unsafeUnwrap()).find((answer) => answer.status === 429);
+    expect(refused?.json).to.include({ code: 'overloaded', executed: 'no' });
+    expect(Number(refused?.headers['retry-after'])).to.be.at.least(1);
+  });
+
+  it('can have a refusal explained through another node, also after the node that refused was killed', async () => {
+    (
+      await system.operator(first).patch('Backend', application.name, { spec: { draining: true } })
+    )._unsafeUnwrap();
+    const refusal = await until('the call is refused', async () => {
+      const answer = (await system.callApplication(first, uniqueId()))._unsafeUnwrap();
+      return answer.status === 503 ? answer.json : undefined;
+    });
+    const explain = async () => {
+      const answer = await system.operator(second).explain(refusal.requestId as string);
+      return answer.isOk() ? JSON.stringify(answer.value.decisions) : undefined;
+    };
+    expect(await explain()).to.contain('"reason":"draining"');
+    const store = new ObjectStoreClient(system.client, `${system.platformAddress}/store`);
+    const objects = new PlatformObjects(store, new Metrics(false), 100);
+    const { nodeId, issuedAtMs } = parseRequestId(refusal.requestId as string) ?? {
+      nodeId: '',
+      issuedAtMs: 0,
+    };
+    await until('the decision was flushed', async () => {
+      const found = await findFlushedDecisions(objects, nodeId, refusal.requestId as string, issuedAtMs);
+      return found.length > 0;
+    });
+    await killProcess(first.process);
+    expect(await until('the flushed decision is found', explain)).to.contain('"reason":"draining"');
+  });
+
+  it('that are trainers may ask about their own samples and nobody else’s', async () => {
+    const explain = (subject: string) =>
+      system.client.exchange({
+        method: 'GET',
+        url: `${second.address}/v1/explain/${encodeURIComponent(subject)}`,
+        headers: { authorization: `Bearer ${EMULATOR_TOKENS.trainer}` },
+      });
+    expect((await explain(`${EMULATOR_TRAINER}:r:0:0`))._unsafeUnwrap().status).to.equal(404);
+    expect((await explain('other-trainer:r:0:0'))._unsafeUnwrap().status).to.equal(403);
+  });
+});
--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -1,7 +1,8 @@
 /** A back end that is leaving receives no new work, and a planned stop cuts off nothing in flight. */
 import { once } from 'node:events';
 import { expect } from 'chai';
-import { EMULATOR_MODEL, EMULATOR_TOKENS, EMULATOR_TRAINER } from '../emulator/cluster.js';
+import { EMULATOR_TOKENS } from '../emulator/cluster.js';
+import { EMULATOR_MODEL, EMULATOR_TRAINER } from '../emulator/declarations.js';
 import { uniqueId } from '../src/common/identifier.js';
 import { EngineClient } from '../src/protocol/engine.js';
 import { type SystemBackend, type SystemNode, TestSystem } from './support/system.js';
@@ -104,10 +105,7 @@
   before(async () => {
     await system.start();
     [node] = system.nodes as [SystemNode];
-    await until('the engines are known', async () => {
-      const status = (await system.operator(node).status())._unsafeUnwrap();
-      return status.backends.filter((one) => one.version === 1).length === 2;
-    });
+    await system.untilEnginesServe(node);
   });
   after(() => system.stop());
 
--- a/test/duties.test.ts
+++ b/test/duties.test.ts
@@ -1,6 +1,6 @@
 /** Duties spread over the nodes, also over those that join later. */
 import { expect } from 'chai';
-import { EMULATOR_MODEL, EMULATOR_TRAINER } from '../emulator/cluster.js';
+import { EMULATOR_MODEL, EMULATOR_TRAINER } from '../emulator/declarations.js';
 import { TestSystem } from './support/system.js';
 import { until } from './support/wait.js';
 
--- a/test/full-path.test.ts
+++ b/test/full-path.test.ts
@@ -1,7 +1,8 @@
 /** A request served end to end by separate processes. */
 import { expect } from 'chai';
 import { namesTrueVersions, nextSequence } from '../emulator/clients/trainer-loop.js';
-import { EMULATOR_MODEL, EMULATOR_TOKENS } from '../emulator/cluster.js';
+import { EMULATOR_TOKENS } from '../emulator/cluster.js';
+import { EMULATOR_MODEL } from '../emulator/declarations.js';
 import { uniqueId } from '../src/common/identifier.js';
 import { type SystemNode, TestSystem } from './support/system.js';
 import { until } from './support/wait.js';
--- a/test/staleness.test.ts
+++ b/test/staleness.test.ts
@@ -1,7 +1,7 @@
 /** No delivered sample is older than the staleness bound of its trainer, also when a batch is delivered again. */
 import { expect } from 'chai';
 import { nextSequence, versionsInText } from '../emulator/clients/trainer-loop.js';
-import { EMULATOR_MODEL } from '../emulator/cluster.js';
+import { EMULATOR_MODEL } from '../emulator/declarations.js';
 import type { Batch } from '../src/protocol/trainer.js';
 import { type SystemNode, TestSystem } from './support/system.js';
 import { until } from './support/wait.js';
--- a/test/support/system.ts
+++ b/test/support/system.ts
@@ -3,14 +3,14 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { stringify } from 'yaml';
+import { EMULATOR_TOKENS, emulatorSettings } from '../../emulator/cluster.js';
 import {
   EMULATOR_APPLICATION,
   EMULATOR_MODEL,
   EMULATOR_MODEL_SERVICE,
-  EMULATOR_TOKENS,
   EMULATOR_TRAINER,
-  emulatorSettings,
-} from '../../emulator/cluster.js';
+  emulatorDeclarations,
+} from '../../emulator/declarations.js';
 import { uniqueId } from '../../src/common/identifier.js';
 import type { Settings } from '../../src/node/settings.js';
 import { OperatorClient } from '../../src/protocol/operator-client.js';
@@ -181,6 +181,14 @@
     }
   }
 
+  /** Waits until a node has heard of every engine that it serves the first version. */
+  async untilEnginesServe(node: SystemNode): Promise<void> {
+    await until('the engines are known', async () => {
+      const { backends } = (await this.operator(node).status())._unsafeUnwrap();
+      return backends.filter((one) => one.version === 1).length === this.engines.length;
+    });
+  }
+
   /** Puts resources into force as one revision; resolves to it. */
   async declare(manifests: readonly unknown[]): Promise<number> {
     const changes = manifests.map((manifest) => ({ action: 'put' as const, manifest }));
@@ -266,38 +274,22 @@
     return { name, process, direct, proxy: await FaultProxy.start(direct) };
   }
 
-  private declarations(): unknown[] {
-    const manifest = (kind: string, name: string, spec: object) => ({
-      apiVersion: 'thymecove/v1',
-      kind,
-      metadata: { name },
-      spec: { ...spec, ...this.options.specs?.[`${kind}/${name}`] },
+  private declarations(): object[] {
+    const described = (service: string, list: readonly SystemBackend[]) =>
+      list.map((one) => ({
+        name: one.name,
+        service,
+        address: this.options.directBackends ? one.direct : one.proxy.address,
+        zone: ZONES[0] as string,
+      }));
+    return emulatorDeclarations({
+      stalenessBound: this.options.stalenessBound ?? 1,
+      batchSize: 16,
+      backends: [
+        ...described(EMULATOR_MODEL_SERVICE, this.engines),
+        ...described(EMULATOR_APPLICATION, this.applications),
+      ],
+      specs: this.options.specs,
     });
-    const backends = (service: string, list: readonly SystemBackend[]) =>
-      list.map((one) =>
-        manifest('Backend', one.name, {
-          service,
-          address: this.options.directBackends ? one.direct : one.proxy.address,
-          zone: ZONES[0],
-          machine: `m-${one.name}`,
-        }),
-      );
-    return [
-      manifest('Service', EMULATOR_MODEL_SERVICE, { type: 'model', repeatable: true }),
-      manifest('Service', EMULATOR_APPLICATION, { type: 'application', repeatable: false }),
-      manifest('Model', EMULATOR_MODEL, { service: EMULATOR_MODEL_SERVICE }),
-      manifest('ModelVersion', `${EMULATOR_MODEL}-v1`, {
-        model: EMULATOR_MODEL,
-        version: 1,
-        weights: { object: `${EMULATOR_MODEL}/1` },
-      }),
-      manifest('Trainer', EMULATOR_TRAINER, {
-        models: [EMULATOR_MODEL],
-        stalenessBound: this.options.stalenessBound ?? 1,
-        batchSize: 16,
-      }),
-      ...backends(EMULATOR_MODEL_SERVICE, this.engines),
-      ...backends(EMULATOR_APPLICATION, this.applications),
-    ];
   }
 }
--- a/test/whole-answers.test.ts
+++ b/test/whole-answers.test.ts
@@ -1,7 +1,8 @@
 /** Every caller receives the whole answer to its own request, or an error that says otherwise. */
 import { expect } from 'chai';
 import { versionsInText } from '../emulator/clients/trainer-loop.js';
-import { EMULATOR_MODEL, EMULATOR_TOKENS } from '../emulator/cluster.js';
+import { EMULATOR_TOKENS } from '../emulator/cluster.js';
+import { EMULATOR_MODEL } from '../emulator/declarations.js';
 import { uniqueId } from '../src/common/identifier.js';
 import { killProcess } from './support/processes.js';
 import { type SystemBackend, type SystemNode, TestSystem } from './support/system.js';
@@ -16,10 +17,7 @@
   before(async () => {
     await system.start();
     [node] = system.nodes as [SystemNode];
-    await until('the engines are known', async () => {
-      const status = (await system.operator(node).status())._unsafeUnwrap();
-      return status.backends.filter((one) => one.version === 1).length === 2;
-    });
+    await system.untilEnginesServe(node);
   });
   after(() => system.stop());
 
