Newcomers have no vote before a majority knows them

Cause: nodes that joined one side of a cut, with the table still in reach, counted as voters there. When that side lost the table, one old node and two newcomers were a majority of five for themselves, while the other two old nodes were a majority of three: a change was accepted on one side and the other went on acting on the revision before. Ruled out: acceptance (2 of 3 was right for what that side knew), freshness (confirmed by the false majority each time). Change: a node votes only once it has read the table and a majority of the established members has answered its probes; the largest electorate reported counts on both sides.

--- a/src/coordination/config-acceptance.ts
+++ b/src/coordination/config-acceptance.ts
@@ -4,7 +4,7 @@
  * mended, but it is not reported as accepted while the majority still acts on the revision before.
  */
 import { monotonicMs, sleep } from '../common/clock.js';
-import type { PeerClient, RevisionQuery } from '../protocol/peer.js';
+import type { PeerClient } from '../protocol/peer.js';
 import type { ConfigView } from '../state/config-view.js';
 import type { ConfigDistribution } from './config-distribution.js';
 import type { Membership } from './membership.js';
@@ -55,7 +55,7 @@
       waitMs,
       entries: [...this.view.newestEntries(PUSHED_ENTRIES)],
     };
-    const members = this.distribution.electorateSize();
+    let members = this.membership.electorateSize();
     let holders = this.view.revision >= revision ? 1 : 0;
     const isMajority = () => holders > members / 2;
     await new Promise<void>((resolve) => {
@@ -64,9 +64,10 @@
         if (pending === 0 || (untilMajority && isMajority())) resolve();
       };
       for (const member of others) {
-        void this.holds(member.address, query).then((holds) => {
+        void this.peers.revision(member.address, query).then((answer) => {
           pending -= 1;
-          if (holds) holders += 1;
+          if (answer.isOk() && answer.value.revision >= revision) holders += 1;
+          if (answer.isOk()) members = Math.max(members, answer.value.electorate);
           finishIfDone();
         });
       }
@@ -80,9 +81,4 @@
       members,
     };
   }
-
-  private async holds(address: string, query: RevisionQuery): Promise<boolean> {
-    const answer = await this.peers.revision(address, query);
-    return answer.isOk() && answer.value.revision >= query.atLeast;
-  }
 }
--- a/src/coordination/config-distribution.ts
+++ b/src/coordination/config-distribution.ts
@@ -61,11 +61,11 @@
   }
 
   /**
-   * Whether this node may vote in a majority: only once it has read the table itself since it started. A node that
-   * learnt everything from others would repeat their vote, not add one.
+   * Whether this node may vote in a majority: only once it has read the table itself since it started and a majority
+   * knows it. A node that learnt everything from others would repeat their vote, not add one.
    */
   get isVoter(): boolean {
-    return this.hasReadTable;
+    return this.hasReadTable && this.membership.isEstablished;
   }
 
   /** Whether this node has loaded the configuration since it started. */
@@ -118,12 +118,12 @@
     if (this.hasLoaded) for (const entry of query.entries) this.view.apply(entry);
     if (query.atLeast > this.view.revision) this.wake();
     await this.view.waitForRevision(query.atLeast, query.waitMs);
-    return { id: this.membership.members.own.id, revision: this.view.revision, voter: this.isVoter };
-  }
-
-  /** Members whose vote makes a majority: this node's electorate and the seeds of which nothing is known. */
-  electorateSize(): number {
-    return this.membership.members.electorate().length + this.membership.unseenSeeds();
+    return {
+      id: this.membership.members.own.id,
+      revision: this.view.revision,
+      voter: this.isVoter,
+      electorate: this.membership.electorateSize(),
+    };
   }
 
   private parent(): MemberRecord | undefined {
@@ -202,7 +202,8 @@
       answer.isOk() && answer.value.voter ? [{ member: others[index] as MemberRecord, ...answer.value }] : [],
     );
     const own = this.isVoter ? 1 : 0;
-    if (votes.length + own <= this.electorateSize() / 2) return false;
+    const electorate = Math.max(this.membership.electorateSize(), ...votes.map((vote) => vote.electorate));
+    if (votes.length + own <= electorate / 2) return false;
     const newest = votes.reduce(
       (a, b) => (b.revision > a.revision ? b : a),
       votes[0] ?? { revision: 0, member: undefined },
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -49,6 +49,9 @@
   private readonly lifecycles = new Map<string, Lifecycle<PeerState, PeerEvent>>();
   private readonly suspectedSinceMs = new Map<string, number>();
   private readonly joinedSeeds = new Set<string>();
+  /** Members that have answered a probe of this node, and so know it; whether they are established themselves. */
+  private readonly heardBy = new Map<string, boolean>();
+  private established = false;
   private queue: string[] = [];
   private round = 0;
 
@@ -86,11 +89,33 @@
   }
 
   /** Seeds that have never answered; they count for a majority, since nothing is known of them. */
-  unseenSeeds(): number {
+  private unseenSeeds(): number {
     const known = new Set(this.members.everyone().map((record) => record.address));
     return this.options.seeds.filter((seed) => !known.has(seed)).length;
   }
 
+  /**
+   * Members whose vote makes a majority: those that this node knows, and the seeds of which it knows nothing.
+   */
+  electorateSize(): number {
+    return this.members.electorate().length + this.unseenSeeds();
+  }
+
+  /**
+   * Whether a majority of the established members has heard of this node since it started, so that whoever counts a
+   * majority meets a member that counts this node too. A newcomer has no vote before; newcomers do not establish each
+   * other, unless all members are newcomers.
+   */
+  get isEstablished(): boolean {
+    if (this.established) return true;
+    const others = this.members.electorate().filter((record) => record.id !== this.members.own.id);
+    const older = others.filter((record) => this.heardBy.get(record.id) !== false);
+    const heard = older.filter((record) => this.heardBy.get(record.id) === true).length;
+    const olderCount = older.length + this.unseenSeeds();
+    this.established = olderCount === 0 || heard > olderCount / 2;
+    return this.established;
+  }
+
   /** Tells some members that this node leaves. */
   async announceLeaving(): Promise<void> {
     this.members.announceOwn('left');
@@ -159,14 +184,15 @@
     this.observer.metrics.peerCalls.inc({ operation: 'probe', outcome: answer.isOk() ? 'ok' : 'failed' });
     if (answer.isOk()) {
       // The answer itself is newer than any suspicion of the same incarnation.
-      this.noteAnswer(answer.value.from);
+      this.noteAnswer(answer.value);
       for (const record of answer.value.rumours) this.members.merge(record);
       this.members.noteDigest(answer.value.digest);
     }
     return answer;
   }
 
-  private noteAnswer(record: MemberRecord): void {
+  private noteAnswer({ from: record, established }: Probe): void {
+    this.heardBy.set(record.id, established);
     this.members.merge(record);
     if (record.state === 'alive') this.suspectedSinceMs.delete(record.id);
   }
@@ -178,6 +204,7 @@
       rumours,
       revision: this.revision(),
       digest: this.members.digest(),
+      established: this.isEstablished,
     };
     return askForAll ? { ...message, full: true } : message;
   }
--- a/src/coordination/rollout-owner.ts
+++ b/src/coordination/rollout-owner.ts
@@ -132,18 +132,13 @@
     for (const [rolloutId, rollout] of this.active) {
       if (open.has(rolloutId)) continue;
       if (rollout.waiting.length === 0 && rollout.running === 0) this.active.delete(rolloutId);
-      else if (await this.isCancelled(rolloutId)) {
+      else if ((await this.parts.ledger.isCancelled(this.trainerName, rolloutId)).unwrapOr(false)) {
         rollout.stop.abort();
         this.active.delete(rolloutId);
       }
     }
   }
 
-  private async isCancelled(rolloutId: string): Promise<boolean> {
-    const loaded = await this.parts.ledger.load(this.trainerName, rolloutId);
-    return loaded.isOk() && loaded.value?.row.state === 'cancelled';
-  }
-
   private startTasks(ended: AbortSignal): void {
     if (ended.aborted) return;
     const limit = this.trainer()?.spec.concurrency ?? DEFAULT_CONCURRENCY;
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -29,6 +29,8 @@
   revision: Type.Integer(),
   /** Hash of all records that the sender holds: with equal ones there is nothing to exchange. */
   digest: Type.Integer(),
+  /** Whether the sender has a vote; see `Membership.isEstablished`. */
+  established: Type.Boolean(),
   /** Asks for all records instead of the newest rumours. */
   full: Type.Optional(Type.Boolean()),
 });
@@ -83,6 +85,8 @@
   revision: Type.Integer(),
   /** Whether the member has read the table itself since it started; others have no vote. */
   voter: Type.Boolean(),
+  /** Members that the member counts for a majority; of several answers the largest number counts. */
+  electorate: Type.Integer({ minimum: 1 }),
 });
 export type RevisionAnswer = Static<typeof RevisionAnswerSchema>;
 
--- a/src/state/batch-ledger.ts
+++ b/src/state/batch-ledger.ts
@@ -6,18 +6,26 @@
  * void: they are generated again, and the cursor gets a new attempt without them.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { sha256Hex } from '../common/identifier.js';
-import type { Row, Transaction } from '../protocol/table-service.js';
+import type { Row } from '../protocol/table-service.js';
 import type { Batch, DrawRequest, Sample } from '../protocol/trainer.js';
 import { publishedKey, publishedVersion } from './config-store.js';
+import {
+  type Candidate,
+  cursorClash,
+  type DiscardedSample,
+  type DrawState,
+  type DrawTerms,
+  drawTransaction,
+  NO_CURSOR,
+  nextCursorRow,
+  type Selection,
+} from './draw-rules.js';
 import {
   type CursorRow,
   type DeliveredRow,
-  EXPIRED_LIMIT,
   isWithinBound,
   ledgerKeys,
   type ReadySample,
-  type RegenerateRow,
   type RolloutRow,
   type SlotRow,
 } from './ledger-rows.js';
@@ -25,21 +33,6 @@
 import type { Table } from './platform-table.js';
 import { StateError } from './state-error.js';
 
-/** Who draws, and under which bound. */
-export interface DrawTerms {
-  readonly trainer: string;
-  readonly models: readonly string[];
-  readonly stalenessBound: number;
-  readonly batchSize: number;
-}
-
-/** A sample that was not delivered. */
-export interface DiscardedSample {
-  readonly sample: ReadySample;
-  readonly reason: 'too-old' | 'rollout-cancelled';
-  readonly newest: number;
-}
-
 /** A draw: the batch and what was discarded on the way. */
 export interface DrawOutcome {
   readonly batch: Batch;
@@ -47,38 +40,7 @@
   readonly discarded: readonly DiscardedSample[];
 }
 
-interface DrawState {
-  readonly cursorRow: CursorRow | undefined;
-  readonly cursorVersion: number;
-  /** Newest known version of each model. */
-  readonly newest: ReadonlyMap<string, number>;
-  /** Conditions that keep the newest versions true. */
-  readonly publishedConditions: Transaction['conditions'];
-}
-
-interface Candidate {
-  readonly sample: ReadySample;
-  /** Row of the ready sample; absent for a sample of the batch that is redelivered. */
-  readonly row?: Row;
-}
-
-interface Selection {
-  readonly chosen: readonly Candidate[];
-  readonly discarded: readonly (DiscardedSample & { readonly row?: Row })[];
-  readonly rolloutConditions: Transaction['conditions'];
-}
-
 const MAX_TRIES = 12;
-const NO_CURSOR: CursorRow = {
-  cursor: 0,
-  sequence: 0,
-  attempt: 0,
-  digest: '',
-  samples: [],
-  acknowledged: true,
-  checkedAgainst: {},
-};
-
 /** Draws, redeliveries and acknowledgements. */
 export class BatchLedger {
   constructor(
@@ -188,7 +150,7 @@
     const { chosen, discarded } = selection.value;
     const next = nextCursorRow(row, request, chosen, state.newest);
     if (chosen.length === 0 && discarded.length === 0) return ok({ row: next, discarded });
-    const transaction = this.drawTransaction(terms, state, selection.value, row, next);
+    const transaction = drawTransaction(terms, state, selection.value, row, next);
     const written = await this.table.transact(transaction);
     if (written.isErr()) return err(written.error);
     return ok(written.value.committed ? { row: next, discarded } : undefined);
@@ -258,40 +220,6 @@
     });
   }
 
-  private drawTransaction(
-    terms: DrawTerms,
-    state: DrawState,
-    selection: Selection,
-    before: CursorRow,
-    next: CursorRow,
-  ): Transaction {
-    const cursorKey = ledgerKeys.cursor(terms.trainer);
-    const transaction: Transaction = {
-      conditions: [
-        { key: cursorKey, version: state.cursorVersion },
-        ...state.publishedConditions,
-        ...selection.rolloutConditions,
-      ],
-      writes: [],
-    };
-    // With nothing chosen the cursor row changes only when it gives up samples of a void attempt.
-    if (selection.chosen.length > 0 || before.cursor === next.cursor) {
-      transaction.writes.push({ key: cursorKey, value: next });
-    }
-    const delivered: DeliveredRow = { cursor: next.cursor };
-    for (const { sample, row } of selection.chosen) {
-      if (!row) continue;
-      transaction.conditions.push({ key: row.key, version: row.version });
-      transaction.writes.push({ key: row.key, value: null });
-      transaction.writes.push({
-        key: ledgerKeys.delivered(terms.trainer, sample.sampleId),
-        value: delivered,
-      });
-    }
-    for (const one of selection.discarded) addDiscard(transaction, terms, one);
-    return transaction;
-  }
-
   /** Reads the payloads; `undefined` when samples became too old meanwhile. */
   private async assemble(
     terms: DrawTerms,
@@ -325,100 +253,3 @@
     return ok(references.flatMap((one) => contents.get(one.object)?.[one.position] ?? []));
   }
 }
-
-/**
- * Checks that no later request has been handled, and that the cursor is the current one, or the next one with the current batch acknowledged by its attempt
- * and digest: a trainer that holds a void attempt must not acknowledge the one that replaced it.
- */
-function cursorClash(row: CursorRow | undefined, request: DrawRequest): StateError | undefined {
-  const current = row ?? NO_CURSOR;
-  const { cursor, previous, sequence } = request;
-  if (sequence < current.sequence) {
-    const message = `request ${sequence} was overtaken by request ${current.sequence}`;
-    return new StateError('conflict', 'none', message, undefined, {
-      expected: sequence,
-      current: current.sequence,
-    });
-  }
-  const isHandedOut = current.samples.length > 0;
-  if (cursor === current.cursor && !(current.acknowledged && isHandedOut)) return undefined;
-  const isAcknowledged =
-    current.acknowledged ||
-    !isHandedOut ||
-    (previous?.attempt === current.attempt && previous.digest === current.digest);
-  if (cursor === current.cursor + 1 && isAcknowledged) return undefined;
-  const expected = current.acknowledged ? current.cursor + 1 : current.cursor;
-  const message =
-    cursor === current.cursor + 1
-      ? `batch ${current.cursor} is not acknowledged by its newest attempt (${current.attempt})`
-      : `cursor ${cursor} cannot be drawn; the next one is ${expected}`;
-  return new StateError('conflict', 'none', message, undefined, { expected: cursor, current: expected });
-}
-
-function nextCursorRow(
-  before: CursorRow,
-  { cursor, sequence }: DrawRequest,
-  chosen: readonly Candidate[],
-  newest: ReadonlyMap<string, number>,
-): CursorRow {
-  const samples = chosen.map((one) => one.sample);
-  const attempt = before.cursor === cursor ? before.attempt + 1 : 1;
-  const digest = sha256Hex(
-    JSON.stringify([cursor, attempt, samples.map((one) => [one.sampleId, one.contentDigest])]),
-  );
-  return {
-    cursor,
-    sequence,
-    attempt,
-    digest,
-    samples,
-    acknowledged: false,
-    checkedAgainst: Object.fromEntries(newest),
-  };
-}
-
-function addDiscard(
-  transaction: Transaction,
-  terms: DrawTerms,
-  one: DiscardedSample & { readonly row?: Row },
-): void {
-  const { sample, row, newest } = one;
-  const { trainer } = terms;
-  if (row) {
-    transaction.conditions.push({ key: row.key, version: row.version });
-    transaction.writes.push({ key: row.key, value: null });
-  } else {
-    transaction.writes.push({ key: ledgerKeys.delivered(trainer, sample.sampleId), value: null });
-  }
-  if (one.reason === 'rollout-cancelled') return;
-  const slotKey = ledgerKeys.slot(trainer, sample.rolloutId, sample.slot);
-  const generation = sample.generation + 1;
-  const latest = {
-    sampleId: sample.sampleId,
-    oldest: sample.oldestVersion,
-    newest,
-    bound: terms.stalenessBound,
-  };
-  const expired = [...sample.expired, latest].slice(-EXPIRED_LIMIT);
-  const slotRow: SlotRow = {
-    state: 'regenerating',
-    generation,
-    sampleId: '',
-    segments: [],
-    decision: null,
-    expired,
-  };
-  const task: RegenerateRow = {
-    rolloutId: sample.rolloutId,
-    slot: sample.slot,
-    generation,
-    slotVersion: sample.slotVersion + 1,
-    expired,
-  };
-  transaction.conditions.push({ key: slotKey, version: sample.slotVersion });
-  transaction.writes.push({ key: slotKey, value: slotRow });
-  transaction.writes.push({
-    key: ledgerKeys.regenerate(trainer, sample.shard, sample.rolloutId, sample.slot),
-    value: task,
-  });
-}
--- a/src/state/rollout-ledger.ts
+++ b/src/state/rollout-ledger.ts
@@ -179,6 +179,12 @@
     return rows.map((found) => found.map((row) => row.value as RegenerateRow));
   }
 
+  /** Whether a rollout was cancelled. */
+  async isCancelled(trainer: string, rolloutId: string): Promise<Result<boolean, StateError>> {
+    const rows = await this.table.read([ledgerKeys.rollout(trainer, rolloutId)]);
+    return rows.map((found) => (found[0]?.value as RolloutRow | undefined)?.state === 'cancelled');
+  }
+
   /** A rollout with its prompts; `undefined` when it does not exist. */
   async load(trainer: string, rolloutId: string): Promise<Result<LoadedRollout | undefined, StateError>> {
     const rows = await this.table.read([ledgerKeys.rollout(trainer, rolloutId)]);
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -1,10 +1,14 @@
 /** Accepted configuration is in force everywhere within seconds and never reverts. */
 import { expect } from 'chai';
+import { sleep } from '../src/common/clock.js';
 import { uniqueId } from '../src/common/identifier.js';
 import { killProcess } from './support/processes.js';
 import { type SystemNode, TestSystem } from './support/system.js';
 import { until } from './support/wait.js';
 
+/** Calls that a node must go on refusing once it has refused. */
+const CALLS_AFTER_REFUSAL = 40;
+
 describe('configuration', () => {
   let system: TestSystem;
 
@@ -61,6 +65,35 @@
     }
   });
 
+  it('is not confirmed by newcomers that joined one side of a cut and that the other side has never heard of', async () => {
+    system.isolate(node(C));
+    await until('the cut-off node has noticed', async () => {
+      const { members } = (await system.operator(node(C)).status())._unsafeUnwrap();
+      return members.filter((member) => member.state === 'alive').length === 1;
+    });
+    const strangers = [node(C).host, ...system.nextHosts(2)];
+    for (const one of [node(A), node(B)]) one.peerProxy.blockSources(strangers);
+    const newcomers = await system.addNodes(['node-3', 'node-4']);
+    system.separate([node(A), node(B)], [node(C), ...newcomers]);
+    for (const one of [node(C), ...newcomers]) {
+      await until('the newcomers have joined', async () => {
+        const { members, node: own } = (await system.operator(one).status())._unsafeUnwrap();
+        return own.configurationFresh && members.filter((member) => member.state === 'alive').length === 3;
+      });
+    }
+    for (const one of [node(C), ...newcomers]) one.platformProxy.set('cut');
+    (await drain(A, true))._unsafeUnwrap();
+    for (const one of [node(C), ...newcomers]) {
+      const isServing = async () =>
+        (await system.callApplication(one, uniqueId()))._unsafeUnwrap().status === 200;
+      await until('the small side refuses', async () => !(await isServing()));
+      for (let count = 0; count < CALLS_AFTER_REFUSAL; count += 1) {
+        expect(await isServing(), `${one.id} acts on the old revision again`).to.equal(false);
+        await sleep(50);
+      }
+    }
+  });
+
   it('keeps a cut-off node without the table from taking work, and it says that nothing was run', async () => {
     system.isolate(node(C));
     node(C).platformProxy.set('cut');
--- a/test/support/system.ts
+++ b/test/support/system.ts
@@ -165,6 +165,21 @@
     for (const other of others) other.peerProxy.blockSources([node.host]);
   }
 
+  /** IP addresses that the next nodes will have. */
+  nextHosts(count: number): string[] {
+    return Array.from({ length: count }, (_, index) => `127.0.0.${FIRST_HOST + this.nodes.length + index}`);
+  }
+
+  /** Cuts two groups of nodes off from each other; within a group all reach all. */
+  separate(left: readonly SystemNode[], right: readonly SystemNode[]): void {
+    for (const [group, others] of [
+      [left, right],
+      [right, left],
+    ] as const) {
+      for (const node of group) node.peerProxy.blockSources(others.map((one) => one.host));
+    }
+  }
+
   /** Mends all cuts between nodes. */
   reconnect(): void {
     for (const node of this.nodes) node.peerProxy.blockSources([]);
