Members ask for a majority at most every quarter of the freshness lease

The profile shows connection set-up and garbage collection; nodes that are not confirmed ask all others for a majority in each round. Ruled out: the walk over all members for the vote in each message (now once a round, no change), shorter heads of peers' answers (reverted, no figure supports them). Change: the question to all members has a least interval; the vote is worked out once a round.

--- a/src/coordination/config-distribution.ts
+++ b/src/coordination/config-distribution.ts
@@ -39,12 +39,15 @@
  * confirmation round among themselves must come to ask a majority before the lease lapses.
  */
 const IMPATIENCE = 0.6;
+/** Part of the freshness lease between two questions to all members: each one costs as many messages as there are members. */
+const MAJORITY_INTERVAL = 0.25;
 const RETRY_DELAY_MS = 100;
 
 /** One node's part in the distribution. */
 export class ConfigDistribution {
   private hasLoaded = false;
   private hasReadTable = false;
+  private majorityAskedAtMs = Number.NEGATIVE_INFINITY;
   private wakeUp = new AbortController();
 
   constructor(
@@ -195,6 +198,8 @@
   /** A majority that holds no newer revision confirms this one. */
   private async confirmByMajority(): Promise<boolean> {
     const askedAt = monotonicMs();
+    if (askedAt - this.majorityAskedAtMs < MAJORITY_INTERVAL * this.lease.lengthMs) return false;
+    this.majorityAskedAtMs = askedAt;
     const others = this.membership.members.others();
     const query = { atLeast: 0, waitMs: 0, entries: [] };
     const answers = await Promise.all(others.map((member) => this.peers.revision(member.address, query)));
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -107,13 +107,17 @@
    * other, unless all members are newcomers.
    */
   get isEstablished(): boolean {
-    if (this.established) return true;
+    return this.established;
+  }
+
+  /** Looked at once a round: it walks all members. */
+  private updateEstablished(): void {
+    if (this.established) return;
     const others = this.members.electorate().filter((record) => record.id !== this.members.own.id);
     const older = others.filter((record) => this.heardBy.get(record.id) !== false);
     const heard = older.filter((record) => this.heardBy.get(record.id) === true).length;
     const olderCount = older.length + this.unseenSeeds();
     this.established = olderCount === 0 || heard > olderCount / 2;
-    return this.established;
   }
 
   /** Tells some members that this node leaves. */
@@ -130,6 +134,7 @@
     const full = this.round % FULL_EXCHANGE_ROUNDS === 0 && this.members.hasDisagreement;
     await Promise.all(targets.map((target, index) => this.checkMember(target, full && index === 0)));
     this.declareDead();
+    this.updateEstablished();
   }
 
   private async joinSeeds(): Promise<void> {
--- a/src/node/api/peer-routes.ts
+++ b/src/node/api/peer-routes.ts
@@ -1,5 +1,4 @@
 /** Routes of other nodes. */
-import type { ServerResponse } from 'node:http';
 import { ok, type Result } from 'neverthrow';
 import type { Static, TSchema } from 'typebox';
 import type { ConfigDistribution } from '../../coordination/config-distribution.js';
@@ -27,12 +26,6 @@
 
 const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
 
-/** Leaves out what peers do not read: the date and the keep-alive hint make up a quarter of a short answer. */
-function shortenHead(response: ServerResponse): void {
-  response.sendDate = false;
-  response.setHeader('connection', 'keep-alive');
-}
-
 function peerRoute<Schema extends TSchema>(
   path: string,
   schema: Schema,
@@ -42,7 +35,6 @@
   const handler = async (exchange: Exchange): Promise<Result<void, CoordinationError>> => {
     const message = await readJson(exchange, validator, BODY_LIMIT_BYTES);
     if (message.isErr()) return message.map(() => undefined);
-    shortenHead(exchange.response);
     sendJson(exchange.response, 200, await answer(message.value, exchange));
     return ok(undefined);
   };
