Only a root, or a node whose parent cannot be reached, asks a majority

Cause: every node whose confirmation was getting old asked all others for a majority, also when its parent was merely behind; with 96 nodes that are 9,120 questions a round, which overloads the process and keeps everyone behind. Ruled out, by trials at 96 nodes: the vote of newcomers (taken out: still 1 of 96 confirmed after 16 s), sorting the members for each answer (kept in order now, no change), the size reported with each answer (no change). Change: askOthers goes to a majority only from a root or after an unreachable peer.

--- a/src/coordination/config-distribution.ts
+++ b/src/coordination/config-distribution.ts
@@ -47,6 +47,8 @@
 export class ConfigDistribution {
   private hasLoaded = false;
   private hasReadTable = false;
+  /** Whether the last member that was asked for configuration answered. */
+  private reachedPeer = false;
   private majorityAskedAtMs = Number.NEGATIVE_INFINITY;
   private wakeUp = new AbortController();
 
@@ -155,13 +157,18 @@
     return true;
   }
 
-  /** Asks one more member, then the table, then a majority. */
+  /**
+   * Asks one more member, then the table, then a majority. Only a root, or a node whose parent cannot be reached, asks
+   * a majority: a parent that is merely behind will be confirmed itself, and if all its children asked everybody, the
+   * questions would be the square of the members.
+   */
   private async askOthers(parent: MemberRecord | undefined): Promise<void> {
     const others = this.membership.members.others().filter((member) => member.id !== parent?.id);
     const [other] = this.random.sample(others, 1);
     if (other && (await this.pullFrom(other, 0))) return;
     if (parent && (await this.readTable())) return;
-    await this.confirmByMajority();
+    const isRoot = this.parent() === undefined;
+    if (isRoot || !this.reachedPeer) await this.confirmByMajority();
   }
 
   /** Pulls from a member; true when its answer confirms the configuration. */
@@ -173,6 +180,7 @@
     const askedAt = monotonicMs();
     const pull = { haveRevision: this.view.revision, waitMs: holdMs };
     const answer = await this.peers.pullConfig(member.address, pull, signal);
+    this.reachedPeer = answer.isOk();
     if (answer.isErr()) return false;
     const { revision, confirmedAgeMs, heldMs } = answer.value;
     this.takeOver(answer.value);
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -203,7 +203,7 @@
   }
 
   private message(allRecords: boolean, askForAll = false): Probe {
-    const rumours = allRecords ? this.members.everyone() : this.members.takeRumours();
+    const rumours = allRecords ? [...this.members.everyone()] : this.members.takeRumours();
     const message = {
       from: this.members.own,
       rumours,
--- a/src/state/member-table.ts
+++ b/src/state/member-table.ts
@@ -29,6 +29,8 @@
   private readonly rumours = new Map<string, Rumour>();
   private ownRecord: MemberRecord;
   private cachedDigest: number | undefined;
+  /** All records by ID; asked for with every message, so it is kept until a record changes. */
+  private cachedOrder: readonly MemberRecord[] | undefined;
   private agreements = 0;
 
   constructor(
@@ -63,8 +65,9 @@
   }
 
   /** Every record, by ID. */
-  everyone(): MemberRecord[] {
-    return [...this.records.values()].sort((a, b) => (a.id < b.id ? -1 : 1));
+  everyone(): readonly MemberRecord[] {
+    this.cachedOrder ??= [...this.records.values()].sort((a, b) => (a.id < b.id ? -1 : 1));
+    return this.cachedOrder;
   }
 
   /** One record. */
@@ -138,6 +141,7 @@
 
   private spread(memberId: string): void {
     this.cachedDigest = undefined;
+    this.cachedOrder = undefined;
     this.agreements = 0;
     const remaining = SPREAD_FACTOR * Math.ceil(Math.log2(this.records.size + 1));
     this.rumours.set(memberId, { memberId, remaining });
