--- a/test/ledger-properties.test.ts
+++ b/test/ledger-properties.test.ts
@@ -199,7 +199,7 @@
         expect(schedule.problems).to.deep.equal([]);
         expect(schedule.doubled()).to.deep.equal([]);
       }),
-      { numRuns: 150, seed: 42 },
+      { numRuns: 1_500, seed: 42 },
     );
   });
 });
