--- /dev/null
+++ b/src/common/decision-records.ts
@@ -0,0 +1,137 @@
+/**
+ * Structured log records: one line for each decision that touches a request or changes what the process believes.
+ * Every record names the inputs of the decision, their version or age, and the outcome. Fields that end in `Ms` are
+ * milliseconds.
+ */
+
+/** A request was answered. */
+export interface RequestAnswered {
+  readonly event: 'request-answered';
+  readonly requestId: string;
+  readonly route: string;
+  readonly status: number;
+  readonly outcome: string;
+  readonly attempts: number;
+  readonly replicas: string;
+  readonly tookMs: number;
+  readonly leftMs: number;
+  readonly configVersion: number;
+}
+
+/** A request was sent to a replica and came back. */
+export interface AttemptEnded {
+  readonly event: 'attempt-ended';
+  readonly requestId: string;
+  readonly jobId?: string;
+  readonly group?: string;
+  readonly service: string;
+  readonly replica: string;
+  readonly outcome: string;
+  readonly detail?: string;
+  readonly tookMs: number;
+  readonly inFlight: number;
+  readonly configVersion: number;
+}
+
+/** A call about a batch job was answered. */
+export interface JobCallAnswered {
+  readonly event: 'job-call-answered';
+  readonly call: 'submit' | 'read' | 'item' | 'end';
+  readonly jobId: string;
+  readonly outcome: string;
+  readonly tookMs: number;
+  readonly position?: number;
+}
+
+/** A job changed its owner or state in the eyes of this node. */
+export interface JobChanged {
+  readonly event: 'job-changed';
+  readonly jobId: string;
+  readonly change: string;
+  readonly owner: string;
+  readonly epoch: number;
+  readonly recordVersion: number;
+  readonly detail?: string;
+}
+
+/** An item of a job reached its outcome, or lost time. */
+export interface ItemChanged {
+  readonly event: 'item-changed';
+  readonly requestId: string;
+  readonly jobId: string;
+  readonly group: string;
+  readonly change: string;
+  readonly events: number;
+  readonly versions: string;
+  readonly attempts: number;
+  readonly ageMs: number;
+  readonly detail?: string;
+}
+
+/** Results were listed. */
+export interface ResultsListed {
+  readonly event: 'results-listed';
+  readonly jobId: string;
+  readonly firstPosition: number;
+  readonly count: number;
+  readonly outcome: string;
+  readonly epoch: number;
+  readonly tookMs: number;
+}
+
+/** The node's belief about configuration or replicas changed. */
+export interface BeliefChanged {
+  readonly event: 'belief-changed';
+  readonly subject: 'configuration' | 'replica' | 'weight-version' | 'session' | 'feed';
+  readonly name: string;
+  readonly change: string;
+  readonly version: number;
+}
+
+/** A duty was taken, lost or carried out. */
+export interface DutyChanged {
+  readonly event: 'duty-changed';
+  readonly duty: string;
+  readonly change: string;
+  readonly epoch: number;
+  readonly detail?: string;
+}
+
+/** An order was given to a replica. */
+export interface OrderGiven {
+  readonly event: 'order-given';
+  readonly replica: string;
+  readonly model: string;
+  readonly version: number;
+  readonly fencingToken: number;
+  readonly outcome: string;
+  readonly tookMs: number;
+}
+
+/** The process started, stopped, reloaded, or lost or regained a dependency. */
+export interface ProcessChanged {
+  readonly event: 'process-changed';
+  readonly change: string;
+  readonly detail?: string;
+}
+
+/** Lines that were left out because their kind was over its budget. */
+export interface LinesLeftOut {
+  readonly event: 'lines-left-out';
+  readonly kind: string;
+  readonly count: number;
+}
+
+/** Every record. */
+export type DecisionRecord =
+  | RequestAnswered
+  | AttemptEnded
+  | JobCallAnswered
+  | JobChanged
+  | ItemChanged
+  | ResultsListed
+  | BeliefChanged
+  | DutyChanged
+  | OrderGiven
+  | ProcessChanged
+  | LinesLeftOut;
--- a/src/common/lifecycle.ts
+++ b/src/common/lifecycle.ts
@@ -25,12 +25,23 @@
   return createMachine(initial as never, states as never) as unknown as Machine;
 }
 
-/** What a lifecycle reports to. */
+/** A counter with labels. */
+interface LabelledCounter {
+  inc(labels: Record<string, string>): void;
+}
+
+/** What the parts of a node report to. */
 export interface LifecycleObserver {
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
 
+/** What a lifecycle reports to. */
+export interface LifecycleSink {
+  readonly logger: Pick<Logger, 'info'>;
+  readonly metrics: { readonly lifecycleDefects: LabelledCounter; readonly transitions: LabelledCounter };
+}
+
 /** One running lifecycle. `kind` names the sort of thing, `subject` the single thing. */
 export class Lifecycle<State extends string, Event extends string> {
   private readonly service;
@@ -40,7 +51,7 @@
     private readonly subject: string,
     initial: State,
     private readonly table: LifecycleTable<State, Event>,
-    private readonly observer: LifecycleObserver,
+    private readonly observer: LifecycleSink,
   ) {
     this.service = interpret(buildMachine(initial, table), () => {});
   }
--- /dev/null
+++ b/src/common/service-metrics.ts
@@ -0,0 +1,84 @@
+/** Counters, gauges and latency histograms of a node that serves routes and jobs. Label sets are bounded. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+
+/** The metrics of a node. Names follow the Prometheus conventions. */
+export class ServiceMetrics {
+  readonly registry = new Registry();
+  /** Answers to callers by route and outcome. */
+  readonly requests = this.counter('thymecove_requests_total', 'Answers by route and outcome', [
+    'route',
+    'outcome',
+  ]);
+  /** Time from a request to its answer. */
+  readonly requestSeconds = this.histogram('thymecove_request_seconds', 'Time to the answer', ['route']);
+  /** Attempts at replicas by service and outcome. */
+  readonly attempts = this.counter('thymecove_attempts_total', 'Attempts by outcome', ['service', 'outcome']);
+  /** Calls of the store by kind and outcome. */
+  readonly storeCalls = this.counter('thymecove_store_calls_total', 'Store calls', ['call', 'outcome']);
+  /** Time of calls of the store. */
+  readonly storeSeconds = this.histogram('thymecove_store_seconds', 'Time of store calls', ['call']);
+  /** Time since the last answer of each feed. */
+  readonly feedAge = this.gauge('thymecove_feed_age_seconds', 'Time since the last answer of a feed', [
+    'table',
+  ]);
+  /** Version of the configuration in force. */
+  readonly configVersion = this.gauge('thymecove_config_version', 'Configuration in force', []);
+  /** Jobs that this node runs. */
+  readonly ownedJobs = this.gauge('thymecove_owned_jobs', 'Jobs that this node runs', []);
+  /** Items of the jobs that this node runs, by state. */
+  readonly items = this.gauge('thymecove_items', 'Items by state', ['state']);
+  /** Time from acceptance of a job to the listing of a result. */
+  readonly listedSeconds = this.histogram('thymecove_result_listed_seconds', 'Time to a listed result', []);
+  /** Orders to replicas by outcome. */
+  readonly orders = this.counter('thymecove_orders_total', 'Orders to replicas', ['outcome']);
+  /** Duties held by this node. */
+  readonly dutiesHeld = this.gauge('thymecove_duties_held', 'Duties held', []);
+  /** Events that a lifecycle did not take: each one is a defect. */
+  readonly lifecycleDefects = this.counter('thymecove_lifecycle_defects_total', 'Events not taken', [
+    'lifecycle',
+    'event',
+  ]);
+  /** Changes of state by lifecycle and new state. */
+  readonly transitions = this.counter('thymecove_lifecycle_transitions_total', 'State changes', [
+    'lifecycle',
+    'state',
+  ]);
+  /** Delay of the event loop. */
+  readonly loopDelay = this.gauge('thymecove_loop_delay_seconds', 'Delay of the event loop', []);
+  /** Resident memory of the process. */
+  readonly memory = this.gauge('thymecove_resident_bytes', 'Resident memory', []);
+  /** Log lines dropped because the reader was too slow. */
+  readonly droppedLines = this.gauge('thymecove_dropped_log_lines', 'Dropped log lines', []);
+
+  private counter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[],
+  ): Counter<Label> {
+    return new Counter({ name, help, labelNames: [...labelNames], registers: [this.registry] });
+  }
+
+  private gauge<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[],
+  ): Gauge<Label> {
+    return new Gauge({ name, help, labelNames: [...labelNames], registers: [this.registry] });
+  }
+
+  private histogram<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[],
+  ): Histogram<Label> {
+    return new Histogram({
+      name,
+      help,
+      labelNames: [...labelNames],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/generation-attempt.ts
@@ -0,0 +1,199 @@
+/** One attempt to generate a sample, or the rest of it, at one model replica. */
+import { monotonicMs } from '../common/clock.js';
+import type { JobItem } from '../protocol/batch-job.js';
+import { EventStreamParser, type StreamEvent } from '../protocol/event-stream.js';
+import type { ReplicaAnswer, ReplicaClient } from '../protocol/replica.js';
+import type { ReplicaState } from '../state/replica-directory.js';
+import { readWhole } from '../transport/http-client.js';
+import { defectOf } from './replica-exchange.js';
+import type { SampleText } from './sample-text.js';
+
+/** What an attempt must heed. */
+export interface GenerationTerms {
+  readonly host: string;
+  readonly model: string;
+  /** Oldest weight version that may make an event. */
+  readonly minVersion: number;
+  readonly isSingleVersion: boolean;
+  /** Time that the replica may work on it, milliseconds. */
+  readonly deadlineMs: number;
+  /** Longest silence before the attempt is broken off, milliseconds. */
+  readonly stallMs: number;
+  readonly priority?: number;
+  readonly signal: AbortSignal;
+}
+
+/** How an attempt ended. */
+export type GenerationOutcome =
+  | { readonly kind: 'whole' }
+  /** Certainly not run. */
+  | { readonly kind: 'not-executed'; readonly reason: string; readonly isFull: boolean }
+  /** The replica failed the request: counts against the attempts of the item. */
+  | { readonly kind: 'failed'; readonly reason: string }
+  /** It can never be done. */
+  | { readonly kind: 'impossible'; readonly reason: string }
+  /** The replica's weights are too old, or differ where one version is asked for. */
+  | { readonly kind: 'wrong-version'; readonly reason: string }
+  /** The stream broke; what came before is kept. */
+  | { readonly kind: 'broken'; readonly reason: string }
+  | { readonly kind: 'cancelled' };
+
+const STATUS_IMPOSSIBLE = 422;
+const STATUS_FAILED = 500;
+const MAX_ERROR_BYTES = 64 * 1024;
+
+/** Aborts an exchange after a silence. */
+class StallWatch {
+  private readonly controller = new AbortController();
+  private readonly timer: NodeJS.Timeout;
+  private readonly onAbort = () => this.controller.abort();
+  private heardAtMs = monotonicMs();
+  hasStalled = false;
+
+  constructor(
+    private readonly stallMs: number,
+    private readonly outer: AbortSignal,
+  ) {
+    this.timer = setInterval(() => this.check(), Math.max(20, stallMs / 4));
+    outer.addEventListener('abort', this.onAbort, { once: true });
+    if (outer.aborted) this.controller.abort();
+  }
+
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  heard(): void {
+    this.heardAtMs = monotonicMs();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.outer.removeEventListener('abort', this.onAbort);
+  }
+
+  private check(): void {
+    if (monotonicMs() - this.heardAtMs < this.stallMs) return;
+    this.hasStalled = true;
+    this.controller.abort();
+  }
+}
+
+/** Streams events of `item` from a replica into `text`. Never rejects. */
+export async function attemptGeneration(
+  client: ReplicaClient,
+  state: ReplicaState,
+  item: JobItem,
+  text: SampleText,
+  terms: GenerationTerms,
+): Promise<GenerationOutcome> {
+  const watch = new StallWatch(terms.stallMs, terms.signal);
+  try {
+    const outcome = await exchange(client, state, item, text, terms, watch);
+    if (terms.signal.aborted && outcome.kind !== 'whole') return { kind: 'cancelled' };
+    return watch.hasStalled && outcome.kind !== 'whole' ? { kind: 'broken', reason: 'silence' } : outcome;
+  } finally {
+    watch.stop();
+  }
+}
+
+async function exchange(
+  client: ReplicaClient,
+  state: ReplicaState,
+  item: JobItem,
+  text: SampleText,
+  terms: GenerationTerms,
+  watch: StallWatch,
+): Promise<GenerationOutcome> {
+  const mustHaveVersion = terms.isSingleVersion && text.eventCount > 0 ? text.versions[0] : undefined;
+  const sent = await client.dispatch(state.replica, {
+    id: item.id,
+    method: 'POST',
+    path: item.path,
+    host: terms.host,
+    headers: item.headers,
+    body: item.body,
+    deadlineMs: terms.deadlineMs,
+    lastEventId: text.lastEventId,
+    requiredVersion: mustHaveVersion,
+    priority: terms.priority,
+    signal: watch.signal,
+  });
+  if (sent.isErr()) {
+    const reason = `${sent.error.failure}: ${sent.error.message}`;
+    if (!sent.error.requestSent) return { kind: 'not-executed', reason, isFull: false };
+    return { kind: 'broken', reason };
+  }
+  watch.heard();
+  const answer = sent.value;
+  if (answer.status === 200) return streamEvents(client, state, answer, text, terms, watch);
+  return judgeRefusal(answer);
+}
+
+async function judgeRefusal(answer: ReplicaAnswer): Promise<GenerationOutcome> {
+  const reason = `status ${answer.status}`;
+  if (answer.body.readable) await readWhole(answer.body, MAX_ERROR_BYTES);
+  if (!answer.isForRequest) return { kind: 'broken', reason: 'the answer belongs to another request' };
+  if (answer.isNotExecuted) return { kind: 'not-executed', reason, isFull: answer.status !== 421 };
+  if (answer.status === STATUS_IMPOSSIBLE) return { kind: 'impossible', reason };
+  if (answer.status === STATUS_FAILED) return { kind: 'failed', reason };
+  return { kind: 'broken', reason };
+}
+
+async function streamEvents(
+  client: ReplicaClient,
+  state: ReplicaState,
+  answer: ReplicaAnswer,
+  text: SampleText,
+  terms: GenerationTerms,
+  watch: StallWatch,
+): Promise<GenerationOutcome> {
+  const defect = defectOf(answer);
+  if (defect) {
+    answer.body.destroy();
+    return { kind: 'broken', reason: defect };
+  }
+  const parser = new EventStreamParser();
+  let version = answer.weightVersion ?? state.versionOf(terms.model);
+  try {
+    for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+      watch.heard();
+      for (const event of parser.push(chunk)) {
+        version = versionOf(event, client.eventVersionField) ?? version;
+        const problem = problemOf(event, version, text, terms);
+        if (problem) {
+          answer.body.destroy();
+          return problem;
+        }
+        text.append(event.id, event.data, version);
+      }
+    }
+  } catch (cause) {
+    return { kind: 'broken', reason: cause instanceof Error ? cause.message : String(cause) };
+  }
+  if (parser.hasRemainder) return { kind: 'broken', reason: 'the stream ended within an event' };
+  if (text.eventCount === 0) return { kind: 'broken', reason: 'the stream has no event' };
+  text.isWhole = true;
+  return { kind: 'whole' };
+}
+
+function versionOf(event: StreamEvent, field: string): number | undefined {
+  const value = event.fields[field];
+  return value === undefined ? undefined : Number(value);
+}
+
+function problemOf(
+  event: StreamEvent,
+  version: number,
+  text: SampleText,
+  terms: GenerationTerms,
+): GenerationOutcome | undefined {
+  if (!text.isNext(event.id))
+    return { kind: 'broken', reason: `event ${event.id} does not follow ${text.lastEventId}` };
+  if (version < terms.minVersion)
+    return { kind: 'wrong-version', reason: `version ${version} is older than ${terms.minVersion}` };
+  const [first] = text.versions;
+  if (terms.isSingleVersion && first !== undefined && first !== version)
+    return { kind: 'wrong-version', reason: `version ${version} differs from ${first}` };
+  return undefined;
+}
--- /dev/null
+++ b/src/coordination/item-run.ts
@@ -0,0 +1,228 @@
+/** Runs one item of a job from its first event to its score. */
+import { monotonicMs, sleep } from '../common/clock.js';
+import type { DecisionLogger } from '../common/decision-logger.js';
+import type { ServiceMetrics } from '../common/service-metrics.js';
+import type { JobItem, JobResult, JobSpecification, PartialText } from '../protocol/batch-job.js';
+import type { ReplicaClient } from '../protocol/replica.js';
+import type { Route } from '../protocol/routing-configuration.js';
+import type { ReplicaState } from '../state/replica-directory.js';
+import type { RoutingSnapshot, RoutingTable, TargetSplitter } from '../state/routing-table.js';
+import { attemptGeneration, type GenerationOutcome } from './generation-attempt.js';
+import type { Placement } from './placement.js';
+import type { SampleScorer } from './sample-scorer.js';
+import { SampleText } from './sample-text.js';
+
+/** What items of a node's jobs share. */
+export interface ItemServices {
+  readonly routing: RoutingTable;
+  readonly splitter: TargetSplitter;
+  readonly placement: Placement;
+  readonly client: ReplicaClient;
+  readonly scorer: SampleScorer;
+  readonly metrics: ServiceMetrics;
+  readonly logger: DecisionLogger;
+}
+
+/** The job that an item belongs to. */
+export interface ItemJob {
+  readonly jobId: string;
+  readonly host: string;
+  readonly path: string;
+  readonly specification: JobSpecification;
+  /** Time of acceptance on the monotonic clock, milliseconds. */
+  readonly acceptedAtMs: number;
+  /** Replica that each group was placed at. */
+  readonly groupReplicas: Map<string, string>;
+  readonly signal: AbortSignal;
+}
+
+/** Ranks of placement: interrupted items go before new ones. */
+const RANK_INTERRUPTED = 0;
+const RANK_NEW = 1;
+/** Silence after which a stream is taken up elsewhere, as a multiple of the route's target latency. */
+const STALL_FACTOR = 3;
+const MIN_STALL_MS = 1_000;
+/** A route that is gone for this long is not expected back, milliseconds. */
+const ROUTE_GONE_MS = 3_000;
+const ROUTE_POLL_MS = 100;
+const DEFAULT_DEADLINE_MS = 60_000;
+/** Pause after a replica declined an item, milliseconds. */
+const DECLINED_PAUSE_MS = 60;
+
+/** One item under way. */
+export class ItemRun {
+  readonly text: SampleText;
+  private failures = 0;
+  private attempts = 0;
+  private hasRun = false;
+
+  constructor(
+    private readonly services: ItemServices,
+    private readonly job: ItemJob,
+    readonly item: JobItem,
+    kept: PartialText | undefined,
+  ) {
+    this.text = kept && this.isUsable(kept) ? SampleText.from(kept) : new SampleText();
+  }
+
+  /** Resolves to the result, or to `undefined` when the job's signal was aborted before. */
+  async run(): Promise<JobResult | undefined> {
+    while (!this.text.isWhole) {
+      if (this.job.signal.aborted) return undefined;
+      const route = await this.awaitRoute();
+      if (!route) return this.job.signal.aborted ? undefined : this.dead('the route is gone');
+      if (this.ageMs > route.maxQueueMs) return this.dead('the longest time in the queue has passed');
+      const outcome = await this.attempt(route);
+      const verdict = outcome && (await this.judge(outcome, route));
+      if (verdict) return verdict;
+    }
+    return this.score();
+  }
+
+  /** A kept text counts when its versions fit the job. */
+  private isUsable(kept: PartialText): boolean {
+    return kept.versions.every((version) => version >= this.job.specification.minVersion);
+  }
+
+  private get ageMs(): number {
+    return monotonicMs() - this.job.acceptedAtMs;
+  }
+
+  private matchRoute(): { snapshot: RoutingSnapshot; route: Route } | undefined {
+    const snapshot = this.services.routing.current;
+    const route =
+      snapshot?.match(this.job.host, this.item.path) ?? snapshot?.match(this.job.host, this.job.path);
+    return snapshot && route && { snapshot, route };
+  }
+
+  private async awaitRoute(): Promise<Route | undefined> {
+    const goneAtMs = monotonicMs();
+    for (;;) {
+      const matched = this.matchRoute();
+      if (matched) return matched.route;
+      const isKnown = this.services.routing.current !== undefined;
+      if (this.job.signal.aborted) return undefined;
+      if (isKnown && monotonicMs() - goneAtMs > ROUTE_GONE_MS) return undefined;
+      await sleep(ROUTE_POLL_MS, this.job.signal);
+    }
+  }
+
+  /** One attempt; `undefined` when the job was stopped while the item waited. */
+  private async attempt(route: Route): Promise<GenerationOutcome | undefined> {
+    const { placement, client } = this.services;
+    const { model, minVersion } = this.job.specification;
+    const chosen = this.services.splitter.next(route)?.service;
+    const state = await placement.acquire({
+      service: () =>
+        this.matchRoute()?.route.targets.some((target) => target.service === chosen)
+          ? chosen
+          : this.currentTarget(),
+      slots: (candidate) => this.slotsOf(candidate),
+      accepts: (candidate) => model === '' || candidate.versionOf(model) >= minVersion,
+      preferredId: () => this.job.groupReplicas.get(this.item.group),
+      rank: this.hasRun ? RANK_INTERRUPTED : RANK_NEW,
+      signal: this.job.signal,
+    });
+    if (!state) return undefined;
+    const startedAt = monotonicMs();
+    const eventsBefore = this.text.eventCount;
+    this.job.groupReplicas.set(this.item.group, state.replica.id);
+    this.hasRun = true;
+    this.attempts += 1;
+    const outcome = await attemptGeneration(client, state, this.item, this.text, {
+      host: this.job.host,
+      model,
+      minVersion,
+      isSingleVersion: route.isSingleVersion,
+      deadlineMs: Math.min(DEFAULT_DEADLINE_MS, Math.max(1_000, route.maxQueueMs - this.ageMs)),
+      stallMs: Math.max(MIN_STALL_MS, route.targetLatencyMs * STALL_FACTOR),
+      signal: this.job.signal,
+    });
+    placement.release(state);
+    this.noteOutcome(state, outcome, monotonicMs() - startedAt, this.text.eventCount - eventsBefore);
+    return outcome;
+  }
+
+  private currentTarget(): string | undefined {
+    const route = this.matchRoute()?.route;
+    return route && this.services.splitter.next(route)?.service;
+  }
+
+  private slotsOf(state: ReplicaState): number {
+    const slots = this.services.routing.current?.engineSlotsOf(state.replica.service) ?? 0;
+    return slots > 0 ? slots : state.replica.slots;
+  }
+
+  private noteOutcome(state: ReplicaState, outcome: GenerationOutcome, tookMs: number, events: number): void {
+    const { service, id } = state.replica;
+    if (outcome.kind === 'whole' && events > 0) state.noteSuccess(tookMs / events);
+    else if (outcome.kind === 'not-executed' && outcome.isFull) state.pause(DECLINED_PAUSE_MS);
+    else if (outcome.kind === 'not-executed' || outcome.kind === 'broken') state.noteFailure();
+    else if (outcome.kind === 'wrong-version') state.pause(DECLINED_PAUSE_MS);
+    if (outcome.kind !== 'whole') this.job.groupReplicas.delete(this.item.group);
+    this.services.metrics.attempts.inc({ service, outcome: outcome.kind });
+    this.services.logger.record({
+      event: 'attempt-ended',
+      requestId: this.item.id,
+      jobId: this.job.jobId,
+      group: this.item.group,
+      service,
+      replica: id,
+      outcome: outcome.kind,
+      detail: `${events} events${'reason' in outcome ? `, ${outcome.reason}` : ''}`,
+      tookMs: Math.round(tookMs),
+      inFlight: state.inFlight,
+      configVersion: this.services.routing.current?.version ?? 0,
+    });
+  }
+
+  /** The final result of an outcome, or `undefined` to go on. */
+  private async judge(outcome: GenerationOutcome, route: Route): Promise<JobResult | undefined> {
+    if (outcome.kind === 'impossible') return this.dead(outcome.reason);
+    if (outcome.kind === 'wrong-version' && route.isSingleVersion) this.text.clear();
+    if (outcome.kind === 'failed') {
+      this.failures += 1;
+      if (this.failures >= route.maxAttempts) return this.dead(`${this.failures} failures`);
+    }
+    return undefined;
+  }
+
+  private async score(): Promise<JobResult | undefined> {
+    const { scoring } = this.item;
+    if (!scoring) return this.completed(undefined);
+    const scored = await this.services.scorer.score(scoring, this.job);
+    if (scored.kind === 'scored') return this.completed(scored.score);
+    return scored.kind === 'cancelled' ? undefined : this.dead(scored.reason);
+  }
+
+  private completed(score: string | undefined): JobResult {
+    this.report('completed');
+    return {
+      id: this.item.id,
+      state: 'completed',
+      text: this.text.join(),
+      versions: this.text.versions,
+      score,
+    };
+  }
+
+  private dead(reason: string): JobResult {
+    this.report('dead', reason);
+    return { id: this.item.id, state: 'dead', text: '', versions: [], score: undefined };
+  }
+
+  private report(change: string, detail?: string): void {
+    this.services.logger.record({
+      event: 'item-changed',
+      requestId: this.item.id,
+      jobId: this.job.jobId,
+      group: this.item.group,
+      change,
+      events: this.text.eventCount,
+      versions: this.text.versions.join(','),
+      attempts: this.attempts,
+      ageMs: Math.round(this.ageMs),
+      detail,
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/job-calls.ts
@@ -0,0 +1,196 @@
+/** Calls of submitters about batch jobs: submit, read results by position, read an item's body, end. */
+import { monotonicMs, sleep } from '../common/clock.js';
+import type { DecisionLogger } from '../common/decision-logger.js';
+import type { JobSpecification } from '../protocol/batch-job.js';
+import type { JobHead, JobOwner } from '../state/job-record.js';
+import type { JobRepository } from '../state/job-repository.js';
+import type { ResultCache } from '../state/result-cache.js';
+import type { JobOwnership } from './job-owner.js';
+import type { SubmissionParser } from './job-run.js';
+
+/** Longest effort to accept a job, milliseconds. */
+const ACCEPT_EFFORT_MS = 3_000;
+const END_EFFORT_MS = 3_000;
+/** How often the store is asked for results while a reader waits, milliseconds. */
+const RESULT_POLL_MS = 120;
+/** Bytes of one page of results at most. */
+const PAGE_BYTES = 900_000;
+
+/** A job to submit. */
+export interface JobSubmission {
+  readonly jobId: string;
+  readonly host: string;
+  readonly path: string;
+  readonly body: Buffer;
+  readonly specification: JobSpecification;
+}
+
+/** What became of a submission. */
+export type SubmissionOutcome = 'accepted' | 'not-accepted' | 'unknown';
+
+/** What a reader gets. */
+export type ReadOutcome =
+  | {
+      readonly kind: 'page';
+      readonly total: number;
+      readonly next: number;
+      readonly results: readonly string[];
+    }
+  | { readonly kind: 'not-found' }
+  | { readonly kind: 'unavailable' };
+
+/** What someone who asks for an item gets. */
+export type ItemOutcome =
+  | { readonly kind: 'found'; readonly body: Buffer }
+  | { readonly kind: 'not-found' }
+  | { readonly kind: 'unavailable' };
+
+/** What the calls work with. */
+export interface JobCallServices {
+  readonly repository: JobRepository;
+  readonly ownership: JobOwnership;
+  readonly cache: ResultCache;
+  readonly parseSubmission: SubmissionParser;
+  readonly logger: DecisionLogger;
+}
+
+/** The calls of one node. */
+export class JobCalls {
+  /** The submission that was read last: its items are often asked for one after the other. */
+  private lastSpecification: { jobId: string; specification: JobSpecification } | undefined;
+
+  constructor(
+    private readonly services: JobCallServices,
+    private readonly self: JobOwner,
+  ) {}
+
+  /** Accepts a job once, however often it is submitted. */
+  async submit(submission: JobSubmission): Promise<SubmissionOutcome> {
+    const startedAt = monotonicMs();
+    const outcome = await this.accept(submission, startedAt + ACCEPT_EFFORT_MS);
+    this.report('submit', submission.jobId, outcome, startedAt);
+    return outcome;
+  }
+
+  /** Results from `position` on; waits up to `waitMs` for the first one. */
+  async read(jobId: string, position: number, waitMs: number, signal: AbortSignal): Promise<ReadOutcome> {
+    const startedAt = monotonicMs();
+    const outcome = await this.readPage(jobId, position, startedAt + waitMs, signal);
+    const detail = outcome.kind === 'page' ? `${outcome.results.length} results` : outcome.kind;
+    this.report('read', jobId, detail, startedAt, position);
+    return outcome;
+  }
+
+  /** The body of an item whose job is open. */
+  async item(jobId: string, itemId: string): Promise<ItemOutcome> {
+    const startedAt = monotonicMs();
+    const outcome = await this.findItem(jobId, itemId);
+    this.report('item', `${jobId}/${itemId}`, outcome.kind, startedAt);
+    return outcome;
+  }
+
+  /** Ends a job. Returns false when it is not certain that it is ended. */
+  async end(jobId: string): Promise<boolean> {
+    const startedAt = monotonicMs();
+    const ended = await this.services.repository.end(jobId, startedAt + END_EFFORT_MS);
+    if (ended.isOk()) this.services.ownership.note(ended.value);
+    this.report('end', jobId, ended.isOk() ? 'ended' : ended.error.failure, startedAt);
+    return ended.isOk();
+  }
+
+  private async accept(submission: JobSubmission, deadlineMs: number): Promise<SubmissionOutcome> {
+    const { jobId, host, path, body, specification } = submission;
+    if ((this.services.ownership.known(jobId)?.record.total ?? 0) > 0) return 'accepted';
+    const job = { jobId, host, path, total: specification.items.length, submission: body };
+    const accepted = await this.services.repository.accept(job, this.self, deadlineMs);
+    if (accepted.isErr()) return accepted.error.effect === 'none' ? 'not-accepted' : 'unknown';
+    const { head, isNew } = accepted.value;
+    if (isNew) this.services.ownership.adopt(head, specification);
+    else this.services.ownership.note(head);
+    return 'accepted';
+  }
+
+  private async findHead(jobId: string): Promise<JobHead | 'not-found' | 'unavailable'> {
+    const known = this.services.ownership.known(jobId);
+    if (known) return known;
+    const found = await this.services.repository.read(jobId);
+    if (found.isErr()) return 'unavailable';
+    return found.value ?? 'not-found';
+  }
+
+  private async readPage(
+    jobId: string,
+    position: number,
+    untilMs: number,
+    signal: AbortSignal,
+  ): Promise<ReadOutcome> {
+    const head = await this.findHead(jobId);
+    if (typeof head === 'string') return { kind: head };
+    const { total } = head.record;
+    if (total === 0) return { kind: 'not-found' };
+    for (;;) {
+      const results = await this.resultsFrom(jobId, position, total);
+      if (results === undefined) return { kind: 'unavailable' };
+      const isOver = monotonicMs() >= untilMs || position >= total || signal.aborted;
+      if (results.length > 0 || isOver)
+        return { kind: 'page', total, next: position + results.length, results };
+      await this.untilMore(jobId, Math.min(RESULT_POLL_MS, untilMs - monotonicMs()), signal);
+    }
+  }
+
+  private async resultsFrom(
+    jobId: string,
+    position: number,
+    total: number,
+  ): Promise<readonly string[] | undefined> {
+    const { cache, repository, ownership } = this.services;
+    const cached = cache.read(jobId, position, PAGE_BYTES);
+    if (cached.length > 0 || position >= total) return cached;
+    if (ownership.isRunning(jobId)) return [];
+    const page = await repository.results(jobId, position);
+    if (page.isErr()) return undefined;
+    cache.append(jobId, position, page.value.results);
+    return page.value.results;
+  }
+
+  private async untilMore(jobId: string, waitMs: number, signal: AbortSignal): Promise<void> {
+    const controller = new AbortController();
+    const stopListening = this.services.cache.listen(jobId, () => controller.abort());
+    const onAbort = () => controller.abort();
+    signal.addEventListener('abort', onAbort, { once: true });
+    await sleep(Math.max(1, waitMs), controller.signal);
+    signal.removeEventListener('abort', onAbort);
+    stopListening();
+  }
+
+  private async findItem(jobId: string, itemId: string): Promise<ItemOutcome> {
+    const specification = await this.specificationOf(jobId);
+    if (typeof specification === 'string') return { kind: specification };
+    const item = specification.items.find((candidate) => candidate.id === itemId);
+    return item ? { kind: 'found', body: item.body } : { kind: 'not-found' };
+  }
+
+  private async specificationOf(jobId: string): Promise<JobSpecification | 'not-found' | 'unavailable'> {
+    if (this.lastSpecification?.jobId === jobId) return this.lastSpecification.specification;
+    const head = await this.findHead(jobId);
+    if (typeof head === 'string') return head;
+    if (head.record.total === 0) return 'not-found';
+    const submission = await this.services.repository.submission(head);
+    if (submission.isErr()) return 'unavailable';
+    const specification = this.services.parseSubmission(submission.value);
+    if (!specification) return 'unavailable';
+    this.lastSpecification = { jobId, specification };
+    return specification;
+  }
+
+  private report(
+    call: 'submit' | 'read' | 'item' | 'end',
+    jobId: string,
+    outcome: string,
+    startedAt: number,
+    position?: number,
+  ): void {
+    const tookMs = Math.round(monotonicMs() - startedAt);
+    this.services.logger.record({ event: 'job-call-answered', call, jobId, outcome, tookMs, position });
+  }
+}
--- /dev/null
+++ b/src/coordination/job-run.ts
@@ -0,0 +1,159 @@
+/** Runs one job as its owner: generates, scores and lists what is not listed yet, and keeps texts on the way. */
+import { monotonicMs, sleep } from '../common/clock.js';
+import type { DecisionLogger } from '../common/decision-logger.js';
+import type { JobItem, JobSpecification, PartialText } from '../protocol/batch-job.js';
+import type { JobHead } from '../state/job-record.js';
+import type { JobRepository } from '../state/job-repository.js';
+import { type ItemJob, ItemRun, type ItemServices } from './item-run.js';
+import { type ListerServices, ResultLister } from './result-lister.js';
+
+/** How often texts of running items are kept, milliseconds. */
+const KEEP_TEXTS_MS = 400;
+const FIRST_PAUSE_MS = 50;
+const LONGEST_PAUSE_MS = 500;
+
+/** Reads a submission; an adapter knows its format. */
+export type SubmissionParser = (submission: Buffer) => JobSpecification | undefined;
+
+/** What a run works with. */
+export interface JobRunServices extends ItemServices, ListerServices {
+  readonly repository: JobRepository;
+  readonly logger: DecisionLogger;
+  readonly parseSubmission: SubmissionParser;
+}
+
+/** How a run ended. */
+export type JobRunEnd = 'finished' | 'stopped' | 'ownership-lost' | 'unreadable';
+
+interface LoadedJob {
+  readonly specification: JobSpecification;
+  readonly listedIds: ReadonlySet<string>;
+  readonly texts: ReadonlyMap<string, PartialText>;
+}
+
+/** One job under this node's ownership. */
+export class JobRun {
+  private readonly controller = new AbortController();
+  private readonly running = new Map<string, ItemRun>();
+  private loaded = false;
+
+  constructor(
+    private readonly services: JobRunServices,
+    readonly head: JobHead,
+    private readonly storeAgeMs: number,
+    private readonly knownSpecification?: JobSpecification,
+  ) {}
+
+  /** Items that are not listed yet. */
+  get openItems(): number {
+    return this.running.size;
+  }
+
+  /** Whether what was listed before is known. */
+  get isLoaded(): boolean {
+    return this.loaded;
+  }
+
+  /** Stops at once: streams are closed, nothing more is listed. */
+  stop(): void {
+    this.controller.abort();
+  }
+
+  /** Keeps the newest texts, for the next owner. */
+  async keepTexts(): Promise<void> {
+    const texts = new Map<string, PartialText>();
+    for (const [id, run] of this.running) if (run.text.hasUnsaved) texts.set(id, run.text.toPartial());
+    if (texts.size === 0) return;
+    const kept = await this.services.repository.saveTexts(this.head, texts);
+    if (kept.isErr()) {
+      if (kept.error.failure === 'lease-lost') this.stop();
+      return;
+    }
+    for (const id of kept.value) this.running.get(id)?.text.noteSaved(texts.get(id)?.events.length ?? 0);
+  }
+
+  /** Runs to the end of the job. Never rejects. */
+  async run(): Promise<JobRunEnd> {
+    const loaded = await this.load();
+    if (!loaded) return this.controller.signal.aborted ? 'stopped' : 'unreadable';
+    const { specification, listedIds, texts } = loaded;
+    this.loaded = true;
+    const acceptedAtMs = monotonicMs() - this.storeAgeMs;
+    const lister = new ResultLister(
+      this.services,
+      this.head,
+      listedIds.size,
+      acceptedAtMs,
+      this.controller.signal,
+    );
+    const job: ItemJob = {
+      jobId: this.head.jobId,
+      host: this.head.record.host,
+      path: this.head.record.path,
+      specification,
+      acceptedAtMs,
+      groupReplicas: new Map(),
+      signal: this.controller.signal,
+    };
+    for (const item of specification.items)
+      if (!listedIds.has(item.id)) void this.runItem(job, item, texts.get(item.id), lister);
+    const keeping = this.keepRegularly();
+    const keptOwnership = await lister.run(specification.items.length);
+    const wasStopped = this.controller.signal.aborted;
+    this.stop();
+    await keeping;
+    if (!keptOwnership) return 'ownership-lost';
+    return wasStopped ? 'stopped' : 'finished';
+  }
+
+  private async runItem(
+    job: ItemJob,
+    item: JobItem,
+    kept: PartialText | undefined,
+    lister: ResultLister,
+  ): Promise<void> {
+    const run = new ItemRun(this.services, job, item, kept);
+    this.running.set(item.id, run);
+    const result = await run.run();
+    if (!result || this.controller.signal.aborted) return;
+    lister.add(JSON.stringify(result));
+    this.running.delete(item.id);
+  }
+
+  private async keepRegularly(): Promise<void> {
+    const { signal } = this.controller;
+    while (!signal.aborted) {
+      await sleep(KEEP_TEXTS_MS, signal);
+      if (!signal.aborted) await this.keepTexts();
+    }
+  }
+
+  /** Reads the job until the store answers; `undefined` when it is stopped or cannot be read. */
+  private async load(): Promise<LoadedJob | undefined> {
+    if (this.knownSpecification)
+      return { specification: this.knownSpecification, listedIds: new Set(), texts: new Map() };
+    let pauseMs = FIRST_PAUSE_MS;
+    while (!this.controller.signal.aborted) {
+      const loaded = await this.tryLoad();
+      if (loaded !== 'unavailable') return loaded;
+      await sleep(pauseMs, this.controller.signal);
+      pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+    }
+    return undefined;
+  }
+
+  private async tryLoad(): Promise<LoadedJob | undefined | 'unavailable'> {
+    const { repository, parseSubmission, cache } = this.services;
+    const [submission, results, texts] = await Promise.all([
+      repository.submission(this.head),
+      repository.allResults(this.head.jobId),
+      repository.texts(this.head.jobId),
+    ]);
+    if (submission.isErr() || results.isErr() || texts.isErr()) return 'unavailable';
+    const specification = parseSubmission(submission.value);
+    if (!specification) return undefined;
+    cache.append(this.head.jobId, 0, results.value);
+    const listedIds = new Set(results.value.map((result) => (JSON.parse(result) as { id: string }).id));
+    return { specification, listedIds, texts: texts.value };
+  }
+}
--- /dev/null
+++ b/src/coordination/replica-exchange.ts
@@ -0,0 +1,127 @@
+/** One attempt at one replica, and what its outcome allows: whether the request ran, and whether the answer counts. */
+import { monotonicMs } from '../common/clock.js';
+import type { DecisionLogger } from '../common/decision-logger.js';
+import type { ServiceMetrics } from '../common/service-metrics.js';
+import type { ReplicaAnswer, ReplicaClient, ReplicaRequest } from '../protocol/replica.js';
+import type { ReplicaState } from '../state/replica-directory.js';
+import { readWhole } from '../transport/http-client.js';
+
+/** An answer is held in memory up to this size, bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** How long a replica that said that it is full is avoided, milliseconds. */
+const FULL_PAUSE_MS = 60;
+
+/** An answer read whole. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Buffer;
+  readonly signature: string | undefined;
+}
+
+/** The outcome of one attempt. */
+export type AttemptOutcome =
+  /** The replica's whole answer. */
+  | { readonly kind: 'answered'; readonly answer: WholeAnswer }
+  /** Certainly not run. */
+  | { readonly kind: 'not-executed'; readonly reason: string; readonly isFull: boolean }
+  /** May have run; there is no answer to pass on. */
+  | { readonly kind: 'unknown'; readonly reason: string }
+  /** Given up because the caller left or the time was over. */
+  | { readonly kind: 'cancelled' };
+
+/** What identifies a request in the logs. */
+export interface AttemptContext {
+  readonly configVersion: number;
+  readonly jobId?: string;
+  readonly group?: string;
+}
+
+/** Why the head of an answer does not count, `undefined` when it does. */
+export function defectOf(answer: ReplicaAnswer): string | undefined {
+  if (!answer.isForRequest) return 'the answer belongs to another request';
+  if (answer.isEncoded) return 'the body is encoded';
+  if (answer.status >= 200 && answer.status < 300 && !answer.signature) return 'the success is not signed';
+  return undefined;
+}
+
+/** Sends requests to replicas and keeps their statistics. */
+export class ReplicaExchange {
+  constructor(
+    readonly client: ReplicaClient,
+    private readonly metrics: ServiceMetrics,
+    private readonly logger: DecisionLogger,
+  ) {}
+
+  /** Sends a request and reads the answer whole. Never rejects. */
+  async attempt(
+    state: ReplicaState,
+    request: ReplicaRequest,
+    context: AttemptContext,
+  ): Promise<AttemptOutcome> {
+    const startedAt = monotonicMs();
+    state.inFlight += 1;
+    const outcome = await this.exchange(state, request);
+    state.inFlight -= 1;
+    const tookMs = monotonicMs() - startedAt;
+    this.noteOutcome(state, outcome, tookMs);
+    this.report(state, request.id, outcome, tookMs, context);
+    return outcome;
+  }
+
+  private async exchange(state: ReplicaState, request: ReplicaRequest): Promise<AttemptOutcome> {
+    const sent = await this.client.dispatch(state.replica, request);
+    if (sent.isErr()) {
+      const { failure, requestSent, message } = sent.error;
+      if (request.signal.aborted) return { kind: 'cancelled' };
+      if (!requestSent) return { kind: 'not-executed', reason: `${failure}: ${message}`, isFull: false };
+      return { kind: 'unknown', reason: `${failure}: ${message}` };
+    }
+    const answer = sent.value;
+    const defect = defectOf(answer);
+    if (defect && !answer.isNotExecuted) {
+      answer.body.destroy();
+      return { kind: 'unknown', reason: defect };
+    }
+    const body = await readWhole(answer.body, MAX_ANSWER_BYTES);
+    if (answer.isNotExecuted && answer.isForRequest)
+      return { kind: 'not-executed', reason: `status ${answer.status}`, isFull: answer.status !== 421 };
+    if (answer.isNotExecuted && answer.status === 421)
+      return { kind: 'not-executed', reason: 'another replica has the address', isFull: false };
+    if (defect) return { kind: 'unknown', reason: defect };
+    if (body.isErr()) {
+      if (request.signal.aborted) return { kind: 'cancelled' };
+      return { kind: 'unknown', reason: `body: ${body.error.message}` };
+    }
+    const { status, headers, signature } = answer;
+    return { kind: 'answered', answer: { status, headers, signature, body: body.value } };
+  }
+
+  private noteOutcome(state: ReplicaState, outcome: AttemptOutcome, tookMs: number): void {
+    if (outcome.kind === 'answered' && outcome.answer.status < 500) state.noteSuccess(tookMs);
+    else if (outcome.kind === 'not-executed' && outcome.isFull) state.pause(FULL_PAUSE_MS);
+    else if (outcome.kind === 'not-executed' || outcome.kind === 'unknown') state.noteFailure();
+  }
+
+  private report(
+    state: ReplicaState,
+    requestId: string,
+    outcome: AttemptOutcome,
+    tookMs: number,
+    context: AttemptContext,
+  ): void {
+    const { service, id } = state.replica;
+    this.metrics.attempts.inc({ service, outcome: outcome.kind });
+    this.logger.record({
+      event: 'attempt-ended',
+      requestId,
+      ...context,
+      service,
+      replica: id,
+      outcome: outcome.kind === 'answered' ? String(outcome.answer.status) : outcome.kind,
+      detail: 'reason' in outcome ? outcome.reason : undefined,
+      tookMs: Math.round(tookMs),
+      inFlight: state.inFlight,
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/sample-scorer.ts
@@ -0,0 +1,93 @@
+/** Scores finished samples: a request to an application service whose answer's signature is the score. */
+import { monotonicMs, sleep } from '../common/clock.js';
+import type { ScoringCall } from '../protocol/batch-job.js';
+import type { ReplicaDirectory } from '../state/replica-directory.js';
+import type { RoutingTable } from '../state/routing-table.js';
+import type { ServiceRelay } from './service-relay.js';
+
+/** How scoring ended. */
+export type ScoringOutcome =
+  | { readonly kind: 'scored'; readonly score: string }
+  | { readonly kind: 'impossible'; readonly reason: string }
+  | { readonly kind: 'cancelled' };
+
+/** The job that a sample belongs to. */
+interface ScoredJob {
+  readonly jobId: string;
+  readonly signal: AbortSignal;
+}
+
+const FIRST_PAUSE_MS = 20;
+const LONGEST_PAUSE_MS = 400;
+/** Part of a service's slots that one node's scoring calls take at most; the rest is left to callers. */
+const SLOT_FRACTION = 0.5;
+const MIN_CONCURRENT = 2;
+const ROUTE_GONE_MS = 3_000;
+
+/** Scores samples, few at a time. */
+export class SampleScorer {
+  private running = 0;
+  private readonly queue: (() => void)[] = [];
+
+  constructor(
+    private readonly routing: RoutingTable,
+    private readonly directory: ReplicaDirectory,
+    private readonly relay: ServiceRelay,
+  ) {}
+
+  /** Repeats the call until it succeeds, has failed too often, or the job is stopped. */
+  async score(call: ScoringCall, job: ScoredJob): Promise<ScoringOutcome> {
+    let failures = 0;
+    let pauseMs = FIRST_PAUSE_MS;
+    let routeSeenAtMs = monotonicMs();
+    while (!job.signal.aborted) {
+      const snapshot = this.routing.current;
+      const route = snapshot?.match(call.host, call.path);
+      if (snapshot && route) {
+        routeSeenAtMs = monotonicMs();
+        await this.enter(route.targets.map((target) => target.service));
+        const outcome = await this.relay
+          .relay({
+            id: call.id,
+            method: 'POST',
+            path: call.path,
+            host: call.host,
+            headers: {},
+            body: call.body,
+            route: { ...route, maxAttempts: 1 },
+            snapshot,
+            deadlineMs: monotonicMs() + route.timeoutMs,
+            signal: job.signal,
+            isHedged: false,
+          })
+          .finally(() => this.leave());
+        if (outcome.kind === 'answered' && outcome.answer.status < 300 && outcome.answer.signature)
+          return { kind: 'scored', score: outcome.answer.signature };
+        if (outcome.kind === 'answered') failures += 1;
+        if (failures >= route.maxAttempts)
+          return { kind: 'impossible', reason: `scoring failed ${failures} times` };
+      } else if (snapshot && monotonicMs() - routeSeenAtMs > ROUTE_GONE_MS) {
+        return { kind: 'impossible', reason: 'the route of the scoring call is gone' };
+      }
+      await sleep(pauseMs * (0.5 + Math.random()), job.signal);
+      pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+    }
+    return { kind: 'cancelled' };
+  }
+
+  private limit(services: readonly string[]): number {
+    const replicas = services.flatMap((service) => this.directory.availableOf(service));
+    const slots = replicas.reduce((sum, state) => sum + state.replica.slots, 0);
+    return Math.max(MIN_CONCURRENT, Math.floor(slots * SLOT_FRACTION));
+  }
+
+  private async enter(services: readonly string[]): Promise<void> {
+    if (this.running >= this.limit(services)) await new Promise<void>((resolve) => this.queue.push(resolve));
+    this.running += 1;
+  }
+
+  private leave(): void {
+    this.running -= 1;
+    this.queue.shift()?.();
+  }
+}
--- /dev/null
+++ b/src/coordination/sample-text.ts
@@ -0,0 +1,82 @@
+/** The text of a sample while it is made: its events in order and the weight versions that made them. */
+import type { PartialText } from '../protocol/batch-job.js';
+
+/** Collects events; an attempt at another replica goes on after the last one. */
+export class SampleText {
+  private readonly events: string[] = [];
+  private readonly versionSet = new Set<number>();
+  private lastId: string | undefined;
+  private savedEvents = 0;
+  /** Whether the last event has come. */
+  isWhole = false;
+
+  /** Takes up what an earlier owner kept. */
+  static from(partial: PartialText): SampleText {
+    const text = new SampleText();
+    text.events.push(...partial.events);
+    for (const version of partial.versions) text.versionSet.add(version);
+    text.lastId = partial.events.length > 0 ? partial.lastEventId : undefined;
+    text.isWhole = partial.isWhole;
+    text.savedEvents = partial.events.length;
+    return text;
+  }
+
+  get eventCount(): number {
+    return this.events.length;
+  }
+
+  /** Identifier of the last event, `undefined` before the first. */
+  get lastEventId(): string | undefined {
+    return this.lastId;
+  }
+
+  get versions(): number[] {
+    return [...this.versionSet].sort((left, right) => left - right);
+  }
+
+  /** Whether an event with this identifier comes next. */
+  isNext(id: string): boolean {
+    if (id === '' || !Number.isInteger(Number(id))) return false;
+    return this.lastId === undefined || Number(id) === Number(this.lastId) + 1;
+  }
+
+  append(id: string, data: string, version: number): void {
+    this.events.push(data);
+    this.lastId = id;
+    this.versionSet.add(version);
+  }
+
+  /** Starts over. */
+  clear(): void {
+    this.events.length = 0;
+    this.versionSet.clear();
+    this.lastId = undefined;
+    this.savedEvents = 0;
+    this.isWhole = false;
+  }
+
+  /** The whole text. */
+  join(): string {
+    return this.events.join('\n');
+  }
+
+  /** Whether there is something that is not kept yet. */
+  get hasUnsaved(): boolean {
+    return this.events.length > this.savedEvents;
+  }
+
+  /** Notes that the first `count` events are kept. */
+  noteSaved(count: number): void {
+    this.savedEvents = Math.max(this.savedEvents, Math.min(count, this.events.length));
+  }
+
+  /** What another owner needs to go on. */
+  toPartial(): PartialText {
+    return {
+      lastEventId: this.lastId ?? '',
+      events: [...this.events],
+      versions: this.versions,
+      isWhole: this.isWhole,
+    };
+  }
+}
--- /dev/null
+++ b/src/coordination/service-relay.ts
@@ -0,0 +1,238 @@
+/**
+ * Relays one request to a replica of its route's service and returns the whole answer. Safe requests are tried again
+ * on another replica, also while a silent one may still answer; other requests only when a replica said that it did not
+ * run them. The final answer is given at once: at the deadline, at the route's time-out, or when nothing is left to try.
+ */
+import { monotonicMs } from '../common/clock.js';
+import type { ReplicaRequest } from '../protocol/replica.js';
+import type { Route } from '../protocol/routing-configuration.js';
+import type { ReplicaDirectory, ReplicaState } from '../state/replica-directory.js';
+import type { RoutingSnapshot, TargetSplitter } from '../state/routing-table.js';
+import type { AttemptOutcome, ReplicaExchange, WholeAnswer } from './replica-exchange.js';
+
+/** A request to relay. */
+export interface RelayedRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly host: string;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Buffer;
+  readonly route: Route;
+  readonly snapshot: RoutingSnapshot;
+  /** Time on the monotonic clock until which the caller waits, milliseconds. */
+  readonly deadlineMs: number;
+  /** Aborted when the caller leaves. */
+  readonly signal: AbortSignal;
+  /** Whether a second replica is asked while the first is silent. */
+  readonly isHedged: boolean;
+}
+
+/** What the caller is told. */
+export type RelayOutcome =
+  | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly attempts: readonly string[] }
+  /** Did not run and will not run. */
+  | {
+      readonly kind: 'refused';
+      readonly reason: string;
+      readonly retryAfterMs: number;
+      readonly attempts: readonly string[];
+    }
+  /** May have run. */
+  | {
+      readonly kind: 'failed';
+      readonly reason: string;
+      readonly isTimeout: boolean;
+      readonly attempts: readonly string[];
+    }
+  | { readonly kind: 'cancelled'; readonly attempts: readonly string[] };
+
+/** When a refused caller should come back, milliseconds. */
+const RETRY_AFTER_MS = 100;
+/** Replicas that may decline one request before it is refused. */
+const MAX_DECLINES = 6;
+/** A silent replica is doubled after this part of the target latency, but not before `MIN_HEDGE_MS`. */
+const HEDGE_FRACTION = 0.5;
+const MIN_HEDGE_MS = 60;
+/** Below this remaining time a further attempt makes no sense, milliseconds. */
+const MIN_ATTEMPT_MS = 5;
+
+/** Relays requests. */
+export class ServiceRelay {
+  constructor(
+    private readonly directory: ReplicaDirectory,
+    private readonly splitter: TargetSplitter,
+    private readonly exchange: ReplicaExchange,
+    private readonly zone: string,
+  ) {}
+
+  /** Runs one request to its end. Never rejects. */
+  relay(request: RelayedRequest): Promise<RelayOutcome> {
+    const target = this.splitter.next(request.route);
+    if (!target) {
+      const reason = 'the route has no service';
+      return Promise.resolve({ kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS, attempts: [] });
+    }
+    return new RelayRun(request, target.service, this.directory, this.exchange, this.zone).run();
+  }
+}
+
+/** One request on its way. */
+class RelayRun {
+  private readonly endsAtMs: number;
+  private readonly tried = new Set<string>();
+  private readonly controller = new AbortController();
+  private runs = 0;
+  private declines = 0;
+  private mayHaveRun = false;
+  private lastFailure: WholeAnswer | undefined;
+  private lastReason = 'no replica is available';
+
+  constructor(
+    private readonly request: RelayedRequest,
+    private readonly service: string,
+    private readonly directory: ReplicaDirectory,
+    private readonly exchange: ReplicaExchange,
+    private readonly zone: string,
+  ) {
+    this.endsAtMs = Math.min(request.deadlineMs, monotonicMs() + request.route.timeoutMs);
+  }
+
+  async run(): Promise<RelayOutcome> {
+    const onGone = () => this.controller.abort();
+    if (this.request.signal.aborted) return { kind: 'cancelled', attempts: [] };
+    this.request.signal.addEventListener('abort', onGone, { once: true });
+    try {
+      return await this.runAttempts();
+    } finally {
+      this.request.signal.removeEventListener('abort', onGone);
+    }
+  }
+
+  private async runAttempts(): Promise<RelayOutcome> {
+    const pending = new Set<Promise<AttemptOutcome>>();
+    for (;;) {
+      if (this.request.signal.aborted) return this.finish({ kind: 'cancelled', attempts: this.attempts });
+      if (monotonicMs() >= this.endsAtMs - MIN_ATTEMPT_MS && pending.size === 0)
+        return this.finish(this.timedOut());
+      const hasStarted = this.mayStart(pending.size) && this.start(pending);
+      if (!hasStarted && pending.size === 0) return this.finish(this.exhausted());
+      const outcome = await this.nextOutcome(pending);
+      if (outcome === 'timeout') return this.finish(this.timedOut());
+      if (outcome === 'hedge') continue;
+      const final = this.judge(outcome);
+      if (final) return this.finish(final);
+    }
+  }
+
+  /** Whether another attempt may run beside the pending ones. */
+  private mayStart(pendingCount: number): boolean {
+    if (this.declines >= MAX_DECLINES) return false;
+    if (this.runs + pendingCount >= this.request.route.maxAttempts) return false;
+    return pendingCount === 0 || this.request.isHedged;
+  }
+
+  private start(pending: Set<Promise<AttemptOutcome>>): boolean {
+    const state = this.choose();
+    if (!state) return false;
+    this.tried.add(state.replica.id);
+    const attempt = this.exchange.attempt(state, this.toReplicaRequest(), {
+      configVersion: this.request.snapshot.version,
+    });
+    const tracked: Promise<AttemptOutcome> = attempt.then((outcome) => {
+      pending.delete(tracked);
+      return outcome;
+    });
+    pending.add(tracked);
+    return true;
+  }
+
+  private choose(): ReplicaState | undefined {
+    const criteria = { service: this.service, zone: this.zone };
+    const fresh = this.directory.select({ ...criteria, excluded: this.tried });
+    if (fresh) return fresh;
+    return this.runs > 0 || this.declines > 0 ? this.directory.select(criteria) : undefined;
+  }
+
+  private toReplicaRequest(): ReplicaRequest {
+    const { id, method, path, host, headers, body } = this.request;
+    const deadlineMs = this.endsAtMs - monotonicMs();
+    return { id, method, path, host, headers, body, deadlineMs, signal: this.controller.signal };
+  }
+
+  /** The next outcome of a pending attempt, the moment to hedge, or the end of the time. */
+  private async nextOutcome(
+    pending: ReadonlySet<Promise<AttemptOutcome>>,
+  ): Promise<AttemptOutcome | 'timeout' | 'hedge'> {
+    const leftMs = Math.max(0, this.endsAtMs - monotonicMs());
+    const hedgeMs = this.mayStart(pending.size) ? this.hedgeDelayMs() : Number.POSITIVE_INFINITY;
+    const waitMs = Math.min(leftMs, hedgeMs);
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<'timeout' | 'hedge'>((resolve) => {
+      timer = setTimeout(() => resolve(hedgeMs < leftMs ? 'hedge' : 'timeout'), waitMs);
+    });
+    try {
+      return await Promise.race([...pending, timeout]);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private hedgeDelayMs(): number {
+    return Math.max(MIN_HEDGE_MS, this.request.route.targetLatencyMs * HEDGE_FRACTION);
+  }
+
+  /** The final outcome, or `undefined` to go on. */
+  private judge(outcome: AttemptOutcome): RelayOutcome | undefined {
+    if (outcome.kind === 'answered') return this.judgeAnswer(outcome.answer);
+    if (outcome.kind === 'cancelled') return undefined;
+    this.lastReason = outcome.reason;
+    if (outcome.kind === 'not-executed') {
+      this.declines += 1;
+      return undefined;
+    }
+    this.runs += 1;
+    this.mayHaveRun = true;
+    return this.isRepeatable ? undefined : this.failed(false);
+  }
+
+  private judgeAnswer(answer: WholeAnswer): RelayOutcome | undefined {
+    const isFailure = answer.status >= 500;
+    if (!isFailure || !this.isRepeatable) return { kind: 'answered', answer, attempts: this.attempts };
+    this.runs += 1;
+    this.mayHaveRun = true;
+    this.lastFailure = answer;
+    this.lastReason = `status ${answer.status}`;
+    return undefined;
+  }
+
+  private get isRepeatable(): boolean {
+    return this.request.route.kind === 'safe';
+  }
+
+  private get attempts(): string[] {
+    return [...this.tried];
+  }
+
+  private exhausted(): RelayOutcome {
+    if (this.lastFailure) return { kind: 'answered', answer: this.lastFailure, attempts: this.attempts };
+    if (this.mayHaveRun) return this.failed(false);
+    const reason = this.lastReason;
+    return { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS, attempts: this.attempts };
+  }
+
+  private timedOut(): RelayOutcome {
+    if (this.tried.size === 0) return this.exhausted();
+    return this.failed(true);
+  }
+
+  private failed(isTimeout: boolean): RelayOutcome {
+    return { kind: 'failed', reason: this.lastReason, isTimeout, attempts: this.attempts };
+  }
+
+  /** An attempt that is still under way after an answer is left to finish: breaking it off costs its connection. */
+  private finish(outcome: RelayOutcome): RelayOutcome {
+    if (outcome.kind !== 'answered') this.controller.abort();
+    return outcome;
+  }
+}
--- /dev/null
+++ b/src/coordination/session-monitor.ts
@@ -0,0 +1,117 @@
+/**
+ * Which processes are alive, as far as anyone needs to know: a process that holds jobs or duties writes a beat to the
+ * store, and every node looks at all beats now and then. A holder counts as lost when its beat stood still for
+ * `EXPIRY_MS` of time in which this node could read the store without a gap; an outage of the store costs nobody a job.
+ */
+import { monotonicMs, sleep } from '../common/clock.js';
+import type { RecordStore, StoredRecord } from '../protocol/record-store.js';
+import type { JobOwner } from '../state/job-record.js';
+
+/** Table of the beats, and of whatever else every node looks at together with them. */
+export const SESSION_TABLE = 'sessions';
+const BEAT_PREFIX = 'beat/';
+const BEAT_MS = 500;
+const POLL_MS = 500;
+/** Observed time after which a silent holder counts as lost, milliseconds. */
+const EXPIRY_MS = 1_700;
+/** Time between two reads above which nothing in between counts as observed, milliseconds. */
+const GAP_MS = 1_100;
+
+interface ObservedSession {
+  version: number;
+  life: string;
+  /** Observed time at which the beat last changed, milliseconds. */
+  changedAtMs: number;
+}
+
+/** Beats of this process and observation of all others. */
+export class SessionMonitor {
+  private readonly sessions = new Map<string, ObservedSession>();
+  private readonly firstAsked = new Map<string, number>();
+  private observedMs = 0;
+  private lastReadMs = Number.NEGATIVE_INFINITY;
+  private readonly listeners = new Set<(records: readonly StoredRecord[]) => void>();
+
+  constructor(
+    private readonly store: RecordStore,
+    readonly self: JobOwner,
+    /** Whether this process holds anything, so that it must beat. */
+    private readonly isHolder: () => boolean,
+    /** Whether anything is held by others, so that their beats matter. */
+    private readonly mustWatch: () => boolean,
+  ) {}
+
+  /** Called after each look, with all records of the table. */
+  onPoll(listener: (records: readonly StoredRecord[]) => void): void {
+    this.listeners.add(listener);
+  }
+
+  /** Whether the holder has been silent for too long. */
+  isLost(holder: JobOwner): boolean {
+    const key = `${holder.node} ${holder.life}`;
+    const session = this.sessions.get(holder.node);
+    if (session?.life === holder.life) return this.observedMs - session.changedAtMs > EXPIRY_MS;
+    const since = this.firstAsked.get(key);
+    if (since === undefined) {
+      this.firstAsked.set(key, this.observedMs);
+      return false;
+    }
+    return this.observedMs - since > EXPIRY_MS;
+  }
+
+  /** Beats and watches until `signal` is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.beatRegularly(signal), this.watchRegularly(signal)]);
+  }
+
+  private async beatRegularly(signal: AbortSignal): Promise<void> {
+    let count = 0;
+    while (!signal.aborted) {
+      if (this.isHolder()) {
+        count += 1;
+        const value = Buffer.from(JSON.stringify({ life: this.self.life, count }), 'utf8');
+        const write = { table: SESSION_TABLE, partition: '', key: BEAT_PREFIX + this.self.node, value };
+        await this.store.transact({ conditions: [], writes: [write], removals: [] });
+      }
+      await sleep(BEAT_MS, signal);
+    }
+  }
+
+  private async watchRegularly(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.mustWatch()) await this.look();
+      await sleep(POLL_MS * (0.8 + 0.4 * Math.random()), signal);
+    }
+  }
+
+  private async look(): Promise<void> {
+    const page = await this.store.scan({ table: SESSION_TABLE, partition: '' });
+    if (page.isErr()) return;
+    this.advance();
+    for (const record of page.value.records) if (record.key.startsWith(BEAT_PREFIX)) this.observe(record);
+    for (const listener of this.listeners) listener(page.value.records);
+  }
+
+  private advance(): void {
+    const now = monotonicMs();
+    const elapsed = now - this.lastReadMs;
+    if (elapsed > GAP_MS) this.restartObservation();
+    else this.observedMs += elapsed;
+    this.lastReadMs = now;
+  }
+
+  /** After a gap every holder gets the whole time again. */
+  private restartObservation(): void {
+    for (const session of this.sessions.values()) session.changedAtMs = this.observedMs;
+    this.firstAsked.clear();
+  }
+
+  private observe(record: StoredRecord): void {
+    const { version, value } = record;
+    const node = record.key.slice(BEAT_PREFIX.length);
+    const known = this.sessions.get(node);
+    if (known && known.version >= version) return;
+    const { life } = JSON.parse(value.toString('utf8')) as { life: string };
+    this.sessions.set(node, { version, life, changedAtMs: this.observedMs });
+  }
+}
--- /dev/null
+++ b/src/coordination/weight-orders.ts
@@ -0,0 +1,160 @@
+/**
+ * Orders that bring model replicas to the newest named weight version. One node gives them, under a duty lease that the
+ * store confirms before each order. Few replicas load at once, so that the others go on working.
+ */
+import { monotonicMs, sleep } from '../common/clock.js';
+import type { DecisionLogger } from '../common/decision-logger.js';
+import type { ServiceMetrics } from '../common/service-metrics.js';
+import type { LoadMode, OrderOutcome, ReplicaClient } from '../protocol/replica.js';
+import type { ReplicaDirectory, ReplicaState } from '../state/replica-directory.js';
+import type { RoutingTable } from '../state/routing-table.js';
+import type { WeightVersions } from '../state/weight-versions.js';
+import type { DutyLease } from './duty-lease.js';
+
+/** Part of a service's replicas that load at once at most. */
+const LOADING_FRACTION = 0.25;
+const MODE: LoadMode = 'retain';
+const CALL_TIMEOUT_MS = 800;
+/** A load that is not seen to end within this time is looked at again, milliseconds. */
+const LOAD_TIMEOUT_MS = 4_000;
+/** How often a loading replica is asked for its state, milliseconds. */
+const REPORT_MS = 350;
+const PASS_MS = 100;
+/** Pause of one replica after an order that failed, milliseconds. */
+const RETRY_MS = 600;
+
+/** What the orders work with. */
+export interface WeightOrderServices {
+  readonly routing: RoutingTable;
+  readonly directory: ReplicaDirectory;
+  readonly versions: WeightVersions;
+  readonly client: ReplicaClient;
+  readonly lease: DutyLease;
+  readonly nodeName: string;
+  readonly metrics: ServiceMetrics;
+  readonly logger: DecisionLogger;
+}
+
+/** The giver of orders of one node; it acts only while the lease is held. */
+export class WeightOrders {
+  /** Replicas with an order under way, by identifier. */
+  private readonly loading = new Set<string>();
+  private readonly notBeforeMs = new Map<string, number>();
+
+  constructor(private readonly services: WeightOrderServices) {}
+
+  /** Gives orders until `signal` is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.services.lease.isHeld) this.pass(signal);
+      await sleep(PASS_MS, signal);
+    }
+  }
+
+  private pass(signal: AbortSignal): void {
+    const snapshot = this.services.routing.current;
+    if (!snapshot) return;
+    for (const model of this.services.versions.models)
+      for (const service of snapshot.servicesOfModel(model)) this.passService(service, model, signal);
+  }
+
+  private passService(service: string, model: string, signal: AbortSignal): void {
+    const target = this.services.versions.newestOf(model);
+    const replicas = this.services.directory.availableOf(service);
+    const room = Math.max(1, Math.ceil(replicas.length * LOADING_FRACTION));
+    const behind = replicas
+      .filter((state) => state.versionOf(model) < target && this.isFree(state))
+      .sort(
+        (left, right) => left.versionOf(model) - right.versionOf(model) || left.inFlight - right.inFlight,
+      );
+    let loadingCount = replicas.filter((state) => this.loading.has(state.replica.id)).length;
+    for (const state of behind) {
+      if (loadingCount >= room) return;
+      loadingCount += 1;
+      this.loading.add(state.replica.id);
+      void this.load(state, model, target, signal).finally(() => this.loading.delete(state.replica.id));
+    }
+  }
+
+  private isFree(state: ReplicaState): boolean {
+    const { id } = state.replica;
+    return !this.loading.has(id) && monotonicMs() >= (this.notBeforeMs.get(id) ?? 0);
+  }
+
+  /** One order and the wait until the replica has carried it out. */
+  private async load(
+    state: ReplicaState,
+    model: string,
+    version: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { client, lease } = this.services;
+    const report = await client.report(state.replica, CALL_TIMEOUT_MS);
+    if (report.isErr() || report.value.isBusy) return this.delay(state);
+    if ((report.value.modelVersions.get(model) ?? 0) >= version)
+      return this.noteVersions(state, report.value.modelVersions);
+    const confirmation = await lease.confirm();
+    if (!confirmation?.isFresh() || !this.services.directory.isAvailable(state)) return this.delay(state);
+    const startedAt = monotonicMs();
+    const order = {
+      model,
+      version,
+      mode: MODE,
+      holder: this.services.nodeName,
+      fencingToken: confirmation.epoch,
+      expectedOrderCount: report.value.orderCount,
+    };
+    const outcome = await client.order(state.replica, order, CALL_TIMEOUT_MS);
+    const result = outcome.isOk() ? outcome.value : 'unanswered';
+    this.report(state, model, version, confirmation.epoch, result, monotonicMs() - startedAt);
+    if (result === 'accepted' || result === 'unanswered') await this.awaitLoad(state, model, version, signal);
+    else if (result !== 'already-loaded') this.delay(state);
+  }
+
+  private async awaitLoad(
+    state: ReplicaState,
+    model: string,
+    version: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const deadline = monotonicMs() + LOAD_TIMEOUT_MS;
+    while (monotonicMs() < deadline && !signal.aborted) {
+      await sleep(REPORT_MS, signal);
+      if (state.versionOf(model) >= version || !this.services.directory.isAvailable(state)) return;
+      const report = await this.services.client.report(state.replica, CALL_TIMEOUT_MS);
+      if (report.isErr()) continue;
+      if ((report.value.modelVersions.get(model) ?? 0) >= version)
+        return this.noteVersions(state, report.value.modelVersions);
+      if (!report.value.isBusy && monotonicMs() > deadline - LOAD_TIMEOUT_MS / 2) return;
+    }
+  }
+
+  /** A report may be newer than the announcement. */
+  private noteVersions(state: ReplicaState, modelVersions: ReadonlyMap<string, number>): void {
+    this.services.directory.set({ ...state.replica, modelVersions });
+  }
+
+  private delay(state: ReplicaState): void {
+    this.notBeforeMs.set(state.replica.id, monotonicMs() + RETRY_MS);
+  }
+
+  private report(
+    state: ReplicaState,
+    model: string,
+    version: number,
+    fencingToken: number,
+    outcome: OrderOutcome | 'unanswered',
+    tookMs: number,
+  ): void {
+    this.services.metrics.orders.inc({ outcome });
+    this.services.logger.record({
+      event: 'order-given',
+      replica: state.replica.id,
+      model,
+      version,
+      fencingToken,
+      outcome,
+      tookMs: Math.round(tookMs),
+    });
+  }
+}
--- /dev/null
+++ b/src/node/service-node.ts
@@ -0,0 +1,183 @@
+/**
+ * A node that serves routes and batch jobs over a record store. It puts the layers together; an adapter brings the store,
+ * the replicas' wire format and the operators' records, and translates its callers' requests into the calls below.
+ */
+import { monotonicMs, sleep } from '../common/clock.js';
+import type { DecisionLogger } from '../common/decision-logger.js';
+import { uniqueId } from '../common/identifier.js';
+import type { ServiceMetrics } from '../common/service-metrics.js';
+import {
+  type AnnouncementFormat,
+  OperatorAnnouncements,
+  ReplicaAnnouncements,
+} from '../coordination/announcements.js';
+import { DutyLease } from '../coordination/duty-lease.js';
+import { JobCalls } from '../coordination/job-calls.js';
+import { JobOwnership } from '../coordination/job-owner.js';
+import type { SubmissionParser } from '../coordination/job-run.js';
+import { Placement } from '../coordination/placement.js';
+import { RecordFeed } from '../coordination/record-feed.js';
+import { ReplicaExchange } from '../coordination/replica-exchange.js';
+import { SampleScorer } from '../coordination/sample-scorer.js';
+import { ServiceRelay } from '../coordination/service-relay.js';
+import { SessionMonitor } from '../coordination/session-monitor.js';
+import { WeightOrders } from '../coordination/weight-orders.js';
+import type { RecordStore } from '../protocol/record-store.js';
+import type { ReplicaClient } from '../protocol/replica.js';
+import type { ServiceSettings } from '../protocol/service-settings.js';
+import type { JobOwner } from '../state/job-record.js';
+import { JobRepository } from '../state/job-repository.js';
+import { ReplicaDirectory } from '../state/replica-directory.js';
+import { ResultCache } from '../state/result-cache.js';
+import { RoutingTable, TargetSplitter } from '../state/routing-table.js';
+import { WeightVersions } from '../state/weight-versions.js';
+
+/** Duty of giving orders to model replicas. */
+const ORDERS_DUTY = 'weight-orders';
+/** Part of the memory that listed results may take. */
+const RESULT_CACHE_FRACTION = 0.05;
+/** Part of the time until the process is killed in which owned jobs may still finish here. */
+const FINISH_FRACTION = 0.5;
+/** Callers are moved to other nodes within this time after the node says that it is not ready, milliseconds. */
+const MOVE_AWAY_MS = 3_000;
+const DRAIN_POLL_MS = 50;
+/** Part of the time until the process is killed after which it ends by itself. */
+const END_FRACTION = 0.9;
+
+/** What an adapter brings. */
+export interface ServiceNodeParts {
+  readonly settings: ServiceSettings;
+  readonly store: RecordStore;
+  readonly client: ReplicaClient;
+  readonly format: AnnouncementFormat;
+  readonly parseSubmission: SubmissionParser;
+  readonly metrics: ServiceMetrics;
+  readonly logger: DecisionLogger;
+}
+
+/** One node. */
+export class ServiceNode {
+  readonly routing = new RoutingTable();
+  readonly directory = new ReplicaDirectory();
+  readonly relay: ServiceRelay;
+  readonly jobs: JobCalls;
+  private readonly versions = new WeightVersions();
+  private readonly ownership: JobOwnership;
+  private readonly sessions: SessionMonitor;
+  private readonly orderLease: DutyLease;
+  private readonly orders: WeightOrders;
+  private readonly feeds: readonly RecordFeed<unknown>[];
+  private readonly controller = new AbortController();
+  private isDraining = false;
+  private openRequests = 0;
+
+  constructor(private readonly parts: ServiceNodeParts) {
+    const { settings, store, client, format, parseSubmission, metrics, logger } = parts;
+    const self: JobOwner = { node: settings.nodeName, life: uniqueId() };
+    const splitter = new TargetSplitter();
+    const exchange = new ReplicaExchange(client, metrics, logger);
+    const repository = new JobRepository(store);
+    const cache = new ResultCache(settings.memoryBytes * RESULT_CACHE_FRACTION);
+    this.relay = new ServiceRelay(this.directory, splitter, exchange, settings.zone);
+    this.sessions = new SessionMonitor(
+      store,
+      self,
+      () => this.ownership.ownedCount > 0 || this.orderLease.isHeld,
+      () => this.ownership.hasForeignJobs || this.hasModels,
+    );
+    this.ownership = new JobOwnership(
+      {
+        routing: this.routing,
+        splitter,
+        placement: new Placement(this.directory, settings.zone),
+        client,
+        scorer: new SampleScorer(this.routing, this.directory, this.relay),
+        metrics,
+        logger,
+        repository,
+        cache,
+        parseSubmission,
+        store,
+        sessions: this.sessions,
+        retentionMs: settings.resultRetentionMs,
+      },
+      self,
+    );
+    this.jobs = new JobCalls({ repository, ownership: this.ownership, cache, parseSubmission, logger }, self);
+    this.orderLease = new DutyLease(store, ORDERS_DUTY, self, this.sessions, settings.leaseMs, logger);
+    this.sessions.onPoll((records) => this.orderLease.observe(records, this.hasModels && !this.isDraining));
+    this.orders = new WeightOrders({
+      routing: this.routing,
+      directory: this.directory,
+      versions: this.versions,
+      client,
+      lease: this.orderLease,
+      nodeName: settings.nodeName,
+      metrics,
+      logger,
+    });
+    const operators = new OperatorAnnouncements(store, format, this.routing, this.versions, metrics, logger);
+    const replicas = new ReplicaAnnouncements(store, format, this.directory, logger);
+    this.feeds = [
+      new RecordFeed(store, operators, metrics, logger),
+      new RecordFeed(store, replicas, metrics, logger),
+      new RecordFeed(store, this.ownership, metrics, logger),
+    ] as RecordFeed<unknown>[];
+  }
+
+  /** Begins to follow the store, to run jobs and to give orders. */
+  start(): void {
+    const { signal } = this.controller;
+    for (const feed of this.feeds) void feed.run(signal);
+    void this.sessions.run(signal);
+    void this.orders.run(signal);
+  }
+
+  /** Whether new callers may be sent here. */
+  get isReady(): boolean {
+    return !this.isDraining && this.routing.current !== undefined && this.directory.ids.length > 0;
+  }
+
+  /** Whether the node is on its way out. */
+  get isLeaving(): boolean {
+    return this.isDraining;
+  }
+
+  /** Counts a caller's request while it is served. */
+  async track<T>(serve: () => Promise<T>): Promise<T> {
+    this.openRequests += 1;
+    try {
+      return await serve();
+    } finally {
+      this.openRequests -= 1;
+    }
+  }
+
+  /** Time since the last answer of each feed, milliseconds. */
+  feedAges(): readonly { table: string; ageMs: number }[] {
+    return this.feeds.map((feed) => ({ table: feed.table, ageMs: feed.ageMs }));
+  }
+
+  /** Finishes what is under way, hands the rest over, and stops. Resolves when the process may end. */
+  async drain(): Promise<void> {
+    if (this.isDraining) return;
+    this.isDraining = true;
+    const startedAt = monotonicMs();
+    const { stopGraceMs } = this.parts.settings;
+    this.ownership.stopClaiming();
+    await this.orderLease.resign();
+    await this.waitUntil(() => this.ownership.ownedCount === 0, startedAt + stopGraceMs * FINISH_FRACTION);
+    await this.ownership.handOver();
+    await this.waitUntil(() => monotonicMs() > startedAt + MOVE_AWAY_MS, startedAt + MOVE_AWAY_MS + 1);
+    await this.waitUntil(() => this.openRequests === 0, startedAt + stopGraceMs * END_FRACTION);
+    this.controller.abort();
+  }
+
+  private get hasModels(): boolean {
+    return this.routing.current?.configuration.services.some((service) => service.models.length > 0) ?? false;
+  }
+
+  private async waitUntil(condition: () => boolean, deadlineMs: number): Promise<void> {
+    while (!condition() && monotonicMs() < deadlineMs) await sleep(DRAIN_POLL_MS);
+  }
+}
--- /dev/null
+++ b/src/node/service-process.ts
@@ -0,0 +1,163 @@
+/** The process of a serving node: its listeners, its signals, and what it measures of itself. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { monotonicMs } from '../common/clock.js';
+import type { StandardOutputLogger } from '../common/decision-logger.js';
+import type { ServiceMetrics } from '../common/service-metrics.js';
+import type { ServiceSettings } from '../protocol/service-settings.js';
+import { HttpServer, sendJson } from '../transport/http-server.js';
+import type { ServiceNode } from './service-node.js';
+
+const MAX_HEADER_BYTES = 64 * 1024;
+const REQUEST_TIMEOUT_MS = 60_000;
+const PULSE_MS = 500;
+/** A pulse that comes this much late is logged: the process stood still, milliseconds. */
+const STANDSTILL_MS = 400;
+const MILLISECONDS_PER_SECOND = 1000;
+/** Kept longer than callers may reuse an idle connection, milliseconds. */
+const KEEP_ALIVE_MARGIN_MS = 1_000;
+
+/** What the process works with. */
+export interface ServiceProcessParts {
+  readonly node: ServiceNode;
+  readonly settings: ServiceSettings;
+  readonly metrics: ServiceMetrics;
+  readonly logger: StandardOutputLogger;
+  /** Path of the question whether the node is ready. */
+  readonly readyPath: string;
+  /** Port of the metrics; none are served without it. */
+  readonly metricsPort: number | undefined;
+  readonly serve: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+  /** Reads the settings again; throws when they are wrong. */
+  readonly reload: () => { settings: ServiceSettings; unusedFields: number };
+}
+
+/** Runs a node in this process. */
+export class ServiceProcess {
+  private readonly callers: HttpServer;
+  private readonly readiness: HttpServer;
+  private lastPulseMs = monotonicMs();
+
+  constructor(private readonly parts: ServiceProcessParts) {
+    const fallbacks = {
+      notFound: (request: IncomingMessage, response: ServerResponse) => this.serveCaller(request, response),
+      failed: (cause: unknown, _request: IncomingMessage, response: ServerResponse) =>
+        this.fail(cause, response),
+    };
+    this.callers = new HttpServer(fallbacks, {
+      maxHeaderBytes: MAX_HEADER_BYTES,
+      requestTimeoutMs: REQUEST_TIMEOUT_MS,
+    });
+    this.readiness = new HttpServer({
+      ...fallbacks,
+      notFound: async (_, response) => sendJson(response, 404, {}),
+    });
+    this.readiness.route('GET', parts.readyPath, async (_, response) => this.answerReady(response));
+  }
+
+  /** Listens and serves until a signal ends the process. */
+  async run(detail: string): Promise<void> {
+    const { node, settings, logger, metricsPort } = this.parts;
+    this.handleSignals();
+    node.start();
+    await this.readiness.listen(settings.readiness.host, settings.readiness.port);
+    await this.callers.listen(settings.ingress.host, settings.ingress.port);
+    if (metricsPort !== undefined) await this.serveMetrics(settings.ingress.host, metricsPort);
+    setInterval(() => this.pulse(), PULSE_MS).unref();
+    logger.record({ event: 'process-changed', change: 'started', detail });
+  }
+
+  private serveCaller(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { node, serve } = this.parts;
+    return node.track(() => serve(request, response));
+  }
+
+  private answerReady(response: ServerResponse): void {
+    const { isReady } = this.parts.node;
+    sendJson(response, isReady ? 200 : 503, { ready: isReady });
+  }
+
+  private fail(cause: unknown, response: ServerResponse): void {
+    const detail = cause instanceof Error ? (cause.stack ?? cause.message) : String(cause);
+    this.parts.logger.record({
+      event: 'process-changed',
+      change: 'a request failed within the node',
+      detail,
+    });
+    if (!response.headersSent) sendJson(response, 500, { error: 'internal error' });
+    else response.destroy();
+  }
+
+  private async serveMetrics(host: string, port: number): Promise<void> {
+    const server = new HttpServer({
+      notFound: async (_, response) => sendJson(response, 404, {}),
+      failed: (cause, _, response) => this.fail(cause, response),
+    });
+    server.route('GET', '/metrics', async (_, response) => {
+      this.measureProcess();
+      const text = await this.parts.metrics.registry.metrics();
+      response.writeHead(200, { 'content-type': this.parts.metrics.registry.contentType });
+      response.end(text);
+    });
+    await server.listen(host, port);
+  }
+
+  private measureProcess(): void {
+    const { metrics, logger, node } = this.parts;
+    metrics.memory.set({}, process.memoryUsage.rss());
+    metrics.droppedLines.set({}, logger.droppedLines);
+    for (const feed of node.feedAges())
+      metrics.feedAge.set({ table: feed.table }, feed.ageMs / MILLISECONDS_PER_SECOND);
+  }
+
+  private pulse(): void {
+    const now = monotonicMs();
+    const delayMs = now - this.lastPulseMs - PULSE_MS;
+    this.lastPulseMs = now;
+    this.parts.metrics.loopDelay.set({}, Math.max(0, delayMs) / MILLISECONDS_PER_SECOND);
+    if (delayMs > STANDSTILL_MS)
+      this.parts.logger.record({
+        event: 'process-changed',
+        change: 'stood still',
+        detail: `${Math.round(delayMs)} ms`,
+      });
+    const limits = this.parts.node.routing.current?.limits;
+    if (limits) this.callers.setTimeouts(limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS, limits.headerTimeoutMs);
+  }
+
+  private handleSignals(): void {
+    process.on('SIGTERM', () => void this.stop('SIGTERM'));
+    process.on('SIGINT', () => void this.stop('SIGINT'));
+    process.on('SIGHUP', () => this.reload());
+    process.on('unhandledRejection', (cause) => this.reportDefect('unhandled rejection', cause));
+    process.on('uncaughtException', (cause) => {
+      this.reportDefect('uncaught exception', cause);
+      this.parts.logger.close();
+      process.exit(1);
+    });
+  }
+
+  private reportDefect(change: string, cause: unknown): void {
+    const detail = cause instanceof Error ? (cause.stack ?? cause.message) : String(cause);
+    this.parts.logger.record({ event: 'process-changed', change, detail });
+  }
+
+  private reload(): void {
+    try {
+      const { unusedFields } = this.parts.reload();
+      const detail = `${unusedFields} unused fields`;
+      this.parts.logger.record({ event: 'process-changed', change: 'settings read again', detail });
+    } catch (cause) {
+      this.reportDefect('settings are wrong, the old ones stay', cause);
+    }
+  }
+
+  private async stop(signal: string): Promise<void> {
+    const { node, logger } = this.parts;
+    if (node.isLeaving) return;
+    logger.record({ event: 'process-changed', change: 'stopping', detail: signal });
+    await node.drain();
+    logger.record({ event: 'process-changed', change: 'stopped' });
+    logger.close();
+    process.exit(0);
+  }
+}
--- /dev/null
+++ b/src/protocol/record-store.ts
@@ -0,0 +1,126 @@
+/**
+ * The store in which everything lasting lives, as the product sees it: versioned records in tables and partitions,
+ * conditional transactions, a feed of changes, and objects. Which outside store stands behind it is a matter of the
+ * adapter that implements `RecordStore`.
+ */
+import type { Result } from 'neverthrow';
+
+/** Where a record lies. Keys sort by bytes within one partition of one table. */
+export interface RecordAddress {
+  readonly table: string;
+  readonly partition: string;
+  readonly key: string;
+}
+
+/** A record as read. `version` comes from one counter that rises with each transaction of the store. */
+export interface StoredRecord extends RecordAddress {
+  readonly value: Buffer;
+  readonly version: number;
+}
+
+/** A condition of a transaction: the record has this version; 0 means that it is absent. */
+export interface RecordCondition extends RecordAddress {
+  readonly version: number;
+}
+
+/** A record to write. */
+export interface RecordWrite extends RecordAddress {
+  readonly value: Buffer;
+}
+
+/** Carried out whole or not at all. */
+export interface RecordTransaction {
+  readonly conditions: readonly RecordCondition[];
+  readonly writes: readonly RecordWrite[];
+  readonly removals: readonly RecordAddress[];
+}
+
+/** A range of keys of one partition. */
+export interface RecordRange {
+  readonly table: string;
+  readonly partition: string;
+  /** First key, included. Default: the first of the partition. */
+  readonly from?: string;
+  /** End of the range, excluded. Default: the end of the partition. */
+  readonly until?: string;
+  /** Records at most. Default: what the store gives at most. */
+  readonly limit?: number;
+}
+
+/** Records of a range as of one moment. `version` is the newest of the whole store at that moment. */
+export interface RecordPage {
+  readonly records: readonly StoredRecord[];
+  readonly hasMore: boolean;
+  readonly version: number;
+}
+
+/** A record that has changed; `value` is `undefined` when it was removed. */
+export interface ChangedRecord extends RecordAddress {
+  readonly value: Buffer | undefined;
+  readonly version: number;
+}
+
+/** Changes of one table in order; the next question goes on after `version`. */
+export interface RecordChanges {
+  readonly changes: readonly ChangedRecord[];
+  readonly version: number;
+}
+
+/** How a call of the store failed. */
+export type RecordStoreFailure =
+  /** The store did not answer, or could not be reached. */
+  | 'unavailable'
+  /** Over the rate; nothing was done. */
+  | 'rate-limited'
+  /** A condition did not hold; nothing was done. */
+  | 'conflict'
+  /** The changes asked for are no longer kept: read the table whole and go on from there. */
+  | 'history-lost'
+  /** The answer is older than one that this process has already had. */
+  | 'stale'
+  /** The store does not accept the call; a repeat would fail in the same way. */
+  | 'refused';
+
+/** A failed call. `effect` is `none` only when it is certain that nothing was done and nothing will be done. */
+export class RecordStoreError extends Error {
+  override readonly name = 'RecordStoreError';
+
+  constructor(
+    readonly failure: RecordStoreFailure,
+    readonly effect: 'none' | 'unknown',
+    message: string,
+    /** With `conflict`: the records named in the conditions, as they are. */
+    readonly current: readonly StoredRecord[] = [],
+  ) {
+    super(message);
+  }
+}
+
+/** Limits of the store. */
+export interface RecordStoreLimits {
+  /** Largest value of a record, bytes. */
+  readonly recordBytes: number;
+  /** Largest object, bytes. */
+  readonly objectBytes: number;
+}
+
+/** Client of the store. No call is ever repeated by it. */
+export interface RecordStore {
+  readonly limits: RecordStoreLimits;
+  /** Resolves to the version that the transaction got. */
+  transact(transaction: RecordTransaction): Promise<Result<number, RecordStoreError>>;
+  scan(range: RecordRange): Promise<Result<RecordPage, RecordStoreError>>;
+  /** Waits up to `waitMs` for changes of `table` after the version `after`. */
+  changes(
+    table: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<RecordChanges, RecordStoreError>>;
+  putObject(name: string, bytes: Buffer): Promise<Result<void, RecordStoreError>>;
+  /** Resolves to `undefined` when there is no such object. */
+  getObject(name: string): Promise<Result<Buffer | undefined, RecordStoreError>>;
+  removeObject(name: string): Promise<Result<void, RecordStoreError>>;
+  /** The store's steady clock, milliseconds, as estimated from its newest answer. */
+  nowMs(): number;
+}
--- /dev/null
+++ b/src/protocol/replica.ts
@@ -0,0 +1,98 @@
+/** Replicas of a service, and what can be asked of them. An adapter implements `ReplicaClient` for a wire format. */
+import type { Readable } from 'node:stream';
+import type { Result } from 'neverthrow';
+import type { TransportError } from '../transport/transport-error.js';
+
+/** A replica as it announces itself. Each start of a replica is a new `id`. */
+export interface Replica {
+  readonly id: string;
+  readonly service: string;
+  /** `IP:PORT`. */
+  readonly address: string;
+  readonly zone: string;
+  /** Requests it works on at once. */
+  readonly slots: number;
+  readonly isDraining: boolean;
+  /** Weight version by model; empty for application services. */
+  readonly modelVersions: ReadonlyMap<string, number>;
+}
+
+/** A request for a replica. Header names are in lower case. */
+export interface ReplicaRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly host: string;
+  /** Headers of the caller that are passed on as they are. */
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Buffer;
+  /** Time that the replica may work on it, milliseconds. */
+  readonly deadlineMs: number;
+  /** Number of the last event that the caller has; the replica goes on after it. */
+  readonly lastEventId?: string;
+  /** Weight version that the replica must have. */
+  readonly requiredVersion?: number;
+  /** 0 to 9; 0 is the most urgent. */
+  readonly priority?: number;
+  /** Cancels the exchange, also while the body is read. */
+  readonly signal: AbortSignal;
+}
+
+/** The head of a replica's answer; `body` must be read or destroyed. */
+export interface ReplicaAnswer {
+  readonly status: number;
+  /** Headers to pass on to the caller. */
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  /** True when the replica says that it did not run the request. */
+  readonly isNotExecuted: boolean;
+  /** True when the answer names the request that it answers, and that one is ours. */
+  readonly isForRequest: boolean;
+  /** True when the body is encoded, so that it cannot be the replica's own body. */
+  readonly isEncoded: boolean;
+  /** The replica's signature of the answer. */
+  readonly signature: string | undefined;
+  readonly weightVersion: number | undefined;
+  readonly retryAfterMs: number | undefined;
+  /** Length that the answer declares, bytes. */
+  readonly contentLength: number | undefined;
+  readonly body: Readable;
+}
+
+/** What a model replica tells of itself. */
+export interface ReplicaReport {
+  readonly modelVersions: ReadonlyMap<string, number>;
+  /** Whether an order is under way. */
+  readonly isBusy: boolean;
+  /** Orders taken since its start. */
+  readonly orderCount: number;
+  readonly waiting: number;
+  readonly running: number;
+}
+
+/** What happens to requests that run while a version is loaded. */
+export type LoadMode = 'wait' | 'truncate' | 'retain';
+
+/** An order to load a version. */
+export interface LoadOrder {
+  readonly model: string;
+  readonly version: number;
+  readonly mode: LoadMode;
+  /** Name of the machine that gives the order. */
+  readonly holder: string;
+  /** Rises with each change of the holder. */
+  readonly fencingToken: number;
+  /** The order is void unless the replica has taken this number of orders. */
+  readonly expectedOrderCount: number;
+}
+
+/** What became of an order. */
+export type OrderOutcome = 'accepted' | 'already-loaded' | 'conflict' | 'fenced-off' | 'rejected';
+
+/** Client of replicas. No call is ever repeated by it. */
+export interface ReplicaClient {
+  /** Name of the line of an event that tells a change of the weight version. */
+  readonly eventVersionField: string;
+  dispatch(replica: Replica, request: ReplicaRequest): Promise<Result<ReplicaAnswer, TransportError>>;
+  report(replica: Replica, timeoutMs: number): Promise<Result<ReplicaReport, TransportError>>;
+  order(replica: Replica, order: LoadOrder, timeoutMs: number): Promise<Result<OrderOutcome, TransportError>>;
+}
--- /dev/null
+++ b/src/state/job-record.ts
@@ -0,0 +1,119 @@
+/** Records of batch jobs: their shape in the store and where each one lies. */
+import type { RecordAddress } from '../protocol/record-store.js';
+
+/** Tables of the product. */
+export const JOB_TABLE = 'jobs';
+export const SUBMISSION_TABLE = 'job-submissions';
+export const RESULT_TABLE = 'job-results';
+export const TEXT_TABLE = 'job-texts';
+
+/** Partitions over which jobs are spread. */
+const PARTITION_COUNT = 8;
+const POSITION_DIGITS = 7;
+/** Sorts after every character that keys use. */
+const AFTER_KEYS = '~';
+
+/** Who runs a job: one life of one node's process. */
+export interface JobOwner {
+  readonly node: string;
+  readonly life: string;
+}
+
+/** The head of a job. Every write of its owner is conditional on the version of this record. */
+export interface JobRecord {
+  readonly state: 'open' | 'ended';
+  /** `null` when the last owner has handed the job back. */
+  readonly owner: JobOwner | null;
+  /** Rises with each change of the owner. */
+  readonly epoch: number;
+  readonly host: string;
+  readonly path: string;
+  /** Number of items; 0 when the job was ended before it was submitted. */
+  readonly total: number;
+  /** Records that hold the submission. */
+  readonly chunks: number;
+  /** Name of the object that holds the submission, when it is too large for records. */
+  readonly object?: string;
+  /** Time of acceptance on the store's clock, milliseconds. */
+  readonly acceptedAtMs: number;
+}
+
+/** A job's head as read. */
+export interface JobHead {
+  readonly jobId: string;
+  readonly record: JobRecord;
+  readonly version: number;
+}
+
+/** All partitions that jobs lie in. */
+export const JOB_PARTITIONS: readonly string[] = Array.from(
+  { length: PARTITION_COUNT },
+  (_, index) => `jobs-${index}`,
+);
+
+/** FNV-1a, for spreading only. */
+function spread(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let at = 0; at < text.length; at += 1) hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
+  return hash >>> 0;
+}
+
+/** Partition of a job: all its records lie in one, so that one transaction can change them. */
+export function partitionOf(jobId: string): string {
+  return JOB_PARTITIONS[spread(jobId) % PARTITION_COUNT] as string;
+}
+
+export function headAddress(jobId: string): RecordAddress {
+  return { table: JOB_TABLE, partition: partitionOf(jobId), key: jobId };
+}
+
+export function submissionAddress(jobId: string, chunk: number): RecordAddress {
+  return { table: SUBMISSION_TABLE, partition: partitionOf(jobId), key: `${jobId}/${padded(chunk)}` };
+}
+
+/** A result larger than one record lies in several; `chunk` counts them from 0. */
+export function resultAddress(jobId: string, position: number, chunk: number, chunks: number): RecordAddress {
+  const key = `${jobId}/${padded(position)}/${padded(chunk)}-${chunks}`;
+  return { table: RESULT_TABLE, partition: partitionOf(jobId), key };
+}
+
+export function textAddress(jobId: string, itemId: string): RecordAddress {
+  return { table: TEXT_TABLE, partition: partitionOf(jobId), key: `${jobId}/${itemId}` };
+}
+
+/** First key of the results from `position` on. */
+export function resultRangeStart(jobId: string, position: number): string {
+  return `${jobId}/${padded(position)}`;
+}
+
+/** End of all keys that belong to a job. */
+export function rangeEnd(jobId: string): string {
+  return `${jobId}/${AFTER_KEYS}`;
+}
+
+/** What the key of a result says. */
+export interface ResultKey {
+  readonly position: number;
+  readonly chunk: number;
+  readonly chunks: number;
+}
+
+/** Parses the key of a result. */
+export function parseResultKey(key: string): ResultKey {
+  const [position, rest = ''] = key.split('/').slice(-2);
+  const [chunk, chunks] = rest.split('-');
+  return { position: Number(position), chunk: Number(chunk), chunks: Number(chunks) };
+}
+
+/** Parses a job's head; `undefined` when the bytes are none. */
+export function parseJobRecord(value: Buffer): JobRecord | undefined {
+  try {
+    return JSON.parse(value.toString('utf8')) as JobRecord;
+  } catch {
+    return undefined;
+  }
+}
+
+function padded(number: number): string {
+  return String(number).padStart(POSITION_DIGITS, '0');
+}
--- /dev/null
+++ b/src/state/replica-directory.ts
@@ -0,0 +1,159 @@
+/** Replicas that are known, with what this node has learnt of them from traffic, and the choice among them. */
+import { monotonicMs } from '../common/clock.js';
+import type { Replica } from '../protocol/replica.js';
+
+/** How long a replica is avoided after a first failure, milliseconds; doubles with each further one. */
+const SUSPICION_BASE_MS = 250;
+const SUSPICION_MAX_MS = 4_000;
+/** Weight of the newest measurement in moving averages. */
+const AVERAGE_WEIGHT = 0.2;
+/** A replica is slow when it takes this many times as long as the fastest of its service. */
+const SLOW_FACTOR = 2;
+/** Work in flight at a replica of another zone counts this much more than in the own zone. */
+const OTHER_ZONE_PENALTY = 0.5;
+
+/** One replica with its statistics. */
+export class ReplicaState {
+  /** Requests of this node that it works on. */
+  inFlight = 0;
+  /** Moving average of the service time, milliseconds; 0 while nothing was measured. */
+  averageMs = 0;
+  private failures = 0;
+  private avoidUntilMs = 0;
+
+  constructor(public replica: Replica) {}
+
+  get isSuspected(): boolean {
+    return monotonicMs() < this.avoidUntilMs;
+  }
+
+  noteSuccess(tookMs: number): void {
+    this.failures = 0;
+    this.avoidUntilMs = 0;
+    this.averageMs =
+      this.averageMs === 0 ? tookMs : this.averageMs + (tookMs - this.averageMs) * AVERAGE_WEIGHT;
+  }
+
+  noteFailure(): void {
+    const delay = Math.min(SUSPICION_MAX_MS, SUSPICION_BASE_MS * 2 ** this.failures);
+    this.failures += 1;
+    this.avoidUntilMs = monotonicMs() + delay;
+  }
+
+  /** Avoids the replica for a while without counting a failure: it said that it is full. */
+  pause(durationMs: number): void {
+    this.avoidUntilMs = Math.max(this.avoidUntilMs, monotonicMs() + durationMs);
+  }
+
+  /** Weight version of `model` that the replica has, 0 when unknown. */
+  versionOf(model: string): number {
+    return this.replica.modelVersions.get(model) ?? 0;
+  }
+}
+
+/** What a choice of a replica must heed. */
+export interface SelectionCriteria {
+  readonly service: string;
+  /** Zone to prefer. */
+  readonly zone: string;
+  /** Replicas that were tried already. */
+  readonly excluded?: ReadonlySet<string>;
+  /** Further condition. */
+  readonly accepts?: (state: ReplicaState) => boolean;
+  /** Replica to take when it is fit. */
+  readonly preferredId?: string;
+  /** Whether suspected replicas are taken when there are no others. Default true. */
+  readonly allowsSuspected?: boolean;
+}
+
+/** The replicas of all services. */
+export class ReplicaDirectory {
+  private readonly states = new Map<string, ReplicaState>();
+  private readonly services = new Map<string, Set<ReplicaState>>();
+  private readonly listeners = new Set<() => void>();
+
+  /** Called after each change. */
+  onChange(listener: () => void): void {
+    this.listeners.add(listener);
+  }
+
+  /** Adds a replica or takes its newer announcement. */
+  set(replica: Replica): void {
+    const existing = this.states.get(replica.id);
+    if (existing) existing.replica = replica;
+    else this.add(replica);
+    this.notify();
+  }
+
+  /** Forgets a replica. */
+  remove(id: string): void {
+    const state = this.states.get(id);
+    if (!state) return;
+    this.states.delete(id);
+    this.services.get(state.replica.service)?.delete(state);
+    this.notify();
+  }
+
+  get(id: string): ReplicaState | undefined {
+    return this.states.get(id);
+  }
+
+  get ids(): string[] {
+    return [...this.states.keys()];
+  }
+
+  /** Replicas of a service that are not draining. */
+  availableOf(service: string): ReplicaState[] {
+    const states = this.services.get(service);
+    return states ? [...states].filter((state) => !state.replica.isDraining) : [];
+  }
+
+  /** Whether `state` still stands here and is not draining. */
+  isAvailable(state: ReplicaState): boolean {
+    return this.states.get(state.replica.id) === state && !state.replica.isDraining;
+  }
+
+  /** The fittest replica, or `undefined` when none fits. */
+  select(criteria: SelectionCriteria): ReplicaState | undefined {
+    const fitting = this.availableOf(criteria.service).filter(
+      (state) => !criteria.excluded?.has(state.replica.id) && (criteria.accepts?.(state) ?? true),
+    );
+    const trusted = fitting.filter((state) => !state.isSuspected);
+    const candidates = trusted.length > 0 || criteria.allowsSuspected === false ? trusted : fitting;
+    const preferred = candidates.find((state) => state.replica.id === criteria.preferredId);
+    return preferred ?? this.leastLoaded(candidates, criteria.zone);
+  }
+
+  private leastLoaded(candidates: readonly ReplicaState[], zone: string): ReplicaState | undefined {
+    const fastest = Math.min(...candidates.map((state) => state.averageMs || Number.POSITIVE_INFINITY));
+    let best: ReplicaState | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const state of candidates) {
+      const cost = costOf(state, zone, fastest);
+      if (cost >= bestCost) continue;
+      best = state;
+      bestCost = cost;
+    }
+    return best;
+  }
+
+  private add(replica: Replica): void {
+    const state = new ReplicaState(replica);
+    this.states.set(replica.id, state);
+    const states = this.services.get(replica.service) ?? new Set();
+    states.add(state);
+    this.services.set(replica.service, states);
+  }
+
+  private notify(): void {
+    for (const listener of this.listeners) listener();
+  }
+}
+
+/** Expected wait: work in flight for each slot, more in another zone, more at a slow replica. */
+function costOf(state: ReplicaState, zone: string, fastestMs: number): number {
+  const load = (state.inFlight + 1) / Math.max(1, state.replica.slots);
+  const distance = state.replica.zone === zone ? 0 : OTHER_ZONE_PENALTY;
+  const slowness = state.averageMs > fastestMs * SLOW_FACTOR ? state.averageMs / fastestMs : 1;
+  return (load + distance) * slowness + Math.random() * 1e-6;
+}
--- /dev/null
+++ b/src/state/result-cache.ts
@@ -0,0 +1,71 @@
+/** Results that are known to be listed. They never change, so they may be served from memory. Bounded in bytes. */
+
+interface JobResults {
+  /** Results from position 0 on. */
+  readonly results: string[];
+  bytes: number;
+}
+
+/** Wakes readers of one job. */
+type Listener = () => void;
+
+/** The cache of a node. */
+export class ResultCache {
+  private readonly jobs = new Map<string, JobResults>();
+  private readonly listeners = new Map<string, Set<Listener>>();
+  private totalBytes = 0;
+
+  constructor(private readonly maxBytes: number) {}
+
+  /** Takes results that are listed from `position` on; what would leave a gap is not kept. */
+  append(jobId: string, position: number, results: readonly string[]): void {
+    const entry = this.jobs.get(jobId) ?? { results: [], bytes: 0 };
+    if (position > entry.results.length) return;
+    this.jobs.delete(jobId);
+    this.jobs.set(jobId, entry);
+    for (const result of results.slice(entry.results.length - position)) {
+      entry.results.push(result);
+      entry.bytes += result.length;
+      this.totalBytes += result.length;
+    }
+    this.evict(jobId);
+    for (const listener of this.listeners.get(jobId) ?? []) listener();
+  }
+
+  /** Results from `position` on that are in memory, up to `maxBytes` but at least one. */
+  read(jobId: string, position: number, maxBytes: number): readonly string[] {
+    const entry = this.jobs.get(jobId);
+    if (!entry) return [];
+    const page: string[] = [];
+    let bytes = 0;
+    for (const result of entry.results.slice(position)) {
+      bytes += result.length;
+      if (page.length > 0 && bytes > maxBytes) break;
+      page.push(result);
+    }
+    return page;
+  }
+
+  /** Calls `listener` when results of the job come in; returns the way to stop. */
+  listen(jobId: string, listener: Listener): () => void {
+    const listeners = this.listeners.get(jobId) ?? new Set();
+    listeners.add(listener);
+    this.listeners.set(jobId, listeners);
+    return () => {
+      listeners.delete(listener);
+      if (listeners.size === 0) this.listeners.delete(jobId);
+    };
+  }
+
+  forget(jobId: string): void {
+    this.totalBytes -= this.jobs.get(jobId)?.bytes ?? 0;
+    this.jobs.delete(jobId);
+  }
+
+  private evict(keep: string): void {
+    for (const jobId of this.jobs.keys()) {
+      if (this.totalBytes <= this.maxBytes) return;
+      if (jobId !== keep) this.forget(jobId);
+    }
+  }
+}
--- /dev/null
+++ b/src/state/routing-table.ts
@@ -0,0 +1,123 @@
+/** The configuration in force, indexed by host and path prefix. It never goes back to an older version. */
+import type {
+  CallerLimits,
+  Route,
+  RouteTarget,
+  RoutingConfiguration,
+} from '../protocol/routing-configuration.js';
+
+/** One configuration with its index. A request keeps the one that it began with. */
+export class RoutingSnapshot {
+  private readonly routesByHost = new Map<string, Map<string, Route>>();
+  private readonly modelServices = new Map<string, string[]>();
+  private readonly engineSlots = new Map<string, number>();
+
+  constructor(readonly configuration: RoutingConfiguration) {
+    for (const route of configuration.routes) this.prefixesOf(route.host).set(route.pathPrefix, route);
+    for (const service of configuration.services) {
+      this.engineSlots.set(service.name, service.engineSlots);
+      for (const model of service.models)
+        this.modelServices.set(model, [...(this.modelServices.get(model) ?? []), service.name]);
+    }
+  }
+
+  get version(): number {
+    return this.configuration.version;
+  }
+
+  get limits(): CallerLimits {
+    return this.configuration.limits;
+  }
+
+  /** The route of `host` with the longest prefix that begins `path`. */
+  match(host: string, path: string): Route | undefined {
+    const prefixes = this.routesByHost.get(hostName(host));
+    if (!prefixes) return undefined;
+    const end = path.indexOf('?');
+    const bare = end < 0 ? path : path.slice(0, end);
+    for (let slash = bare.lastIndexOf('/'); slash >= 0; slash = bare.lastIndexOf('/', slash - 1)) {
+      const route = prefixes.get(bare.slice(0, slash + 1));
+      if (route) return route;
+      if (slash === 0) break;
+    }
+    return undefined;
+  }
+
+  /** Services whose engines run `model`. */
+  servicesOfModel(model: string): readonly string[] {
+    return this.modelServices.get(model) ?? [];
+  }
+
+  /** Requests that an engine of `service` runs at once; 0 when it is no engine. */
+  engineSlotsOf(service: string): number {
+    return this.engineSlots.get(service) ?? 0;
+  }
+
+  private prefixesOf(host: string): Map<string, Route> {
+    const existing = this.routesByHost.get(host);
+    if (existing) return existing;
+    const created = new Map<string, Route>();
+    this.routesByHost.set(host, created);
+    return created;
+  }
+}
+
+/** Host of a `Host` header without the port. */
+function hostName(header: string): string {
+  const colon = header.indexOf(':');
+  return (colon < 0 ? header : header.slice(0, colon)).toLowerCase();
+}
+
+/** The newest configuration that this process has seen. */
+export class RoutingTable {
+  private snapshot: RoutingSnapshot | undefined;
+
+  /** The configuration in force; `undefined` while none is known. */
+  get current(): RoutingSnapshot | undefined {
+    return this.snapshot;
+  }
+
+  /** Takes a configuration unless it is older than the one in force. Returns whether it is now in force. */
+  install(configuration: RoutingConfiguration): boolean {
+    if (this.snapshot && configuration.version <= this.snapshot.version) return false;
+    this.snapshot = new RoutingSnapshot(configuration);
+    return true;
+  }
+}
+
+/**
+ * Splits requests among the targets of a route by weight: smooth weighted round robin, so that shares hold even over
+ * few requests.
+ */
+export class TargetSplitter {
+  private readonly credits = new Map<string, Map<string, number>>();
+
+  /** The target of the next request; `undefined` when the route has none. */
+  next(route: Route): RouteTarget | undefined {
+    if (route.targets.length <= 1) return route.targets[0];
+    const credits = this.creditsOf(route);
+    let best: RouteTarget | undefined;
+    let total = 0;
+    for (const target of route.targets) {
+      total += target.weight;
+      const credit = (credits.get(target.service) ?? Math.random() * target.weight) + target.weight;
+      credits.set(target.service, credit);
+      if (target.weight > 0 && (!best || credit > (credits.get(best.service) ?? 0))) best = target;
+    }
+    if (best) credits.set(best.service, (credits.get(best.service) ?? 0) - total);
+    return best;
+  }
+
+  private creditsOf(route: Route): Map<string, number> {
+    const key = `${route.name} ${route.targets.map((target) => `${target.service}=${target.weight}`).join()}`;
+    const existing = this.credits.get(key);
+    if (existing) return existing;
+    if (this.credits.size > MAX_SPLITS) this.credits.clear();
+    const created = new Map<string, number>();
+    this.credits.set(key, created);
+    return created;
+  }
+}
+
+/** Splits that are remembered at most. */
+const MAX_SPLITS = 1_000;
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -1,7 +1,7 @@
 /** Pooled HTTP client (undici). It never retries: whether a repeat is safe is decided by the layers above. */
 import type { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
-import { Agent, request } from 'undici';
+import { Agent, DecoratorHandler, type Dispatcher } from 'undici';
 import { TransportError, toTransportError } from './transport-error.js';
 
 /** Header names are in lower case. */
@@ -24,6 +24,19 @@
    * side at the moment of writing, which would leave open whether the request ran. Default false.
    */
   readonly freshConnection?: boolean;
+  /** Longest time for the whole exchange, milliseconds; only `exchange` heeds it. Default: none. */
+  readonly totalTimeoutMs?: number;
+  /**
+   * A header that tells which request a response answers. A response with another value breaks the exchange and its
+   * connection, since the right response may still come on it. Default: none.
+   */
+  readonly echoedHeader?: EchoedHeader;
+}
+
+/** A header (in lower case) that the other side sends back as it came. */
+export interface EchoedHeader {
+  readonly name: string;
+  readonly value: string;
 }
 
 /** The head of a response and its body, still to be read or destroyed. */
@@ -46,6 +59,10 @@
   readonly connectionsPerOrigin?: number;
   /** IP address that connections come from. Default: chosen by the system. */
   readonly localAddress?: string;
+  /** Longest time to open a connection, milliseconds. Default 2,000. */
+  readonly connectTimeoutMs?: number;
+  /** How long an idle connection is kept unless the other side says otherwise, milliseconds. Default 4,000. */
+  readonly keepAliveMs?: number;
 }
 
 const DEFAULT_CONNECTIONS_PER_ORIGIN = 256;
@@ -74,31 +91,91 @@
   return ok(Buffer.concat(chunks));
 }
 
+/** The methods of the base class, which its type leaves out. */
+const passOn = DecoratorHandler.prototype as Dispatcher.DispatchHandler;
+
+/** Breaks an exchange whose response carries another value of the echoed header; passes all else on. */
+class EchoCheck extends DecoratorHandler {
+  constructor(
+    private readonly echoed: EchoedHeader,
+    handler: Dispatcher.DispatchHandler,
+  ) {
+    super(handler);
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    statusCode: number,
+    headers: Record<string, string | string[]>,
+    statusMessage?: string,
+  ): void {
+    const value = headers[this.echoed.name];
+    if (statusCode >= 200 && value !== undefined && value !== this.echoed.value)
+      controller.abort(new TransportError('wrong-answer', true, `the response answers ${String(value)}`));
+    else passOn.onResponseStart?.call(this, controller, statusCode, headers, statusMessage);
+  }
+}
+
+/** Options of one dispatch, with what `EchoCheck` needs. */
+type CheckedOptions = Dispatcher.DispatchOptions & { readonly echoedHeader?: EchoedHeader };
+
+/** Adds the echo check to the exchanges that ask for it. */
+const checkEcho: Dispatcher.DispatcherComposeInterceptor = (dispatch) => (options, handler) => {
+  const { echoedHeader } = options as CheckedOptions;
+  return dispatch(options, echoedHeader ? new EchoCheck(echoedHeader, handler) : handler);
+};
+
+/** Splits an `http://` address into origin and path. */
+function splitUrl(url: string): { origin: string; path: string } {
+  const slash = url.indexOf('/', url.indexOf('//') + 2);
+  return slash < 0 ? { origin: url, path: '/' } : { origin: url.slice(0, slash), path: url.slice(slash) };
+}
+
+/** A signal that is aborted after `timeoutMs` or together with `signal`; `release` must be called at the end. */
+function limitTime(timeoutMs: number, signal?: AbortSignal): { signal: AbortSignal; release: () => void } {
+  const controller = new AbortController();
+  const abort = () => controller.abort();
+  const timer = setTimeout(abort, timeoutMs);
+  if (signal?.aborted) abort();
+  signal?.addEventListener('abort', abort, { once: true });
+  const release = () => {
+    clearTimeout(timer);
+    signal?.removeEventListener('abort', abort);
+  };
+  return { signal: controller.signal, release };
+}
+
 /** One client for a process or node; call `close` when done. */
 export class HttpClient {
-  private readonly pooled: Agent;
+  private readonly pooledAgent: Agent;
+  private readonly pooled: Dispatcher;
   private readonly fresh: Agent;
 
   constructor(options: HttpClientOptions = {}) {
     const { connectionsPerOrigin = DEFAULT_CONNECTIONS_PER_ORIGIN, localAddress } = options;
-    const connect = { timeout: CONNECT_TIMEOUT_MS };
+    const { connectTimeoutMs = CONNECT_TIMEOUT_MS, keepAliveMs = KEEP_ALIVE_MS } = options;
+    const connect = { timeout: connectTimeoutMs };
     const shared = { connections: connectionsPerOrigin, connect, ...(localAddress ? { localAddress } : {}) };
-    this.pooled = new Agent({ ...shared, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_MS });
+    this.pooledAgent = new Agent({ ...shared, pipelining: 1, keepAliveTimeout: keepAliveMs });
+    this.pooled = this.pooledAgent.compose(checkEcho);
     this.fresh = new Agent({ ...shared, pipelining: 0 });
   }
 
   /** Sends a request; resolves at the head of the response. */
   async send(outgoing: OutgoingRequest): Promise<Result<IncomingResponse, TransportError>> {
     try {
-      const response = await request(outgoing.url, {
-        dispatcher: outgoing.freshConnection ? this.fresh : this.pooled,
+      const dispatcher = outgoing.freshConnection ? this.fresh : this.pooled;
+      const options: Dispatcher.RequestOptions & { echoedHeader?: EchoedHeader } = {
+        ...splitUrl(outgoing.url),
+        echoedHeader: outgoing.echoedHeader,
         method: outgoing.method as 'GET',
         headers: outgoing.headers,
         body: outgoing.body,
         signal: outgoing.signal,
         headersTimeout: outgoing.headTimeoutMs ?? DEFAULT_HEAD_TIMEOUT_MS,
         bodyTimeout: outgoing.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
-      });
+      };
+      const response = await dispatcher.request(options);
       return ok({ status: response.statusCode, headers: response.headers, body: response.body });
     } catch (cause) {
       return err(toTransportError(cause));
@@ -109,6 +186,19 @@
   async exchange(
     outgoing: OutgoingRequest,
     limitBytes = DEFAULT_BODY_LIMIT_BYTES,
+  ): Promise<Result<WholeResponse, TransportError>> {
+    if (outgoing.totalTimeoutMs === undefined) return this.exchangeWhole(outgoing, limitBytes);
+    const limited = limitTime(outgoing.totalTimeoutMs, outgoing.signal);
+    try {
+      return await this.exchangeWhole({ ...outgoing, signal: limited.signal }, limitBytes);
+    } finally {
+      limited.release();
+    }
+  }
+
+  private async exchangeWhole(
+    outgoing: OutgoingRequest,
+    limitBytes: number,
   ): Promise<Result<WholeResponse, TransportError>> {
     const response = await this.send(outgoing);
     if (response.isErr()) return err(response.error);
@@ -119,6 +209,6 @@
 
   /** Closes all connections at once. */
   async close(): Promise<void> {
-    await Promise.all([this.pooled.destroy(), this.fresh.destroy()]);
+    await Promise.all([this.pooledAgent.destroy(), this.fresh.destroy()]);
   }
 }
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -3,6 +3,18 @@
 import type { AddressInfo, Socket } from 'node:net';
 import polka from 'polka';
 
+/** Limits towards the other side. Times are in milliseconds. */
+export interface HttpServerOptions {
+  /** Default 16 KiB. */
+  readonly maxHeaderBytes?: number;
+  /** Longest time for a head. Default 5,000. */
+  readonly headersTimeoutMs?: number;
+  /** Longest time for a whole request. Default 30,000. */
+  readonly requestTimeoutMs?: number;
+  /** How long an idle connection is kept. Default 8,000. */
+  readonly keepAliveTimeoutMs?: number;
+}
+
 const MAX_HEADER_BYTES = 16 * 1024;
 const HEADERS_TIMEOUT_MS = 5_000;
 const REQUEST_TIMEOUT_MS = 30_000;
@@ -26,12 +38,15 @@
   private readonly sockets = new Set<Socket>();
   private closedSocketBytes = 0;
 
-  constructor(private readonly fallbacks: ServerFallbacks) {
+  constructor(
+    private readonly fallbacks: ServerFallbacks,
+    options: HttpServerOptions = {},
+  ) {
     this.server = createServer({
-      maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      maxHeaderSize: options.maxHeaderBytes ?? MAX_HEADER_BYTES,
+      headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
+      requestTimeout: options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
+      keepAliveTimeout: options.keepAliveTimeoutMs ?? KEEP_ALIVE_TIMEOUT_MS,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     });
     this.server.maxConnections = MAX_CONNECTIONS;
@@ -65,6 +80,17 @@
     });
   }
 
+  /** Changes how long an idle connection is kept and how long a head may take, from now on. */
+  setTimeouts(keepAliveTimeoutMs: number, headersTimeoutMs: number): void {
+    this.server.keepAliveTimeout = keepAliveTimeoutMs;
+    this.server.headersTimeout = headersTimeoutMs;
+  }
+
+  /** Closes connections on which no request is under way. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
   /** Stops accepting connections and resolves when the open exchanges have ended. */
   async closeGracefully(): Promise<void> {
     const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
@@ -111,6 +137,21 @@
   return controller.signal;
 }
 
+/** Reads a request's body; `undefined` when it is larger than `limitBytes`. Rejects when the caller leaves. */
+export async function readRequestBody(
+  request: IncomingMessage,
+  limitBytes: number,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > limitBytes) return undefined;
+    chunks.push(chunk);
+  }
+  return chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
+}
+
 /** Sends a JSON answer. */
 export function sendJson(
   response: ServerResponse,
--- a/src/transport/transport-error.ts
+++ b/src/transport/transport-error.ts
@@ -6,7 +6,9 @@
   | 'timed-out'
   | 'connection-lost'
   | 'cancelled'
-  | 'body-too-large';
+  | 'body-too-large'
+  /** The response belongs to another request. */
+  | 'wrong-answer';
 
 /**
  * An HTTP exchange that failed. `requestSent` is false only when it is certain that no byte of the
