Each model gets an even share of the replicas; a holder without a reason to beat is not lost

Cause: (1) three models on six replicas need 18 loads in 4 s and get seven, so the last model was never loaded; route-note's jobs waited for an admissible replica until their trainer gave up. (2) A node that held nothing had an old beat; its first job was claimed by others at once, and went round (log: epochs 1 to 6 within 0.2 s). Ruled out: more loads at once (they take longer together); order by model name (starves another one).

--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -42,6 +42,8 @@
 /** One lease in the eyes of one node. It is read together with the beats of the sessions. */
 export class DutyLease {
   private known: KnownLease | undefined;
+  /** Observed time at which the holder was learnt, milliseconds. */
+  private holderLearntAtMs = 0;
   /** When an act, or a change of the holder, was last seen. */
   private lastActSeenMs = 0;
   /** When acts of this holder may begin. */
@@ -108,6 +110,7 @@
     if (this.known && this.known.version >= record.version) return;
     const content = JSON.parse(record.value.toString('utf8')) as LeaseContent;
     const before = this.known?.content;
+    if (before?.epoch !== content.epoch) this.holderLearntAtMs = this.sessions.observedTimeMs;
     if (before?.epoch !== content.epoch || before.acts !== content.acts) this.lastActSeenMs = monotonicMs();
     this.known = { content, version: record.version };
     if (this.isHeld && (content.holder.life !== this.self.life || content.epoch !== this.heldEpoch))
@@ -120,7 +123,7 @@
     const isFormerSelf = holder.node === this.self.node;
     if (holder.node === '') await this.take('free');
     else if (isFormerSelf) await this.take('my former self');
-    else if (this.sessions.isLost(holder)) await this.take(`${holder.node} is lost`);
+    else if (this.sessions.isLost(holder, this.holderLearntAtMs)) await this.take(`${holder.node} is lost`);
   }
 
   private async take(reason: string): Promise<void> {
--- a/src/coordination/job-owner.ts
+++ b/src/coordination/job-owner.ts
@@ -34,6 +34,8 @@
 export class JobOwnership implements FeedHandler<readonly JobHead[]> {
   readonly table = JOB_TABLE;
   private readonly heads = new Map<string, JobHead>();
+  /** Observed time at which each head was learnt, milliseconds. */
+  private readonly learntAtMs = new Map<string, number>();
   private readonly runs = new Map<string, JobRun>();
   private readonly claiming = new Set<string>();
   private isLeaving = false;
@@ -78,6 +80,7 @@
     const known = this.heads.get(head.jobId);
     if (known && known.version >= head.version) return;
     this.heads.set(head.jobId, head);
+    this.learntAtMs.set(head.jobId, this.services.sessions.observedTimeMs);
     this.reconcile(head);
   }
 
@@ -118,6 +121,7 @@
 
   private forget(jobId: string): void {
     this.heads.delete(jobId);
+    this.learntAtMs.delete(jobId);
     this.runs.get(jobId)?.stop();
     this.services.cache.forget(jobId);
   }
@@ -170,7 +174,11 @@
     if (this.isLeaving || this.claiming.has(head.jobId)) return;
     if (owner === null) void this.claim(head, 'handed back');
     else if (owner.node === this.self.node) void this.claim(head, 'my former self');
-    else if (this.services.sessions.isLost(owner)) void this.claim(head, `${owner.node} is lost`);
+    else if (this.isLost(head.jobId, owner)) void this.claim(head, `${owner.node} is lost`);
+  }
+
+  private isLost(jobId: string, owner: JobOwner): boolean {
+    return this.services.sessions.isLost(owner, this.learntAtMs.get(jobId) ?? 0);
   }
 
   private async claim(head: JobHead, reason: string): Promise<void> {
--- a/src/coordination/job-run.ts
+++ b/src/coordination/job-run.ts
@@ -1,4 +1,5 @@
 /** Runs one job as its owner: generates, scores and lists what is not listed yet, and keeps texts on the way. */
+import { setMaxListeners } from 'node:events';
 import { monotonicMs, sleep } from '../common/clock.js';
 import type { DecisionLogger } from '../common/decision-logger.js';
 import type { JobItem, JobSpecification, PartialText } from '../protocol/batch-job.js';
@@ -42,7 +43,9 @@
     readonly head: JobHead,
     private readonly storeAgeMs: number,
     private readonly knownSpecification?: JobSpecification,
-  ) {}
+  ) {
+    setMaxListeners(0, this.controller.signal);
+  }
 
   /** Items that are not listed yet. */
   get openItems(): number {
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -23,14 +23,12 @@
 
 interface Waiter {
   readonly request: PlacementRequest;
-  readonly sequence: number;
   readonly resolve: (state: ReplicaState | undefined) => void;
 }
 
 /** All waiting requests of a node. */
 export class Placement {
   private waiters: Waiter[] = [];
-  private sequence = 0;
   private timer: NodeJS.Timeout | undefined;
   private isScheduled = false;
 
@@ -50,10 +48,16 @@
   acquire(request: PlacementRequest): Promise<ReplicaState | undefined> {
     if (request.signal.aborted) return Promise.resolve(undefined);
     return new Promise((resolve) => {
-      const waiter: Waiter = { request, sequence: this.sequence, resolve };
-      this.sequence += 1;
+      const onAbort = () => this.giveUp(waiter);
+      const waiter: Waiter = {
+        request,
+        resolve: (state) => {
+          request.signal.removeEventListener('abort', onAbort);
+          resolve(state);
+        },
+      };
+      request.signal.addEventListener('abort', onAbort, { once: true });
       this.insert(waiter);
-      request.signal.addEventListener('abort', () => this.giveUp(waiter), { once: true });
       this.schedule();
     });
   }
--- a/src/coordination/session-monitor.ts
+++ b/src/coordination/session-monitor.ts
@@ -27,8 +27,9 @@
 /** Beats of this process and observation of all others. */
 export class SessionMonitor {
   private readonly sessions = new Map<string, ObservedSession>();
-  private readonly firstAsked = new Map<string, number>();
   private observedMs = 0;
+  /** Observed time of the last gap: after it every holder gets the whole time again. */
+  private restartedAtMs = 0;
   private lastReadMs = Number.NEGATIVE_INFINITY;
   private readonly listeners = new Set<(records: readonly StoredRecord[]) => void>();
 
@@ -46,17 +47,19 @@
     this.listeners.add(listener);
   }
 
-  /** Whether the holder has been silent for too long. */
-  isLost(holder: JobOwner): boolean {
-    const key = `${holder.node} ${holder.life}`;
+  /** Observed time now, milliseconds: it stands still while the store cannot be read. */
+  get observedTimeMs(): number {
+    return this.observedMs;
+  }
+
+  /**
+   * Whether the holder has been silent for too long. `heldSinceMs` is the observed time at which this node learnt of the
+   * holding: a process that held nothing before had no reason to beat.
+   */
+  isLost(holder: JobOwner, heldSinceMs: number): boolean {
     const session = this.sessions.get(holder.node);
-    if (session?.life === holder.life) return this.observedMs - session.changedAtMs > EXPIRY_MS;
-    const since = this.firstAsked.get(key);
-    if (since === undefined) {
-      this.firstAsked.set(key, this.observedMs);
-      return false;
-    }
-    return this.observedMs - since > EXPIRY_MS;
+    const changedAtMs = session?.life === holder.life ? session.changedAtMs : 0;
+    return this.observedMs - Math.max(changedAtMs, heldSinceMs, this.restartedAtMs) > EXPIRY_MS;
   }
 
   /** Beats and watches until `signal` is aborted. */
@@ -95,17 +98,11 @@
   private advance(): void {
     const now = monotonicMs();
     const elapsed = now - this.lastReadMs;
-    if (elapsed > GAP_MS) this.restartObservation();
+    if (elapsed > GAP_MS) this.restartedAtMs = this.observedMs;
     else this.observedMs += elapsed;
     this.lastReadMs = now;
   }
 
-  /** After a gap every holder gets the whole time again. */
-  private restartObservation(): void {
-    for (const session of this.sessions.values()) session.changedAtMs = this.observedMs;
-    this.firstAsked.clear();
-  }
-
   private observe(record: StoredRecord): void {
     const { version, value } = record;
     const node = record.key.slice(BEAT_PREFIX.length);
--- a/src/coordination/weight-orders.ts
+++ b/src/coordination/weight-orders.ts
@@ -10,6 +10,7 @@
 import type { RoutingTable } from '../state/routing-table.js';
 import type { WeightVersions } from '../state/weight-versions.js';
 import type { DutyLease } from './duty-lease.js';
+import { type PlannedModel, planReplicas } from './weight-plan.js';
 
 /** Part of a service's replicas that load at once at most. */
 const LOADING_FRACTION = 0.25;
@@ -35,6 +36,13 @@
   readonly logger: DecisionLogger;
 }
 
+/** A version that a replica should load. */
+interface WantedLoad {
+  readonly state: ReplicaState;
+  readonly model: string;
+  readonly version: number;
+}
+
 /** The giver of orders of one node; it acts only while the lease is held. */
 export class WeightOrders {
   /** Replicas with an order under way, by identifier. */
@@ -54,40 +62,61 @@
   private pass(signal: AbortSignal): void {
     const snapshot = this.services.routing.current;
     if (!snapshot) return;
-    for (const model of this.services.versions.models)
-      for (const service of snapshot.servicesOfModel(model)) this.passService(service, model, signal);
+    for (const { name, models } of snapshot.configuration.services)
+      if (models.length > 0) this.passService(name, models, signal);
   }
 
-  private passService(service: string, model: string, signal: AbortSignal): void {
-    const target = this.services.versions.newestOf(model);
-    const replicas = this.services.directory.availableOf(service);
-    const room = Math.max(1, Math.ceil(replicas.length * LOADING_FRACTION));
-    const behind = replicas
-      .filter((state) => state.versionOf(model) < target && this.isFree(state))
-      .sort(
-        (left, right) => left.versionOf(model) - right.versionOf(model) || left.inFlight - right.inFlight,
-      );
-    let loadingCount = replicas.filter((state) => this.loading.has(state.replica.id)).length;
-    for (const state of behind) {
+  private passService(service: string, models: readonly string[], signal: AbortSignal): void {
+    const { directory, versions } = this.services;
+    const states = directory.availableOf(service);
+    const room = Math.max(1, Math.ceil(states.length * LOADING_FRACTION));
+    let loadingCount = states.filter((state) => this.loading.has(state.replica.id)).length;
+    const targets = models.map((model) => ({ model, version: Math.max(1, versions.newestOf(model)) }));
+    for (const load of this.wantedLoads(states, targets)) {
       if (loadingCount >= room) return;
       loadingCount += 1;
-      this.loading.add(state.replica.id);
-      void this.load(state, model, target, signal).finally(() => this.loading.delete(state.replica.id));
+      const { id } = load.state.replica;
+      this.loading.add(id);
+      void this.load(load, signal).finally(() => this.loading.delete(id));
     }
   }
 
+  /** Loads that are missing, the model with the fewest replicas that are up to date first. */
+  private wantedLoads(states: readonly ReplicaState[], targets: readonly PlannedModel[]): WantedLoad[] {
+    const taken = new Set<string>();
+    const wanted: WantedLoad[] = [];
+    const byNeed = [...planReplicas(states, targets)]
+      .map(([model, planned]) => this.needOf(model, planned))
+      .sort((left, right) => right.share - left.share);
+    for (const { model, version, behind } of byNeed) {
+      for (const state of behind) {
+        if (taken.has(state.replica.id) || !this.isFree(state)) continue;
+        taken.add(state.replica.id);
+        wanted.push({ state, model, version });
+      }
+    }
+    return wanted;
+  }
+
+  private needOf(model: string, planned: readonly ReplicaState[]) {
+    const version = this.services.versions.newestOf(model);
+    const behind = planned
+      .filter((state) => state.versionOf(model) < version)
+      .sort(
+        (left, right) => left.versionOf(model) - right.versionOf(model) || left.inFlight - right.inFlight,
+      );
+    const lag = behind[0] ? version - behind[0].versionOf(model) : 0;
+    return { model, version, behind, share: lag + behind.length / Math.max(1, planned.length) };
+  }
+
   private isFree(state: ReplicaState): boolean {
     const { id } = state.replica;
     return !this.loading.has(id) && monotonicMs() >= (this.notBeforeMs.get(id) ?? 0);
   }
 
   /** One order and the wait until the replica has carried it out. */
-  private async load(
-    state: ReplicaState,
-    model: string,
-    version: number,
-    signal: AbortSignal,
-  ): Promise<void> {
+  private async load(wanted: WantedLoad, signal: AbortSignal): Promise<void> {
+    const { state, model, version } = wanted;
     const { client, lease } = this.services;
     const report = await client.report(state.replica, CALL_TIMEOUT_MS);
     if (report.isErr() || report.value.isBusy) return this.delay(state);
--- a/src/state/replica-directory.ts
+++ b/src/state/replica-directory.ts
@@ -23,6 +23,10 @@
 
   constructor(public replica: Replica) {}
 
+  get id(): string {
+    return this.replica.id;
+  }
+
   get isSuspected(): boolean {
     return monotonicMs() < this.avoidUntilMs;
   }
