--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
-/** Benchmarks: `npm run bench -- relay|control|engines|rollout`. Speeds live here, never in tests. */
+/** Benchmarks: `npm run bench -- relay|control|engines|rollout|days`. Speeds live here, never in tests. */
 import { configureLogging } from '../src/common/logging.js';
 import { benchControl } from './control.js';
+import { runDays } from './days.js';
 import { benchEngines } from './engines.js';
 import { benchRelay } from './relay.js';
 import { benchRollout } from './rollout.js';
@@ -10,8 +11,14 @@
   control: benchControl,
   engines: benchEngines,
   rollout: benchRollout,
+  days: async () => {
+    if ((await runDays(process.argv.slice(FIRST_ARGUMENT))) > 0) process.exitCode = 1;
+  },
 };
 
+/** Place of the first argument after the benchmark's name. */
+const FIRST_ARGUMENT = 3;
+
 configureLogging('silent');
 const name = process.argv[2] ?? '';
 const benchmark = BENCHMARKS[name];
@@ -20,4 +27,4 @@
   process.exit(2);
 }
 await benchmark();
-process.exit(0);
+process.exit();
--- a/deploy/undici-client.cjs
+++ b/deploy/undici-client.cjs
@@ -4,5 +4,6 @@
 Object.assign(Dispatcher.prototype, api);
 module.exports = {
   Agent: require('undici/lib/dispatcher/agent.js'),
+  buildConnector: require('undici/lib/core/connect.js'),
   DecoratorHandler: require('undici/lib/handler/decorator-handler.js'),
 };
--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -62,7 +62,12 @@
   failWith: number | undefined;
   /** Streams that are broken after `breakAfterEvents` events, from the next one. */
   streamsToBreak = 0;
+  /** Streams, from the next one, that end with their connection, after `breakAfterEvents` events. */
+  unframedStreams = 0;
   breakAfterEvents = 2;
+  /** Answers, from the next one, that have no length and are cut: by a reset, or by an orderly end. */
+  unframedCuts = 0;
+  cutsByReset = true;
   /** Answers, from the next one, that are preceded by a surplus answer to another request. */
   surplusAnswers = 0;
   /** Orders, from the next one, that are carried out after `lateOrderMs` without an answer. */
@@ -182,6 +187,15 @@
       const head = `HTTP/1.1 200 OK\r\n${HEADER.requestId}: other\r\n${HEADER.signature}: other\r\n`;
       request.socket.write(`${head}content-length: 5\r\n\r\nother`);
     }
+    if (this.unframedCuts > 0) {
+      this.unframedCuts -= 1;
+      const head = `HTTP/1.1 200 OK\r\n${HEADER.requestId}: ${id}\r\n${HEADER.signature}: signed-${id}\r\n`;
+      request.socket.write(`${head}connection: close\r\n\r\nansw`);
+      await sleep(this.workMs);
+      if (this.cutsByReset) request.socket.resetAndDestroy();
+      else request.socket.end();
+      return;
+    }
     if (this.versions.size > 0) return this.stream(request, response, id);
     await sleep(this.workMs);
     if (response.destroyed) return;
@@ -194,6 +208,12 @@
     const model = String(request.headers.model ?? [...this.versions.keys()][0]);
     let version = this.versions.get(model) ?? 0;
     const first = Number(request.headers[HEADER.lastEventId] ?? 0) + 1;
+    const isUnframed = this.unframedStreams > 0;
+    if (isUnframed) {
+      this.unframedStreams -= 1;
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     const breaks = this.streamsToBreak > 0;
     if (breaks) this.streamsToBreak -= 1;
     const head = {
@@ -207,6 +227,7 @@
       await sleep(this.workMs);
       if (response.destroyed) return;
       if (this.isSilent) return;
+      if (isUnframed && number - first >= this.breakAfterEvents) break;
       if (breaks && number - first >= this.breakAfterEvents) {
         response.write(`id: ${number}\nda`);
         request.socket.destroy();
--- a/src/coordination/generation-attempt.ts
+++ b/src/coordination/generation-attempt.ts
@@ -172,6 +172,7 @@
     return { kind: 'broken', reason: cause instanceof Error ? cause.message : String(cause) };
   }
   if (parser.hasRemainder) return { kind: 'broken', reason: 'the stream ended within an event' };
+  if (!answer.isFramed) return { kind: 'broken', reason: 'the stream ended with its connection' };
   if (text.eventCount === 0) return { kind: 'broken', reason: 'the stream has no event' };
   text.isWhole = true;
   return { kind: 'whole' };
--- a/src/coordination/replica-exchange.ts
+++ b/src/coordination/replica-exchange.ts
@@ -17,6 +17,8 @@
   readonly headers: Readonly<Record<string, string | string[]>>;
   readonly body: Buffer;
   readonly signature: string | undefined;
+  /** False when the answer ended with its connection, so that it may have been cut. */
+  readonly isFramed: boolean;
 }
 
 /** The outcome of one attempt. */
@@ -93,8 +95,8 @@
       if (request.signal.aborted) return { kind: 'cancelled' };
       return { kind: 'unknown', reason: `body: ${body.error.message}` };
     }
-    const { status, headers, signature } = answer;
-    return { kind: 'answered', answer: { status, headers, signature, body: body.value } };
+    const { status, headers, signature, isFramed } = answer;
+    return { kind: 'answered', answer: { status, headers, signature, isFramed, body: body.value } };
   }
 
   private noteOutcome(state: ReplicaState, outcome: AttemptOutcome, tookMs: number): void {
--- a/src/coordination/sample-scorer.ts
+++ b/src/coordination/sample-scorer.ts
@@ -61,9 +61,11 @@
             isHedged: false,
           })
           .finally(() => this.leave());
-        if (outcome.kind === 'answered' && outcome.answer.status < 300 && outcome.answer.signature)
-          return { kind: 'scored', score: outcome.answer.signature };
-        if (outcome.kind === 'answered') failures += 1;
+        const answer = outcome.kind === 'answered' ? outcome.answer : undefined;
+        const isSuccess = answer !== undefined && answer.status < 300;
+        if (isSuccess && answer.isFramed && answer.signature)
+          return { kind: 'scored', score: answer.signature };
+        if (answer && !isSuccess) failures += 1;
         if (failures >= route.maxAttempts)
           return { kind: 'impossible', reason: `scoring failed ${failures} times` };
       } else if (snapshot && monotonicMs() - routeSeenAtMs > ROUTE_GONE_MS) {
--- a/src/protocol/replica.ts
+++ b/src/protocol/replica.ts
@@ -53,8 +53,8 @@
   readonly signature: string | undefined;
   readonly weightVersion: number | undefined;
   readonly retryAfterMs: number | undefined;
-  /** Length that the answer declares, bytes. */
-  readonly contentLength: number | undefined;
+  /** False when the answer ends with its connection: whether it is whole cannot be told then. */
+  readonly isFramed: boolean;
   readonly body: Readable;
 }
 
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -1,7 +1,7 @@
 /** Pooled HTTP client (undici). It never retries: whether a repeat is safe is decided by the layers above. */
 import type { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
-import { Agent, DecoratorHandler, type Dispatcher } from 'undici';
+import { Agent, buildConnector, DecoratorHandler, type Dispatcher } from 'undici';
 import { TransportError, toTransportError } from './transport-error.js';
 
 /** Header names are in lower case. */
@@ -125,6 +125,25 @@
   return dispatch(options, echoedHeader ? new EchoCheck(echoedHeader, handler) : handler);
 };
 
+/** Code of a reset connection, and the one that is put in its place. */
+const RESET_CODE = 'ECONNRESET';
+const RESET_IS_FAILURE_CODE = 'CONNECTION_RESET';
+
+/**
+ * Opens connections. undici takes the reset of a connection for the end of an answer that has no length; such an answer is
+ * cut, so the error gets a code that undici knows no exception for.
+ */
+function createConnector(timeoutMs: number, localAddress: string | undefined): buildConnector.connector {
+  const connect = buildConnector({ timeout: timeoutMs, ...(localAddress ? { localAddress } : {}) });
+  return (options, callback) =>
+    connect(options, (...result: buildConnector.CallbackArgs) => {
+      result[1]?.prependListener('error', (error: NodeJS.ErrnoException) => {
+        if (error.code === RESET_CODE) error.code = RESET_IS_FAILURE_CODE;
+      });
+      callback(...result);
+    });
+}
+
 /** Splits an `http://` address into origin and path. */
 function splitUrl(url: string): { origin: string; path: string } {
   const slash = url.indexOf('/', url.indexOf('//') + 2);
@@ -154,8 +173,8 @@
   constructor(options: HttpClientOptions = {}) {
     const { connectionsPerOrigin = DEFAULT_CONNECTIONS_PER_ORIGIN, localAddress } = options;
     const { connectTimeoutMs = CONNECT_TIMEOUT_MS, keepAliveMs = KEEP_ALIVE_MS } = options;
-    const connect = { timeout: connectTimeoutMs };
-    const shared = { connections: connectionsPerOrigin, connect, ...(localAddress ? { localAddress } : {}) };
+    const connect = createConnector(connectTimeoutMs, localAddress);
+    const shared = { connections: connectionsPerOrigin, connect };
     this.pooledAgent = new Agent({ ...shared, pipelining: 1, keepAliveTimeout: keepAliveMs });
     this.pooled = this.pooledAgent.compose(checkEcho);
     this.fresh = new Agent({ ...shared, pipelining: 0 });
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -152,6 +152,20 @@
   return chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
 }
 
+/**
+ * Writes the head of an answer that ends with its connection. An answer that came in this form may have been cut on the
+ * way; with a length it would look whole.
+ */
+export function writeUnframedHead(
+  response: ServerResponse,
+  status: number,
+  headers: Readonly<Record<string, string | string[]>>,
+): void {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+  response.writeHead(status, { ...headers, connection: 'close' });
+}
+
 /** Sends a JSON answer. */
 export function sendJson(
   response: ServerResponse,
--- a/test/service-jobs.test.ts
+++ b/test/service-jobs.test.ts
@@ -255,6 +255,26 @@
     expect(engine.received.filter((run) => run.lastEventId === '2').length).to.equal(4);
   });
 
+  it('does not take a stream for whole that ended with its connection', async () => {
+    const engine = await system.addEngine();
+    await system.addApplication();
+    engine.unframedStreams = 4;
+    const urls = await startNodes(1);
+    expect(await system.trainer.submit(urls[0] as string, job('job-1'))).to.equal(202);
+    expectWhole(await system.trainer.readAll(urls, 'job-1', 6), job('job-1'));
+  });
+
+  it('does not take a signature for a score when the answer may be cut', async () => {
+    await system.addEngine();
+    const application = await system.addApplication();
+    application.unframedCuts = 6;
+    application.cutsByReset = false;
+    const urls = await startNodes(1);
+    expect(await system.trainer.submit(urls[0] as string, job('job-1'))).to.equal(202);
+    expectWhole(await system.trainer.readAll(urls, 'job-1', 6), job('job-1'));
+    expect(application.received.length).to.be.at.least(12);
+  });
+
   it('goes on elsewhere when a replica falls silent or crashes', async () => {
     const [silent, crashing, sound] = await Promise.all(
       [1, 2, 3].map(() => system.addEngine({ events: 20, workMs: 50 })),
--- a/test/service-requests.test.ts
+++ b/test/service-requests.test.ts
@@ -60,6 +60,29 @@
     }
   });
 
+  it('never passes on an answer without a length that was cut by a reset', async () => {
+    const replica = await system.addApplication();
+    await startNode();
+    replica.unframedCuts = 2;
+    for (const id of ['request-1', 'request-2', 'request-3']) {
+      const answer = await system.lookup(node, id);
+      if (answer?.status === 200) expect(answer.body.toString(), id).to.equal(`answer to ${id}`);
+    }
+    expect(replica.unframedCuts).to.equal(0);
+  });
+
+  it('gives an answer that ended with its connection no length, since it may be cut', async () => {
+    const replica = await system.addApplication();
+    await startNode();
+    replica.unframedCuts = 1;
+    replica.cutsByReset = false;
+    const answer = await system.lookup(node, 'request-1');
+    expect(answer?.status).to.equal(200);
+    expect(answer?.headers['content-length']).to.equal(undefined);
+    expect(answer?.headers['transfer-encoding']).to.equal(undefined);
+    expect(answer?.headers.connection).to.equal('close');
+  });
+
   it('asks a second replica while the first one is silent', async () => {
     const [first, second] = [await system.addApplication(), await system.addApplication()];
     await startNode();
