Answers of the store that will not come are given up early; a slow store costs nobody a job or a duty

Cause: (1) a lost answer was waited for 1.5 s, several times a job; after an outage every open call still hung. (2) With a store that answers in half a second, no confirmation of the orders' lease was ever fresh, and beats came later than their expiry. Change: a call is given up when a later one was answered and it has waited eight times the usual; small questions are asked while calls wait. The validity of a confirmation and the expiry of a beat grow with the usual answer.

--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -9,10 +9,12 @@
 import type { JobOwner } from '../state/job-record.js';
 import { SESSION_TABLE, type SessionMonitor } from './session-monitor.js';
 
-/** How old a confirmation may be when an act begins, milliseconds. */
-const CONFIRMATION_MS = 250;
+/** How old a confirmation may be when an act begins, milliseconds: more when the store answers slowly. */
+const SHORTEST_VALIDITY_MS = 250;
+const LONGEST_VALIDITY_MS = 3_000;
+const VALIDITY_ANSWERS = 4;
 /** Added to the time that two holders must be apart, milliseconds. */
-const APART_MARGIN_MS = 500;
+const APART_MARGIN_MS = 250;
 /** Owner of a lease that was given back. */
 const NOBODY: JobOwner = { node: '', life: '' };
 
@@ -22,6 +24,8 @@
   readonly epoch: number;
   /** Acts of this holder. */
   readonly acts: number;
+  /** How long after the last act was confirmed it may still begin, milliseconds. */
+  readonly validMs: number;
 }
 
 interface KnownLease {
@@ -37,7 +41,7 @@
   isFresh(): boolean;
 }
 
-const ABSENT: KnownLease = { content: { holder: NOBODY, epoch: 0, acts: 0 }, version: 0 };
+const ABSENT: KnownLease = { content: { holder: NOBODY, epoch: 0, acts: 0, validMs: 0 }, version: 0 };
 
 /** One lease in the eyes of one node. It is read together with the beats of the sessions. */
 export class DutyLease {
@@ -93,9 +97,11 @@
   private async askForConfirmation(): Promise<LeaseConfirmation | undefined> {
     if (!this.isHeld || !this.known || monotonicMs() < this.actsFromMs) return undefined;
     const { content, version } = this.known;
+    const usualMs = this.store.usualAnswerMs() * VALIDITY_ANSWERS;
+    const validMs = Math.min(LONGEST_VALIDITY_MS, Math.max(SHORTEST_VALIDITY_MS, Math.round(usualMs)));
     const askedAtMs = monotonicMs();
-    if (!(await this.write(version, { ...content, acts: content.acts + 1 }))) return undefined;
-    return { epoch: content.epoch, isFresh: () => monotonicMs() - askedAtMs < CONFIRMATION_MS };
+    if (!(await this.write(version, { ...content, acts: content.acts + 1, validMs }))) return undefined;
+    return { epoch: content.epoch, isFresh: () => monotonicMs() - askedAtMs < validMs };
   }
 
   private get address(): RecordAddress {
@@ -131,7 +137,12 @@
     const { content, version } = this.known;
     this.isTaking = true;
     const earliestMs = this.earliestAct(content);
-    const taken = await this.write(version, { holder: this.self, epoch: content.epoch + 1, acts: 0 });
+    const taken = await this.write(version, {
+      holder: this.self,
+      epoch: content.epoch + 1,
+      acts: 0,
+      validMs: 0,
+    });
     this.isTaking = false;
     if (!taken) return;
     this.heldEpoch = content.epoch + 1;
@@ -143,7 +154,7 @@
   private earliestAct(content: LeaseContent): number {
     const hasOwnActs = content.holder.node === this.self.node && content.acts > 0;
     if (content.epoch === 0 || hasOwnActs) return 0;
-    return this.lastActSeenMs + this.apartMs + APART_MARGIN_MS;
+    return this.lastActSeenMs + content.validMs + this.apartMs + APART_MARGIN_MS;
   }
 
   private async write(version: number, content: LeaseContent): Promise<boolean> {
--- a/src/coordination/record-feed.ts
+++ b/src/coordination/record-feed.ts
@@ -8,7 +8,7 @@
 import { StateError } from '../state/state-error.js';
 
 /** Longest wait of one question for changes, milliseconds. */
-const WAIT_MS = 2_000;
+const WAIT_MS = 1_200;
 const FIRST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 400;
 
--- a/src/coordination/session-monitor.ts
+++ b/src/coordination/session-monitor.ts
@@ -12,8 +12,9 @@
 const BEAT_PREFIX = 'beat/';
 const BEAT_MS = 500;
 const POLL_MS = 500;
-/** Observed time after which a silent holder counts as lost, milliseconds. */
+/** Observed time after which a silent holder counts as lost, milliseconds, and answers of a slow store on top. */
 const EXPIRY_MS = 1_700;
+const EXPIRY_ANSWERS = 4;
 /** Time between two reads above which nothing in between counts as observed, milliseconds. */
 const GAP_MS = 1_100;
 
@@ -59,7 +60,8 @@
   isLost(holder: JobOwner, heldSinceMs: number): boolean {
     const session = this.sessions.get(holder.node);
     const changedAtMs = session?.life === holder.life ? session.changedAtMs : 0;
-    return this.observedMs - Math.max(changedAtMs, heldSinceMs, this.restartedAtMs) > EXPIRY_MS;
+    const expiryMs = EXPIRY_MS + this.store.usualAnswerMs() * EXPIRY_ANSWERS;
+    return this.observedMs - Math.max(changedAtMs, heldSinceMs, this.restartedAtMs) > expiryMs;
   }
 
   /** Beats and watches until `signal` is aborted. */
--- a/src/protocol/record-store.ts
+++ b/src/protocol/record-store.ts
@@ -107,9 +107,9 @@
 /** Client of the store. No call is ever repeated by it. */
 export interface RecordStore {
   readonly limits: RecordStoreLimits;
-  /** Resolves to the version that the transaction got. */
-  transact(transaction: RecordTransaction): Promise<Result<number, RecordStoreError>>;
-  scan(range: RecordRange): Promise<Result<RecordPage, RecordStoreError>>;
+  /** Resolves to the version that the transaction got. An abort gives the answer up, not the transaction. */
+  transact(transaction: RecordTransaction, signal?: AbortSignal): Promise<Result<number, RecordStoreError>>;
+  scan(range: RecordRange, signal?: AbortSignal): Promise<Result<RecordPage, RecordStoreError>>;
   /** Waits up to `waitMs` for changes of `table` after the version `after`. */
   changes(
     table: string,
@@ -123,6 +123,8 @@
   /** Names of all objects that start with `prefix`, in order. */
   listObjects(prefix: string): Promise<Result<string[], RecordStoreError>>;
   removeObject(name: string): Promise<Result<void, RecordStoreError>>;
+  /** How long an answer usually takes now, milliseconds; 0 while nothing is known. */
+  usualAnswerMs(): number;
   /** The store's steady clock, milliseconds, as estimated from its newest answer. */
   nowMs(): number;
 }
--- a/src/state/instrumented-store.ts
+++ b/src/state/instrumented-store.ts
@@ -12,6 +12,7 @@
   RecordStoreError,
   RecordTransaction,
 } from '../protocol/record-store.js';
+import { OverdueCalls } from './overdue-calls.js';
 
 type Health = 'answering' | 'slow' | 'silent';
 type HealthEvent = 'answered' | 'answeredLate' | 'failed';
@@ -22,13 +23,21 @@
   silent: { answered: 'answering', answeredLate: 'slow', failed: 'silent' },
 } as const;
 
-/** An answer that takes longer counts as late, milliseconds. */
+/** A store whose answers usually take longer counts as slow, milliseconds. */
 const LATE_MS = 100;
 const MILLISECONDS_PER_SECOND = 1000;
 
+/** A small question, to learn whether the store answers. */
+const PROBE: RecordRange = { table: 'probe', partition: '', limit: 1 };
+
+function isAnswered(answer: Result<unknown, RecordStoreError>): boolean {
+  return answer.isOk() || answer.error.failure !== 'unavailable';
+}
+
 /** Wraps a store; passes every call on unchanged. */
 export class InstrumentedStore implements RecordStore {
   private readonly health: Lifecycle<Health, HealthEvent>;
+  private readonly calls = new OverdueCalls(() => void this.scan(PROBE));
 
   constructor(
     private readonly inner: RecordStore,
@@ -47,16 +56,20 @@
     return this.inner.limits;
   }
 
+  usualAnswerMs(): number {
+    return this.calls.usualAnswerMs;
+  }
+
   nowMs(): number {
     return this.inner.nowMs();
   }
 
   transact(transaction: RecordTransaction) {
-    return this.measured('transact', () => this.inner.transact(transaction));
+    return this.measured('transact', (signal) => this.inner.transact(transaction, signal));
   }
 
   scan(range: RecordRange): Promise<Result<RecordPage, RecordStoreError>> {
-    return this.measured('scan', () => this.inner.scan(range));
+    return this.measured('scan', (signal) => this.inner.scan(range, signal));
   }
 
   async changes(
@@ -65,7 +78,9 @@
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
-    const answer = await this.inner.changes(table, after, waitMs, signal);
+    const call = this.calls.open(waitMs, signal);
+    const answer = await this.inner.changes(table, after, waitMs, call.signal);
+    call.close(isAnswered(answer));
     this.metrics.storeCalls.inc({ call: 'changes', outcome: answer.isOk() ? 'ok' : answer.error.failure });
     return answer;
   }
@@ -88,22 +103,25 @@
 
   private async measured<T>(
     call: string,
-    run: () => Promise<Result<T, RecordStoreError>>,
+    run: (signal: AbortSignal) => Promise<Result<T, RecordStoreError>>,
   ): Promise<Result<T, RecordStoreError>> {
     const startedAt = monotonicMs();
-    const answer = await run();
+    const open = this.calls.open(0);
+    const answer = await run(open.signal);
+    open.close(isAnswered(answer));
     const tookMs = monotonicMs() - startedAt;
     this.metrics.storeSeconds.observe({ call }, tookMs / MILLISECONDS_PER_SECOND);
     this.metrics.storeCalls.inc({ call, outcome: answer.isOk() ? 'ok' : answer.error.failure });
     this.noteHealth(
       answer.isErr() && answer.error.failure === 'unavailable' ? answer.error.message : undefined,
-      tookMs,
     );
     return answer;
   }
 
-  private noteHealth(failure: string | undefined, tookMs: number): void {
+  private noteHealth(failure: string | undefined): void {
+    const usualMs = this.usualAnswerMs();
     if (failure !== undefined) this.health.sendIfTaken('failed', failure);
-    else this.health.sendIfTaken(tookMs > LATE_MS ? 'answeredLate' : 'answered', `${Math.round(tookMs)} ms`);
+    else
+      this.health.sendIfTaken(usualMs > LATE_MS ? 'answeredLate' : 'answered', `${Math.round(usualMs)} ms`);
   }
 }
--- /dev/null
+++ b/src/state/overdue-calls.ts
@@ -0,0 +1,106 @@
+/**
+ * Gives up calls of the store whose answer will not come. A missing answer alone proves nothing: the store may be slow.
+ * But when a call that was made later has been answered, and the earlier one has waited many times as long as answers
+ * take now, its answer is lost, and waiting for it only delays the repeat. While calls wait, a small question is asked now
+ * and then, so that there is something to be answered.
+ */
+import { monotonicMs } from '../common/clock.js';
+
+/** A call is never given up before this, milliseconds. */
+const SHORTEST_WAIT_MS = 150;
+/** A call is overdue after this many times the usual time of an answer. */
+const PATIENCE = 8;
+/** Weight of the newest answer in the moving average. */
+const AVERAGE_WEIGHT = 0.25;
+/** How often waiting calls are looked at, milliseconds. */
+const CHECK_MS = 100;
+/** Time between two questions while calls wait, milliseconds. */
+const PROBE_MS = 200;
+
+/** A call under way. */
+export interface OpenCall {
+  /** Aborted when the call is given up. */
+  readonly signal: AbortSignal;
+  /** Must be called at the end. */
+  close(isAnswered: boolean): void;
+}
+
+interface WaitingCall {
+  readonly startedAtMs: number;
+  /** Time that the store may hold the answer on purpose, milliseconds. */
+  readonly heldMs: number;
+  readonly controller: AbortController;
+}
+
+/** The open calls of a process. */
+export class OverdueCalls {
+  private readonly waiting = new Set<WaitingCall>();
+  private averageMs = 0;
+  /** Start of the latest call that has been answered. */
+  private answeredCallStartedAtMs = Number.NEGATIVE_INFINITY;
+  private probedAtMs = Number.NEGATIVE_INFINITY;
+  private timer: NodeJS.Timeout | undefined;
+
+  /** `probe` asks the store a small question; its call is opened and closed here like any other. */
+  constructor(private readonly probe: () => void) {}
+
+  /** How long an answer usually takes now, milliseconds. */
+  get usualAnswerMs(): number {
+    return this.averageMs;
+  }
+
+  /** Opens a call. `outer` gives it up as well. */
+  open(heldMs: number, outer?: AbortSignal): OpenCall {
+    const call = { startedAtMs: monotonicMs(), heldMs, controller: new AbortController() };
+    this.waiting.add(call);
+    this.arm();
+    const onOuterAbort = () => call.controller.abort();
+    if (outer?.aborted) onOuterAbort();
+    outer?.addEventListener('abort', onOuterAbort, { once: true });
+    return {
+      signal: call.controller.signal,
+      close: (isAnswered) => {
+        this.waiting.delete(call);
+        outer?.removeEventListener('abort', onOuterAbort);
+        if (isAnswered) this.noteAnswer(call);
+      },
+    };
+  }
+
+  private noteAnswer(call: WaitingCall): void {
+    this.answeredCallStartedAtMs = Math.max(this.answeredCallStartedAtMs, call.startedAtMs);
+    if (call.heldMs > 0) return;
+    const tookMs = monotonicMs() - call.startedAtMs;
+    this.averageMs += (tookMs - this.averageMs) * AVERAGE_WEIGHT;
+    this.giveUpOverdue();
+  }
+
+  private arm(): void {
+    if (this.timer) return;
+    this.timer = setInterval(() => this.check(), CHECK_MS);
+    this.timer.unref();
+  }
+
+  private check(): void {
+    if (this.waiting.size === 0) {
+      clearInterval(this.timer);
+      this.timer = undefined;
+      return;
+    }
+    this.giveUpOverdue();
+    const now = monotonicMs();
+    const hasLate = [...this.waiting].some((call) => now - call.startedAtMs - call.heldMs > CHECK_MS);
+    if (!hasLate || now - this.probedAtMs < PROBE_MS) return;
+    this.probedAtMs = now;
+    this.probe();
+  }
+
+  private giveUpOverdue(): void {
+    const now = monotonicMs();
+    const patienceMs = Math.max(SHORTEST_WAIT_MS, this.averageMs * PATIENCE);
+    for (const call of this.waiting) {
+      const isOvertaken = call.startedAtMs + call.heldMs < this.answeredCallStartedAtMs;
+      if (isOvertaken && now - call.startedAtMs - call.heldMs > patienceMs) call.controller.abort();
+    }
+  }
+}
--- a/src/state/settled-transaction.ts
+++ b/src/state/settled-transaction.ts
@@ -8,8 +8,8 @@
 import type { RecordStore, RecordTransaction, StoredRecord } from '../protocol/record-store.js';
 import { StateError } from './state-error.js';
 
-const FIRST_PAUSE_MS = 40;
-const LONGEST_PAUSE_MS = 600;
+const FIRST_PAUSE_MS = 20;
+const LONGEST_PAUSE_MS = 300;
 
 /** How long and under what condition a transaction is repeated. */
 export interface SettlementOptions {
--- a/test/support/faulty-platform.ts
+++ b/test/support/faulty-platform.ts
@@ -92,6 +92,10 @@
     return err(down());
   }
 
+  usualAnswerMs(): number {
+    return 0;
+  }
+
   nowMs(): number {
     return 0;
   }
