Replicas are shared among models by demand

Waiting items also asked loading replicas every 60 ms. Ruled out: every model on every replica (18 loads in 4 s where nine are possible). Change: job heads carry model and tokens; spare replicas go where the demand for each replica is highest; a replica that declines is left alone longer each time.

--- a/src/coordination/job-calls.ts
+++ b/src/coordination/job-calls.ts
@@ -101,7 +101,9 @@
   private async accept(submission: JobSubmission, deadlineMs: number): Promise<SubmissionOutcome> {
     const { jobId, host, path, body, specification } = submission;
     if ((this.services.ownership.known(jobId)?.record.total ?? 0) > 0) return 'accepted';
-    const job = { jobId, host, path, total: specification.items.length, submission: body };
+    const { model, items } = specification;
+    const tokens = items.reduce((sum, item) => sum + item.tokens, 0);
+    const job = { jobId, host, path, model, tokens, total: items.length, submission: body };
     const accepted = await this.services.repository.accept(job, this.self, deadlineMs);
     if (accepted.isErr()) return accepted.error.effect === 'none' ? 'not-accepted' : 'unknown';
     const { head, isNew } = accepted.value;
--- a/src/coordination/job-owner.ts
+++ b/src/coordination/job-owner.ts
@@ -18,6 +18,8 @@
 /** Nodes claim within this time of each other, so that one mostly comes first, milliseconds. */
 const CLAIM_SPREAD_MS = 150;
 const RELEASE_EFFORT_MS = 1_000;
+/** Time over which the demand for a model is counted, milliseconds. */
+const DEMAND_MS = 30_000;
 
 /** What the owner works with. */
 export interface JobOwnerServices extends JobRunServices {
@@ -59,6 +61,15 @@
     return false;
   }
 
+  /** Tokens of the jobs of a model that were accepted lately. */
+  demandOf(model: string): number {
+    const sinceMs = this.services.store.nowMs() - DEMAND_MS;
+    let tokens = 0;
+    for (const { record } of this.heads.values())
+      if (record.model === model && record.acceptedAtMs >= sinceMs) tokens += record.tokens;
+    return tokens;
+  }
+
   /** Whether this node runs the job and has read what was listed before. */
   isRunning(jobId: string): boolean {
     return this.runs.get(jobId)?.isLoaded ?? false;
--- a/src/coordination/weight-orders.ts
+++ b/src/coordination/weight-orders.ts
@@ -31,6 +31,8 @@
   readonly versions: WeightVersions;
   readonly client: ReplicaClient;
   readonly lease: DutyLease;
+  /** What the jobs of a model lately asked of the replicas, tokens. */
+  readonly demandOf: (model: string) => number;
   readonly nodeName: string;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
@@ -71,7 +73,11 @@
     const states = directory.availableOf(service);
     const room = Math.max(1, Math.ceil(states.length * LOADING_FRACTION));
     let loadingCount = states.filter((state) => this.loading.has(state.replica.id)).length;
-    const targets = models.map((model) => ({ model, version: Math.max(1, versions.newestOf(model)) }));
+    const targets = models.map((model) => ({
+      model,
+      version: Math.max(1, versions.newestOf(model)),
+      demand: this.services.demandOf(model),
+    }));
     for (const load of this.wantedLoads(states, targets)) {
       if (loadingCount >= room) return;
       loadingCount += 1;
--- a/src/coordination/weight-plan.ts
+++ b/src/coordination/weight-plan.ts
@@ -1,6 +1,6 @@
 /**
  * Which replicas follow which model. Replicas that serve several models cannot load every version of all of them in time,
- * and each load takes room from running requests. So each model gets an even share of the replicas, and only these are
+ * and each load takes room from running requests. So each model gets a share of the replicas, and only these are
  * brought to its newest version. The plan follows from the versions alone: a replica stays with the model that it is
  * least behind of, so a new giver of orders continues the plan of the one before.
  */
@@ -11,10 +11,11 @@
   versionOf(model: string): number;
 }
 
-/** A model and its newest named version. */
+/** A model, its newest named version, and how much its requests ask of the replicas, in any unit. */
 export interface PlannedModel {
   readonly model: string;
   readonly version: number;
+  readonly demand: number;
 }
 
 interface Pair<R extends PlannedReplica> {
@@ -23,6 +24,9 @@
   readonly lag: number;
 }
 
+/** Replicas that a model should have at least, so that one can load or fail while another serves. */
+const REDUNDANT_SHARE = 2;
+
 /** Replicas by model. Every model gets at least one replica, if there is any. */
 export function planReplicas<R extends PlannedReplica>(
   replicas: readonly R[],
@@ -30,13 +34,30 @@
 ): Map<string, R[]> {
   const plan = new Map<string, R[]>(models.map(({ model }) => [model, []]));
   if (replicas.length === 0 || models.length === 0) return plan;
-  const share = Math.max(1, Math.floor(replicas.length / models.length));
-  const modelsEach = Math.ceil((models.length * share) / replicas.length);
-  assign(plan, pairsByLag(replicas, models), share, modelsEach);
-  if (models.length <= replicas.length) assign(plan, pairsByLag(replicas, models), share + 1, modelsEach);
+  const shares = shareReplicas(replicas.length, models);
+  const total = [...shares.values()].reduce((sum, share) => sum + share, 0);
+  assign(plan, pairsByLag(replicas, models), shares, Math.ceil(total / replicas.length));
   return plan;
 }
 
+/** Replicas for each model: the same small number for all, the rest where the demand for each replica is highest. */
+export function shareReplicas(count: number, models: readonly PlannedModel[]): Map<string, number> {
+  const equal = Math.max(1, Math.min(REDUNDANT_SHARE, Math.floor(count / models.length)));
+  const shares = new Map(models.map(({ model }) => [model, equal]));
+  for (let left = count - equal * models.length; left > 0; left -= 1) {
+    const [neediest] = [...models].sort(
+      (one, other) => pressure(other, shares) - pressure(one, shares) || compare(one.model, other.model),
+    );
+    if (neediest) shares.set(neediest.model, (shares.get(neediest.model) ?? 0) + 1);
+  }
+  return shares;
+}
+
+/** Demand for each replica that a model has so far. */
+function pressure({ model, demand }: PlannedModel, shares: ReadonlyMap<string, number>): number {
+  return demand / (shares.get(model) ?? 1);
+}
+
 /** All pairs, those that are least behind first; ties in an order that every node agrees on. */
 function pairsByLag<R extends PlannedReplica>(
   replicas: readonly R[],
@@ -54,7 +75,7 @@
 function assign<R extends PlannedReplica>(
   plan: Map<string, R[]>,
   pairs: readonly Pair<R>[],
-  share: number,
+  shares: ReadonlyMap<string, number>,
   modelsEach: number,
 ): void {
   const counts = new Map<string, number>();
@@ -63,7 +84,8 @@
   for (const { replica, model } of pairs) {
     const assigned = plan.get(model) as R[];
     const count = counts.get(replica.id) ?? 0;
-    if (assigned.length >= share || count >= modelsEach || assigned.includes(replica)) continue;
+    if (assigned.length >= (shares.get(model) ?? 0) || count >= modelsEach || assigned.includes(replica))
+      continue;
     assigned.push(replica);
     counts.set(replica.id, count + 1);
   }
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -121,6 +121,7 @@
       versions: this.versions,
       client,
       lease: this.orderLease,
+      demandOf: (model) => this.ownership.demandOf(model),
       nodeName: settings.nodeName,
       metrics,
       logger,
--- a/src/state/job-record.ts
+++ b/src/state/job-record.ts
@@ -28,6 +28,9 @@
   readonly epoch: number;
   readonly host: string;
   readonly path: string;
+  readonly model: string;
+  /** Tokens that all items may take, prompts and outputs. */
+  readonly tokens: number;
   /** Number of items; 0 when the job was ended before it was submitted. */
   readonly total: number;
   /** Records that hold the submission. */
--- a/src/state/job-repository.ts
+++ b/src/state/job-repository.ts
@@ -43,6 +43,8 @@
   readonly jobId: string;
   readonly host: string;
   readonly path: string;
+  readonly model: string;
+  readonly tokens: number;
   readonly total: number;
   readonly submission: Buffer;
 }
@@ -99,6 +101,8 @@
       epoch: FIRST_EPOCH,
       host: job.host,
       path: job.path,
+      model: job.model,
+      tokens: job.tokens,
       total: job.total,
       chunks: stored.value.writes.length,
       object: stored.value.object,
@@ -350,6 +354,8 @@
       epoch: 0,
       host: '',
       path: '',
+      model: '',
+      tokens: 0,
       total: 0,
       chunks: 0,
       acceptedAtMs: Math.round(this.store.nowMs()),
--- a/src/state/replica-directory.ts
+++ b/src/state/replica-directory.ts
@@ -5,6 +5,8 @@
 /** How long a replica is avoided after a first failure, milliseconds; doubles with each further one. */
 const SUSPICION_BASE_MS = 250;
 const SUSPICION_MAX_MS = 4_000;
+/** Longest pause of a replica that says that it is full, milliseconds. */
+const PAUSE_MAX_MS = 250;
 /** Weight of the newest measurement in moving averages. */
 const AVERAGE_WEIGHT = 0.2;
 /** A replica is slow when it takes this many times as long as the fastest of its service. */
@@ -19,6 +21,7 @@
   /** Moving average of the service time, milliseconds; 0 while nothing was measured. */
   averageMs = 0;
   private failures = 0;
+  private declines = 0;
   private avoidUntilMs = 0;
 
   constructor(public replica: Replica) {}
@@ -33,6 +36,7 @@
 
   noteSuccess(tookMs: number): void {
     this.failures = 0;
+    this.declines = 0;
     this.avoidUntilMs = 0;
     this.averageMs =
       this.averageMs === 0 ? tookMs : this.averageMs + (tookMs - this.averageMs) * AVERAGE_WEIGHT;
@@ -44,9 +48,12 @@
     this.avoidUntilMs = monotonicMs() + delay;
   }
 
-  /** Avoids the replica for a while without counting a failure: it said that it is full. */
+  /** Avoids the replica for a while without counting a failure: it said that it is full. Longer each time. */
   pause(durationMs: number): void {
-    this.avoidUntilMs = Math.max(this.avoidUntilMs, monotonicMs() + durationMs);
+    if (this.isSuspected) return;
+    const delay = Math.min(PAUSE_MAX_MS, durationMs * 2 ** this.declines);
+    this.declines += 1;
+    this.avoidUntilMs = monotonicMs() + delay;
   }
 
   /** Weight version of `model` that the replica has, 0 when unknown. */
--- a/test/weight-orders.test.ts
+++ b/test/weight-orders.test.ts
@@ -1,7 +1,7 @@
 /** Orders to load weight versions: one giver at a time, late orders void, every model within reach of its versions. */
 import { expect } from 'chai';
 import type { ReplicaServer } from '../emulator/replica/replica-server.js';
-import { planReplicas } from '../src/coordination/weight-plan.js';
+import { planReplicas, shareReplicas } from '../src/coordination/weight-plan.js';
 import { kill, MODEL, type ServiceNodeProcess, ServiceSystem } from './support/service-system.js';
 import { until } from './support/wait.js';
 
@@ -127,9 +127,9 @@
   it('shares the replicas evenly among the models', () => {
     const replicas = ['r1', 'r2', 'r3', 'r4', 'r5', 'r6'].map((id) => replica(id, {}));
     const plan = planReplicas(replicas, [
-      { model: 'a', version: 2 },
-      { model: 'b', version: 1 },
-      { model: 'c', version: 5 },
+      { model: 'a', version: 2, demand: 9 },
+      { model: 'b', version: 1, demand: 1 },
+      { model: 'c', version: 5, demand: 5 },
     ]);
     expect([...plan.values()].map((assigned) => assigned.length)).to.deep.equal([2, 2, 2]);
     expect(new Set([...plan.values()].flat().map(({ id }) => id))).to.have.length(6);
@@ -138,17 +138,28 @@
   it('leaves a replica with the model that it is least behind of', () => {
     const replicas = [replica('r1', { a: 1, b: 7 }), replica('r2', { a: 4, b: 1 })];
     const plan = planReplicas(replicas, [
-      { model: 'a', version: 5 },
-      { model: 'b', version: 8 },
+      { model: 'a', version: 5, demand: 1 },
+      { model: 'b', version: 8, demand: 1 },
     ]);
     expect(plan.get('a')?.map(({ id }) => id)).to.deep.equal(['r2']);
     expect(plan.get('b')?.map(({ id }) => id)).to.deep.equal(['r1']);
   });
 
+  it('gives the replicas that cannot be shared evenly to the models with the most work', () => {
+    const models = [
+      { model: 'a', version: 2, demand: 35 },
+      { model: 'b', version: 2, demand: 100 },
+      { model: 'c', version: 2, demand: 101 },
+    ];
+    expect([...shareReplicas(5, models).values()]).to.deep.equal([1, 2, 2]);
+    expect([...shareReplicas(7, models).values()]).to.deep.equal([2, 2, 3]);
+    expect([...shareReplicas(2, models).values()]).to.deep.equal([1, 1, 1]);
+  });
+
   it('gives one model all replicas, and more models than replicas at least one each', () => {
     const replicas = ['r1', 'r2', 'r3'].map((id) => replica(id, {}));
-    expect(planReplicas(replicas, [{ model: 'a', version: 2 }]).get('a')).to.have.length(3);
-    const models = ['a', 'b', 'c', 'd', 'e'].map((model) => ({ model, version: 2 }));
+    expect(planReplicas(replicas, [{ model: 'a', version: 2, demand: 0 }]).get('a')).to.have.length(3);
+    const models = ['a', 'b', 'c', 'd', 'e'].map((model) => ({ model, version: 2, demand: 1 }));
     for (const assigned of planReplicas(replicas, models).values()) expect(assigned).to.have.length(1);
   });
 });
