--- a/emulator/demo.ts
+++ b/emulator/demo.ts
@@ -7,6 +7,7 @@
 import { TrainerLoop } from './clients/trainer-loop.js';
 import { Cluster, EMULATOR_TOKENS } from './cluster.js';
 import { EMULATOR_APPLICATION, EMULATOR_MODEL, EMULATOR_TRAINER } from './declarations.js';
+import { runJobDemo } from './job-demo.js';
 
 const NODES = 2;
 const STALENESS_BOUND = 1;
@@ -59,12 +60,19 @@
 say(`callers: ${calls.answers} answers, ${calls.wrong} wrong, refusals ${JSON.stringify(calls.refusals)}`);
 await cluster.stop();
 
+const job = await runJobDemo();
+say(
+  `batch job: ${job.results} results read at ${NODES} nodes, ${job.whole} whole and scored, ${job.different} read differently`,
+);
+
 const isGood =
   samples.missing === 0 &&
   samples.duplicates === 0 &&
   samples.wrongVersions === 0 &&
   samples.maxStaleness <= STALENESS_BOUND &&
-  calls.answers === CALLS;
+  calls.answers === CALLS &&
+  job.whole === job.results &&
+  job.different === 0;
 say(
   JSON.stringify({
     samplesDelivered: samples.samplesDelivered,
--- a/emulator/store/store-server.ts
+++ b/emulator/store/store-server.ts
@@ -7,6 +7,9 @@
 
 const PAGE_ROWS = 500;
 const PAGE_NAMES = 1_000;
+const MAX_ENTRIES = 100;
+const MAX_VALUE_BYTES = 65_536;
+const MAX_TRANSACTION_BYTES = 1_048_576;
 
 /** What happens to calls. */
 export type StoreMode =
@@ -90,6 +93,8 @@
     const transaction = JSON.parse(body.toString('utf8')) as Transaction;
     this.transactionCount += 1;
     this.onTransaction?.(transaction);
+    const problem = problemOf(transaction, body.length);
+    if (problem) return this.answer(response, 400, { error: problem });
     if (this.transactionsToDelay > 0) {
       this.transactionsToDelay -= 1;
       setTimeout(() => this.rows.transact(transaction), this.lateMs);
@@ -157,3 +162,14 @@
     response.writeHead(status, { 'content-type': 'application/json' }).end(content);
   }
 }
+
+/** Why the store does not take a transaction, `undefined` when it does. */
+function problemOf(transaction: Transaction, bodyBytes: number): string | undefined {
+  const { expected = [], put = [], remove = [] } = transaction;
+  const entries = [...expected, ...put, ...remove];
+  if (entries.length > MAX_ENTRIES) return `more than ${MAX_ENTRIES} entries`;
+  if (bodyBytes > MAX_TRANSACTION_BYTES) return `more than ${MAX_TRANSACTION_BYTES} bytes`;
+  if (new Set(entries.map((entry) => entry.part ?? '')).size > 1) return 'entries of several parts';
+  const isLarge = put.some((row) => Buffer.byteLength(row.value, 'base64') > MAX_VALUE_BYTES);
+  return isLarge ? `a value of more than ${MAX_VALUE_BYTES} bytes` : undefined;
+}
--- /dev/null
+++ b/src/cli/commands/trace.ts
@@ -0,0 +1,52 @@
+/** `thymecove trace`: joins the log lines of many processes into one account of a request, an item or a job. */
+import { createInterface } from 'node:readline';
+import { command, option, positional, string } from 'cmd-ts';
+import { ExitCode } from '../exit-codes.js';
+import { printNote } from '../output.js';
+import { parseLogLine, renderTrace, type TraceLine, traceOf } from '../trace.js';
+
+async function readLines(input: NodeJS.ReadableStream): Promise<TraceLine[]> {
+  const lines: TraceLine[] = [];
+  for await (const text of createInterface({ input })) {
+    const line = parseLogLine(text);
+    if (line) lines.push(line);
+  }
+  return lines;
+}
+
+/** The command. */
+export const traceCommand = command({
+  name: 'trace',
+  description:
+    'Read log lines of nodes on standard input; print those about a request, an item or a job in order, and where the ' +
+    'logs have gaps.',
+  examples: [
+    {
+      description: 'One job, from the logs of all nodes',
+      command: 'cat *.log | thymecove trace 7c41e09b52d6a3f8',
+    },
+  ],
+  args: {
+    id: positional({
+      type: string,
+      displayName: 'id',
+      description: 'Identifier of a request, an item or a job.',
+    }),
+    output: option({
+      type: string,
+      long: 'output',
+      short: 'o',
+      defaultValue: () => 'table',
+      description: 'table or json. Default table.',
+    }),
+  },
+  handler: async ({ id, output }) => {
+    const trace = traceOf(id, await readLines(process.stdin));
+    if (trace.lines.length === 0) {
+      printNote(`nothing is said of ${id}`);
+      process.exitCode = ExitCode.notFound;
+      return;
+    }
+    process.stdout.write(output === 'json' ? `${JSON.stringify(trace)}\n` : renderTrace(trace));
+  },
+});
--- a/src/common/decision-logger.ts
+++ b/src/common/decision-logger.ts
@@ -12,7 +12,8 @@
 const LINES_PER_SECOND = 100;
 const BURST_LINES = 400;
 const MILLISECONDS_PER_SECOND = 1000;
-const STANDARD_OUTPUT = 1;
+/** Longest wait for the reader before the process ends, milliseconds. */
+const FLUSH_LIMIT_MS = 200;
 
 /** Takes decision records. */
 export interface DecisionLogger {
@@ -36,7 +37,7 @@
 
   constructor(
     node: string,
-    private readonly writer = new LineWriter(STANDARD_OUTPUT),
+    private readonly writer = new LineWriter(process.stdout),
   ) {
     ROARR.write = (line: string) => {
       this.writer.write(line);
@@ -56,10 +57,10 @@
   }
 
   /** Writes what is left before the process ends. */
-  close(): void {
+  async close(): Promise<void> {
     clearInterval(this.summaryTimer);
     this.summarize();
-    this.writer.flushAtExit();
+    await this.writer.flush(FLUSH_LIMIT_MS);
   }
 
   private emit(record: DecisionRecord): void {
--- a/src/common/line-writer.ts
+++ b/src/common/line-writer.ts
@@ -1,21 +1,22 @@
 /**
- * Writes lines to a file descriptor without ever blocking the event loop: one write at a time, in a bounded buffer.
- * When the reader is too slow, lines are dropped and counted. (`process.stdout` blocks when it is a pipe.)
+ * Writes lines to a stream without ever waiting for its reader: what a slow reader has not taken waits in a bounded buffer,
+ * and lines beyond that are dropped and counted. Lines of one turn of the event loop share a write.
  */
-import { write, writeSync } from 'node:fs';
+import type { Writable } from 'node:stream';
+import { sleep } from './clock.js';
 
 /** Bytes that may wait for the reader. */
 const DEFAULT_BUFFER_BYTES = 256 * 1024;
+const FLUSH_POLL_MS = 10;
 
 /** A bounded writer of lines. */
 export class LineWriter {
-  private waiting: string[] = [];
-  private waitingBytes = 0;
-  private isWriting = false;
+  private gathered: string[] = [];
+  private gatheredBytes = 0;
   private droppedLines = 0;
 
   constructor(
-    private readonly descriptor: number,
+    private readonly stream: Writable,
     private readonly bufferBytes = DEFAULT_BUFFER_BYTES,
   ) {}
 
@@ -30,39 +31,28 @@
       this.droppedLines += 1;
       return false;
     }
-    this.waiting.push(line);
-    this.waitingBytes += line.length + 1;
-    if (!this.isWriting) this.writeNext();
+    if (this.gathered.length === 0) setImmediate(() => this.pass());
+    this.gathered.push(line);
+    this.gatheredBytes += line.length + 1;
     return true;
   }
 
-  /** Writes what waits before the process ends; gives up when the reader does not take it. */
-  flushAtExit(): void {
-    try {
-      if (this.waiting.length > 0) writeSync(this.descriptor, `${this.waiting.join('\n')}\n`);
-    } catch {
-      this.droppedLines += this.waiting.length;
-    }
-    this.waiting = [];
+  /** Waits until the reader has taken everything, at most `limitMs`. */
+  async flush(limitMs: number): Promise<void> {
+    this.pass();
+    for (let waitedMs = 0; this.stream.writableLength > 0 && waitedMs < limitMs; waitedMs += FLUSH_POLL_MS)
+      await sleep(FLUSH_POLL_MS);
   }
 
-  private writeNext(): void {
-    if (this.waiting.length === 0) return;
-    const bytes = Buffer.from(`${this.waiting.join('\n')}\n`, 'utf8');
-    this.waiting = [];
-    this.isWriting = true;
-    this.writeRest(bytes);
+  private get waitingBytes(): number {
+    return this.stream.writableLength + this.gatheredBytes;
   }
 
-  private writeRest(bytes: Buffer): void {
-    write(this.descriptor, bytes, (error, written) => {
-      if (!error && written < bytes.length) {
-        this.writeRest(bytes.subarray(written));
-        return;
-      }
-      this.isWriting = false;
-      this.waitingBytes = this.waiting.reduce((sum, line) => sum + line.length + 1, 0);
-      this.writeNext();
-    });
+  private pass(): void {
+    if (this.gathered.length === 0) return;
+    const text = `${this.gathered.join('\n')}\n`;
+    this.gathered = [];
+    this.gatheredBytes = 0;
+    this.stream.write(text);
   }
 }
--- a/src/common/metrics.ts
+++ b/src/common/metrics.ts
@@ -1,13 +1,13 @@
 /** Counters, gauges and histograms of one node, in its own registry (several nodes may share a process). */
-import { Counter, collectDefaultMetrics, Gauge, Histogram, Registry } from 'prom-client';
+import { collectDefaultMetrics } from 'prom-client';
+import { MetricSet } from './metric-set.js';
 
 const LATENCY_BUCKETS_SECONDS = [
   0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 120,
 ];
 
 /** The metrics of a node. Names follow the Prometheus conventions; every counter starts at 0. */
-export class Metrics {
-  readonly registry = new Registry();
+export class Metrics extends MetricSet {
   /** Answers to callers by route and status. */
   readonly requests = this.counter('thymecove_requests_total', 'Answers by route and status', [
     'route',
@@ -26,8 +26,6 @@
     'operation',
     'outcome',
   ]);
-  /** Peer calls by operation and outcome. */
-  readonly peerCalls = this.counter('thymecove_peer_calls_total', 'Peer calls', ['operation', 'outcome']);
   /** Events that a lifecycle did not take: each one is a defect. */
   readonly lifecycleDefects = this.counter('thymecove_lifecycle_defects_total', 'Events not taken', [
     'lifecycle',
@@ -45,28 +43,15 @@
   /** Requests being served now. */
   readonly inFlight = this.gauge('thymecove_requests_in_flight', 'Requests being served');
   /** Time to the first byte of an answer. */
-  readonly latency = new Histogram({
-    name: 'thymecove_request_seconds',
-    help: 'Time from a request to the end of its answer',
-    labelNames: ['route'],
-    buckets: LATENCY_BUCKETS_SECONDS,
-    registers: [this.registry],
-  });
+  readonly latency = this.histogram(
+    'thymecove_request_seconds',
+    'Time from a request to the end of its answer',
+    ['route'],
+  );
 
   /** `processMetrics` adds the processor and memory figures of the process; one node of a process takes it. */
   constructor(processMetrics: boolean) {
+    super(LATENCY_BUCKETS_SECONDS);
     if (processMetrics) collectDefaultMetrics({ register: this.registry });
   }
-
-  private counter<Label extends string>(
-    name: string,
-    help: string,
-    labelNames: readonly Label[],
-  ): Counter<Label> {
-    return new Counter({ name, help, labelNames: [...labelNames], registers: [this.registry] });
-  }
-
-  private gauge(name: string, help: string): Gauge {
-    return new Gauge({ name, help, registers: [this.registry] });
-  }
 }
--- a/src/common/service-metrics.ts
+++ b/src/common/service-metrics.ts
@@ -1,11 +1,14 @@
 /** Counters, gauges and latency histograms of a node that serves routes and jobs. Label sets are bounded. */
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { MetricSet } from './metric-set.js';
 
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
 
 /** The metrics of a node. Names follow the Prometheus conventions. */
-export class ServiceMetrics {
-  readonly registry = new Registry();
+export class ServiceMetrics extends MetricSet {
+  constructor() {
+    super(LATENCY_BUCKETS_SECONDS);
+  }
+
   /** Answers to callers by route and outcome. */
   readonly requests = this.counter('thymecove_requests_total', 'Answers by route and outcome', [
     'route',
@@ -51,34 +54,4 @@
   readonly memory = this.gauge('thymecove_resident_bytes', 'Resident memory', []);
   /** Log lines dropped because the reader was too slow. */
   readonly droppedLines = this.gauge('thymecove_dropped_log_lines', 'Dropped log lines', []);
-
-  private counter<Label extends string>(
-    name: string,
-    help: string,
-    labelNames: readonly Label[],
-  ): Counter<Label> {
-    return new Counter({ name, help, labelNames: [...labelNames], registers: [this.registry] });
-  }
-
-  private gauge<Label extends string>(
-    name: string,
-    help: string,
-    labelNames: readonly Label[],
-  ): Gauge<Label> {
-    return new Gauge({ name, help, labelNames: [...labelNames], registers: [this.registry] });
-  }
-
-  private histogram<Label extends string>(
-    name: string,
-    help: string,
-    labelNames: readonly Label[],
-  ): Histogram<Label> {
-    return new Histogram({
-      name,
-      help,
-      labelNames: [...labelNames],
-      buckets: LATENCY_BUCKETS_SECONDS,
-      registers: [this.registry],
-    });
-  }
 }
--- a/src/coordination/job-calls.ts
+++ b/src/coordination/job-calls.ts
@@ -149,7 +149,7 @@
     const cached = cache.read(jobId, position, PAGE_BYTES);
     if (cached.length > 0 || position >= total) return cached;
     if (ownership.isRunning(jobId)) return [];
-    const page = await repository.results(jobId, position);
+    const page = await repository.contents.results(jobId, position);
     if (page.isErr()) return undefined;
     cache.append(jobId, position, page.value.results);
     return page.value.results;
@@ -177,7 +177,7 @@
     const head = await this.findHead(jobId);
     if (typeof head === 'string') return head;
     if (head.record.total === 0) return 'not-found';
-    const submission = await this.services.repository.submission(head);
+    const submission = await this.services.repository.contents.submission(head);
     if (submission.isErr()) return 'unavailable';
     const specification = this.services.parseSubmission(submission.value);
     if (!specification) return 'unavailable';
--- a/src/coordination/job-run.ts
+++ b/src/coordination/job-run.ts
@@ -67,7 +67,7 @@
     const texts = new Map<string, PartialText>();
     for (const [id, run] of this.running) if (run.text.hasUnsaved) texts.set(id, run.text.toPartial());
     if (texts.size === 0) return;
-    const kept = await this.services.repository.saveTexts(this.head, texts);
+    const kept = await this.services.repository.contents.saveTexts(this.head, texts);
     if (kept.isErr()) {
       if (kept.error.failure === 'lease-lost') this.stop();
       return;
@@ -148,9 +148,9 @@
   private async tryLoad(): Promise<LoadedJob | undefined | 'unavailable'> {
     const { repository, parseSubmission, cache } = this.services;
     const [submission, results, texts] = await Promise.all([
-      repository.submission(this.head),
-      repository.allResults(this.head.jobId),
-      repository.texts(this.head.jobId),
+      repository.contents.submission(this.head),
+      repository.contents.allResults(this.head.jobId),
+      repository.contents.texts(this.head.jobId),
     ]);
     if (submission.isErr() || results.isErr() || texts.isErr()) return 'unavailable';
     const specification = parseSubmission(submission.value);
--- a/src/coordination/result-lister.ts
+++ b/src/coordination/result-lister.ts
@@ -62,10 +62,16 @@
 
   private async listBatch(): Promise<boolean> {
     const { repository, cache } = this.services;
-    const batch = this.waiting.slice(0, repository.fittingResults(this.waiting));
+    const batch = this.waiting.slice(0, repository.contents.fittingResults(this.waiting));
     const startedAt = monotonicMs();
     const deadline = startedAt + EFFORT_MS;
-    const listed = await repository.appendResults(this.head, this.nextPosition, batch, deadline, this.signal);
+    const listed = await repository.contents.appendResults(
+      this.head,
+      this.nextPosition,
+      batch,
+      deadline,
+      this.signal,
+    );
     this.report(batch.length, listed.isOk() ? 'listed' : listed.error.failure, monotonicMs() - startedAt);
     if (listed.isErr()) return listed.error.failure !== 'conflict' && listed.error.failure !== 'invalid';
     cache.append(this.head.jobId, this.nextPosition, batch);
--- a/src/coordination/service-relay.ts
+++ b/src/coordination/service-relay.ts
@@ -86,7 +86,7 @@
   private declines = 0;
   private mayHaveRun = false;
   private lastFailure: WholeAnswer | undefined;
-  private lastReason = 'no replica is available';
+  private lastReason = 'none available';
 
   constructor(
     private readonly request: RelayedRequest,
@@ -223,6 +223,7 @@
 
   private timedOut(): RelayOutcome {
     if (this.tried.size === 0) return this.exhausted();
+    this.lastReason = `the time is over; ${this.tried.size} replica(s) asked; before: ${this.lastReason}`;
     return this.failed(true);
   }
 
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -169,6 +169,11 @@
     return this.feeds.map((feed) => ({ table: feed.table, ageMs: feed.ageMs }));
   }
 
+  /** Stops all tasks at once, as a crash would. For nodes that share a process. */
+  stopNow(): void {
+    this.controller.abort();
+  }
+
   /** Finishes what is under way, hands the rest over, and stops. Resolves when the process may end. */
   async drain(): Promise<void> {
     if (this.isDraining) return;
--- a/src/node/service-process.ts
+++ b/src/node/service-process.ts
@@ -138,8 +138,7 @@
     process.on('unhandledRejection', (cause) => this.reportDefect('unhandled rejection', cause));
     process.on('uncaughtException', (cause) => {
       this.reportDefect('uncaught exception', cause);
-      this.parts.logger.close();
-      process.exit(1);
+      void this.parts.logger.close().then(() => process.exit(1));
     });
   }
 
@@ -164,7 +163,7 @@
     logger.record({ event: 'process-changed', change: 'stopping', detail: signal });
     await node.drain();
     logger.record({ event: 'process-changed', change: 'stopped' });
-    logger.close();
+    await logger.close();
     process.exit(0);
   }
 }
--- /dev/null
+++ b/src/state/job-contents.ts
@@ -0,0 +1,258 @@
+/**
+ * What lies beside the heads of jobs: submissions, results by position, texts of running items. Whatever an owner writes is
+ * conditional on the head's version.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { uniqueId } from '../common/identifier.js';
+import type { PartialText } from '../protocol/batch-job.js';
+import type { RecordStore, RecordWrite, StoredRecord } from '../protocol/record-store.js';
+import {
+  headAddress,
+  type JobHead,
+  parseResultKey,
+  partitionOf,
+  RESULT_TABLE,
+  rangeEnd,
+  resultAddress,
+  resultRangeStart,
+  SUBMISSION_TABLE,
+  submissionAddress,
+  TEXT_TABLE,
+  textAddress,
+} from './job-record.js';
+import type { SubmittedJob } from './job-repository.js';
+import { settle } from './settled-transaction.js';
+import { StateError } from './state-error.js';
+
+/** Part of a record that values fill, so that a record with its key stays under the store's limit. */
+const FILL = 0.9;
+/** Submissions up to this size lie in records, larger ones in an object, bytes. */
+const RECORD_SUBMISSION_BYTES = 500_000;
+/** Bytes and records of one transaction. */
+const TRANSACTION_BYTES = 600_000;
+const TRANSACTION_RECORDS = 80;
+
+/** Results in order of position, each as JSON text. */
+export interface ResultPage {
+  readonly results: readonly string[];
+}
+
+/** Splits bytes into pieces of at most `size`. */
+function pieces(bytes: Buffer, size: number): Buffer[] {
+  const found: Buffer[] = [];
+  for (let at = 0; at < bytes.length; at += size) found.push(bytes.subarray(at, at + size));
+  return found;
+}
+
+/** Access to what lies beside the heads. */
+export class JobContents {
+  private readonly pieceBytes: number;
+
+  constructor(private readonly store: RecordStore) {
+    this.pieceBytes = Math.floor(store.limits.recordBytes * FILL);
+  }
+
+  /** The records of a submission, or the name of the object that now holds it. */
+  async storeSubmission(
+    job: SubmittedJob,
+  ): Promise<Result<{ writes: RecordWrite[]; object?: string }, StateError>> {
+    if (job.submission.length <= RECORD_SUBMISSION_BYTES) {
+      const chunks = pieces(job.submission, this.pieceBytes);
+      return ok({
+        writes: chunks.map((value, index) => ({ ...submissionAddress(job.jobId, index), value })),
+      });
+    }
+    const object = `job-${job.jobId}-${uniqueId()}`;
+    const outcome = await this.store.putObject(object, job.submission);
+    if (outcome.isErr()) return err(new StateError('unavailable', 'none', outcome.error.message));
+    return ok({ writes: [], object });
+  }
+
+  private async objectSubmission(name: string): Promise<Result<Buffer, StateError>> {
+    const found = await this.store.getObject(name);
+    if (found.isErr()) return err(new StateError('unavailable', 'none', found.error.message));
+    return found.value ? ok(found.value) : err(new StateError('not-found', 'none', `object ${name}`));
+  }
+
+  /** The submission of a job. */
+  async submission(head: JobHead): Promise<Result<Buffer, StateError>> {
+    const { jobId, record } = head;
+    if (record.object !== undefined) return this.objectSubmission(record.object);
+    const from = submissionAddress(jobId, 0).key;
+    const records = await readRange(this.store, SUBMISSION_TABLE, partitionOf(jobId), from, rangeEnd(jobId));
+    if (records.isErr()) return err(records.error);
+    if (records.value.records.length !== record.chunks)
+      return err(new StateError('not-found', 'none', `submission of ${jobId} is not whole`));
+    return ok(Buffer.concat(records.value.records.map((chunk) => chunk.value)));
+  }
+
+  /**
+   * Lists results from `firstPosition` on, under the owner's head. Repeats write the same bytes at the same positions,
+   * so a lost answer does no harm.
+   */
+  async appendResults(
+    head: JobHead,
+    firstPosition: number,
+    results: readonly string[],
+    deadlineMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<void, StateError>> {
+    const writes = results.flatMap((result, index) =>
+      this.resultWrites(head.jobId, firstPosition + index, result),
+    );
+    const first = writes[0];
+    if (!first) return ok(undefined);
+    const outcome = await settle(
+      this.store,
+      {
+        conditions: [
+          { ...headAddress(head.jobId), version: head.version },
+          { table: first.table, partition: first.partition, key: first.key, version: 0 },
+        ],
+        writes,
+        removals: [],
+      },
+      {
+        deadlineMs,
+        signal,
+        isApplied: (current) =>
+          current.some((record) => record.key === first.key && record.value.equals(first.value)),
+      },
+    );
+    return outcome.map(() => undefined);
+  }
+
+  /** How many of `results` fit one transaction, at least one. */
+  fittingResults(results: readonly string[]): number {
+    let bytes = 0;
+    let records = 0;
+    let count = 0;
+    for (const result of results) {
+      bytes += result.length;
+      records += Math.ceil(result.length / this.pieceBytes);
+      if (count > 0 && (bytes > TRANSACTION_BYTES || records > TRANSACTION_RECORDS)) break;
+      count += 1;
+    }
+    return count;
+  }
+
+  /** Results from `position` on, as many as one page holds. */
+  async results(jobId: string, position: number): Promise<Result<ResultPage, StateError>> {
+    const page = await this.store.scan({
+      table: RESULT_TABLE,
+      partition: partitionOf(jobId),
+      from: resultRangeStart(jobId, position),
+      until: rangeEnd(jobId),
+    });
+    if (page.isErr()) return err(new StateError('unavailable', 'none', page.error.message));
+    return ok({ results: assembleResults(page.value.records, position) });
+  }
+
+  /** All results of a job. */
+  async allResults(jobId: string): Promise<Result<string[], StateError>> {
+    const all: string[] = [];
+    for (;;) {
+      const page = await this.results(jobId, all.length);
+      if (page.isErr()) return err(page.error);
+      if (page.value.results.length === 0) return ok(all);
+      all.push(...page.value.results);
+    }
+  }
+
+  /** Keeps texts of running items, under the owner's head. What does not fit is left for the next time. */
+  async saveTexts(
+    head: JobHead,
+    texts: ReadonlyMap<string, PartialText>,
+  ): Promise<Result<readonly string[], StateError>> {
+    const writes: RecordWrite[] = [];
+    const saved: string[] = [];
+    let bytes = 0;
+    for (const [itemId, text] of texts) {
+      const value = Buffer.from(JSON.stringify(text), 'utf8');
+      if (value.length > this.store.limits.recordBytes) continue;
+      bytes += value.length;
+      if (writes.length >= TRANSACTION_RECORDS || bytes > TRANSACTION_BYTES) break;
+      writes.push({ ...textAddress(head.jobId, itemId), value });
+      saved.push(itemId);
+    }
+    const condition = { ...headAddress(head.jobId), version: head.version };
+    const outcome = await this.store.transact({ conditions: [condition], writes, removals: [] });
+    if (outcome.isOk()) return ok(saved);
+    const { failure, effect, message } = outcome.error;
+    return err(new StateError(failure === 'conflict' ? 'lease-lost' : 'unavailable', effect, message));
+  }
+
+  /** Texts that were kept, by item. */
+  async texts(jobId: string): Promise<Result<Map<string, PartialText>, StateError>> {
+    const records = await readRange(this.store, TEXT_TABLE, partitionOf(jobId), `${jobId}/`, rangeEnd(jobId));
+    return records.map((found) => {
+      const texts = new Map<string, PartialText>();
+      for (const record of found.records)
+        texts.set(
+          record.key.slice(jobId.length + 1),
+          JSON.parse(record.value.toString('utf8')) as PartialText,
+        );
+      return texts;
+    });
+  }
+
+  /** Removes everything but the head; false when some of it is left. */
+  async removeAll({ jobId, record }: JobHead): Promise<boolean> {
+    if (record.object !== undefined) await this.store.removeObject(record.object);
+    for (const table of [TEXT_TABLE, SUBMISSION_TABLE, RESULT_TABLE]) {
+      const found = await readRange(this.store, table, partitionOf(jobId), `${jobId}/`, rangeEnd(jobId));
+      if (found.isErr()) return false;
+      for (let at = 0; at < found.value.records.length; at += TRANSACTION_RECORDS) {
+        const removals = found.value.records.slice(at, at + TRANSACTION_RECORDS);
+        const outcome = await this.store.transact({ conditions: [], writes: [], removals });
+        if (outcome.isErr()) return false;
+      }
+    }
+    return true;
+  }
+
+  private resultWrites(jobId: string, position: number, result: string): RecordWrite[] {
+    const chunks = pieces(Buffer.from(result, 'utf8'), this.pieceBytes);
+    return chunks.map((value, index) => ({
+      ...resultAddress(jobId, position, index, chunks.length),
+      value,
+    }));
+  }
+}
+
+/** Records of a range, read page by page; the version is that of the first page. */
+export async function readRange(
+  store: RecordStore,
+  table: string,
+  partition: string,
+  from?: string,
+  until?: string,
+): Promise<Result<{ records: StoredRecord[]; version: number }, StateError>> {
+  const records: StoredRecord[] = [];
+  let version = Number.POSITIVE_INFINITY;
+  let next = from;
+  for (;;) {
+    const page = await store.scan({ table, partition, from: next, until });
+    if (page.isErr()) return err(new StateError('unavailable', 'none', page.error.message));
+    records.push(...page.value.records);
+    version = Math.min(version, page.value.version);
+    const last = records.at(-1);
+    if (!page.value.hasMore || !last) return ok({ records, version });
+    next = `${last.key}\0`;
+  }
+}
+
+/** Joins the chunks of results; stops before the first position that is not whole. */
+function assembleResults(records: readonly StoredRecord[], firstPosition: number): string[] {
+  const results: string[] = [];
+  let chunks: Buffer[] = [];
+  for (const record of records) {
+    const key = parseResultKey(record.key);
+    if (key.position !== firstPosition + results.length || key.chunk !== chunks.length) break;
+    chunks.push(record.value);
+    if (chunks.length < key.chunks) continue;
+    results.push(Buffer.concat(chunks).toString('utf8'));
+    chunks = [];
+  }
+  return results;
+}
