Jobs of a model go to the owner of the job before, while it beats and stays

Change: the accepting node names the owner of the model's newest job as owner, if that process's beat changed within the last look; else itself, or nobody when it is on its way out. Beats go on for 10 s after the last job and say when a process leaves. A job given to a leaving node, or accepted by one, is handed back at once; before, it waited until that process's beats were missed.

Ruled out: waiting for the owner to confirm (a round more before the 202; the loss of an owner is noticed as before); one owner for all models (its loss would touch every trainer at once).

--- a/src/coordination/job-calls.ts
+++ b/src/coordination/job-calls.ts
@@ -2,7 +2,7 @@
 import { monotonicMs, sleep } from '../common/clock.js';
 import type { DecisionLogger } from '../common/decision-logger.js';
 import type { JobSpecification } from '../protocol/batch-job.js';
-import type { JobHead, JobOwner } from '../state/job-record.js';
+import type { JobHead } from '../state/job-record.js';
 import type { JobRepository } from '../state/job-repository.js';
 import type { ResultCache } from '../state/result-cache.js';
 import type { JobOwnership } from './job-owner.js';
@@ -59,10 +59,7 @@
   /** The submission that was read last: its items are often asked for one after the other. */
   private lastSpecification: { jobId: string; specification: JobSpecification } | undefined;
 
-  constructor(
-    private readonly services: JobCallServices,
-    private readonly self: JobOwner,
-  ) {}
+  constructor(private readonly services: JobCallServices) {}
 
   /** Accepts a job once, however often it is submitted. */
   async submit(submission: JobSubmission): Promise<SubmissionOutcome> {
@@ -104,7 +101,8 @@
     const { model, items } = specification;
     const tokens = items.reduce((sum, item) => sum + item.tokens, 0);
     const job = { jobId, host, path, model, tokens, total: items.length, submission: body };
-    const accepted = await this.services.repository.accept(job, this.self, deadlineMs);
+    const owner = this.services.ownership.ownerForNext(model);
+    const accepted = await this.services.repository.accept(job, owner, deadlineMs);
     if (accepted.isErr()) return accepted.error.effect === 'none' ? 'not-accepted' : 'unknown';
     const { head, isNew } = accepted.value;
     if (isNew) this.services.ownership.adopt(head, specification);
--- a/src/coordination/job-owner.ts
+++ b/src/coordination/job-owner.ts
@@ -1,7 +1,8 @@
 /**
- * Ownership of jobs. Every node follows the heads of all jobs; the node that accepted a job owns it. A job whose owner
- * is lost, or has handed it back, is claimed in a transaction on its head, so that one node gets it. A new process on
- * the owner's machine knows that its former self is dead and claims at once.
+ * Ownership of jobs. Every node follows the heads of all jobs. The node that accepts a job gives it to the owner of the
+ * model's job before, which has connections to the replicas and knows their work, or keeps it. A job whose owner is
+ * lost, or has handed it back, is claimed in a transaction on its head, so that one node gets it. A new process on the
+ * owner's machine knows that its former self is dead and claims at once.
  */
 import { monotonicMs, sleep } from '../common/clock.js';
 import type { DecisionLogger } from '../common/decision-logger.js';
@@ -18,6 +19,8 @@
 /** Nodes claim within this time of each other, so that one mostly comes first, milliseconds. */
 const CLAIM_SPREAD_MS = 150;
 const RELEASE_EFFORT_MS = 1_000;
+/** How long a process goes on beating after its last job, so that the next one may be given to it, milliseconds. */
+const WARM_MS = 10_000;
 /** Time over which the demand for a model is counted, milliseconds. */
 const DEMAND_MS = 30_000;
 
@@ -41,6 +44,7 @@
   private readonly runs = new Map<string, JobRun>();
   private readonly claiming = new Set<string>();
   private isLeaving = false;
+  private lastOwnedMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly services: JobOwnerServices,
@@ -54,6 +58,21 @@
     return this.runs.size;
   }
 
+  /** Whether this node runs jobs or ran one lately, so that others may give it the next. */
+  get isWarm(): boolean {
+    return this.runs.size > 0 || monotonicMs() - this.lastOwnedMs < WARM_MS;
+  }
+
+  /**
+   * Who should run the next job of a model: the owner of the newest one if it is at work, else this node. `null` leaves
+   * the job to whoever claims it first.
+   */
+  ownerForNext(model: string): JobOwner | null {
+    const owner = this.newestOf(model)?.record.owner;
+    if (owner && this.services.sessions.isFresh(owner)) return owner;
+    return this.isLeaving ? null : this.self;
+  }
+
   /** Whether jobs of others are open. */
   get hasForeignJobs(): boolean {
     for (const head of this.heads.values())
@@ -82,8 +101,10 @@
 
   /** Takes a job that this node has just accepted. */
   adopt(head: JobHead, specification: JobSpecification): void {
+    const known = this.heads.get(head.jobId);
+    if (known && known.version > head.version) return;
+    if (this.isMine(head)) this.start(head, specification);
     this.note(head);
-    if (!this.runs.has(head.jobId) && this.isMine(head)) this.start(head, specification);
   }
 
   /** Takes a head that was read or written outside the feed. */
@@ -126,6 +147,14 @@
     this.isLeaving = true;
   }
 
+  private newestOf(model: string): JobHead | undefined {
+    let newest: JobHead | undefined;
+    for (const head of this.heads.values())
+      if (head.record.model === model && head.record.acceptedAtMs >= (newest?.record.acceptedAtMs ?? 0))
+        newest = head;
+    return newest;
+  }
+
   private isMine(head: JobHead): boolean {
     return head.record.state === 'open' && head.record.owner?.life === this.self.life;
   }
@@ -145,8 +174,9 @@
       run.stop();
     }
     if (head.record.state === 'ended') this.scheduleRemoval(head);
-    else if (this.isMine(head)) this.start(head, undefined);
-    else this.considerClaim(head);
+    else if (!this.isMine(head)) this.considerClaim(head);
+    else if (this.isLeaving && !run) void this.handBack(head);
+    else this.start(head, undefined);
   }
 
   private start(head: JobHead, specification: JobSpecification | undefined): void {
@@ -162,6 +192,7 @@
   private finished(run: JobRun, end: JobRunEnd): void {
     const { jobId } = run.head;
     if (this.runs.get(jobId) === run) this.runs.delete(jobId);
+    this.lastOwnedMs = monotonicMs();
     this.services.metrics.ownedJobs.set({}, this.runs.size);
     this.report(run.head, end);
     if (end === 'ownership-lost') void this.refresh(jobId);
@@ -209,8 +240,12 @@
   private async release(run: JobRun): Promise<void> {
     await run.keepTexts();
     run.stop();
-    const released = await this.services.repository.release(run.head, monotonicMs() + RELEASE_EFFORT_MS);
-    this.report(run.head, released.isOk() ? 'handed back' : `hand back: ${released.error.failure}`);
+    await this.handBack(run.head);
+  }
+
+  private async handBack(head: JobHead): Promise<void> {
+    const released = await this.services.repository.release(head, monotonicMs() + RELEASE_EFFORT_MS);
+    this.report(head, released.isOk() ? 'handed back' : `hand back: ${released.error.failure}`);
   }
 
   /** The last owner removes a job once its results are no longer owed. */
--- a/src/coordination/session-monitor.ts
+++ b/src/coordination/session-monitor.ts
@@ -17,10 +17,21 @@
 const EXPIRY_ANSWERS = 4;
 /** Time between two reads above which nothing in between counts as observed, milliseconds. */
 const GAP_MS = 1_100;
+/** A beat that changed within this observed time shows a process at work, milliseconds: two beats and one look. */
+const FRESH_MS = 2 * BEAT_MS + POLL_MS;
+
+/** What a beat says. */
+interface Beat {
+  readonly life: string;
+  readonly count: number;
+  /** Whether the process takes no new jobs, because it is on its way out. */
+  readonly isLeaving: boolean;
+}
 
 interface ObservedSession {
   version: number;
   life: string;
+  isLeaving: boolean;
   /** Observed time at which the beat last changed, milliseconds. */
   changedAtMs: number;
 }
@@ -32,6 +43,8 @@
   /** Observed time of the last gap: after it every holder gets the whole time again. */
   private restartedAtMs = 0;
   private lastReadMs = Number.NEGATIVE_INFINITY;
+  private beats = 0;
+  private isLeaving = false;
   private readonly listeners = new Set<(records: readonly StoredRecord[]) => void>();
 
   constructor(
@@ -64,24 +77,39 @@
     return this.observedMs - Math.max(changedAtMs, heldSinceMs, this.restartedAtMs) > expiryMs;
   }
 
+  /** Whether a process of this life beat a moment ago and takes jobs, as far as this node has seen. */
+  isFresh(owner: JobOwner): boolean {
+    const session = this.sessions.get(owner.node);
+    if (session?.life !== owner.life || session.isLeaving) return false;
+    return this.observedMs - session.changedAtMs <= FRESH_MS && monotonicMs() - this.lastReadMs <= GAP_MS;
+  }
+
+  /** Tells all nodes that this process takes no new jobs. */
+  async announceLeaving(): Promise<void> {
+    this.isLeaving = true;
+    if (this.isHolder()) await this.beat();
+  }
+
   /** Beats and watches until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     await Promise.all([this.beatRegularly(signal), this.watchRegularly(signal)]);
   }
 
   private async beatRegularly(signal: AbortSignal): Promise<void> {
-    let count = 0;
     while (!signal.aborted) {
-      if (this.isHolder()) {
-        count += 1;
-        const value = Buffer.from(JSON.stringify({ life: this.self.life, count }), 'utf8');
-        const write = { table: SESSION_TABLE, partition: '', key: BEAT_PREFIX + this.self.node, value };
-        await this.store.transact({ conditions: [], writes: [write], removals: [] });
-      }
+      if (this.isHolder()) await this.beat();
       await sleep(BEAT_MS, signal);
     }
   }
 
+  private async beat(): Promise<void> {
+    this.beats += 1;
+    const beat: Beat = { life: this.self.life, count: this.beats, isLeaving: this.isLeaving };
+    const value = Buffer.from(JSON.stringify(beat), 'utf8');
+    const write = { table: SESSION_TABLE, partition: '', key: BEAT_PREFIX + this.self.node, value };
+    await this.store.transact({ conditions: [], writes: [write], removals: [] });
+  }
+
   private async watchRegularly(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.mustWatch()) await this.look();
@@ -110,7 +138,7 @@
     const node = record.key.slice(BEAT_PREFIX.length);
     const known = this.sessions.get(node);
     if (known && known.version >= version) return;
-    const { life } = JSON.parse(value.toString('utf8')) as { life: string };
-    this.sessions.set(node, { version, life, changedAtMs: this.observedMs });
+    const { life, isLeaving } = JSON.parse(value.toString('utf8')) as Beat;
+    this.sessions.set(node, { version, life, isLeaving, changedAtMs: this.observedMs });
   }
 }
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -91,7 +91,7 @@
     this.sessions = new SessionMonitor(
       store,
       self,
-      () => this.ownership.ownedCount > 0 || this.orderLease.isHeld,
+      () => this.ownership.isWarm || this.orderLease.isHeld,
       () => this.ownership.hasForeignJobs || this.hasModels,
     );
     this.ownership = new JobOwnership(
@@ -112,7 +112,7 @@
       },
       self,
     );
-    this.jobs = new JobCalls({ repository, ownership: this.ownership, cache, parseSubmission, logger }, self);
+    this.jobs = new JobCalls({ repository, ownership: this.ownership, cache, parseSubmission, logger });
     this.orderLease = new DutyLease(store, ORDERS_DUTY, self, this.sessions, settings.leaseMs, logger);
     this.sessions.onPoll((records) => this.orderLease.observe(records, this.hasModels && !this.isDraining));
     this.orders = new WeightOrders({
@@ -181,7 +181,7 @@
     const startedAt = monotonicMs();
     const { stopGraceMs } = this.parts.settings;
     this.ownership.stopClaiming();
-    await this.orderLease.resign();
+    await Promise.all([this.sessions.announceLeaving(), this.orderLease.resign()]);
     await this.waitUntil(() => this.ownership.ownedCount === 0, startedAt + stopGraceMs * FINISH_FRACTION);
     await this.ownership.handOver();
     await this.waitUntil(() => monotonicMs() > startedAt + MOVE_AWAY_MS, startedAt + MOVE_AWAY_MS + 1);
--- a/src/state/job-repository.ts
+++ b/src/state/job-repository.ts
@@ -58,10 +58,10 @@
     this.contents = new JobContents(store);
   }
 
-  /** Accepts a job once. A failure whose effect is `unknown` may still become an accepted job. */
+  /** Accepts a job once, for `owner` to run. A failure whose effect is `unknown` may still become an accepted job. */
   async accept(
     job: SubmittedJob,
-    owner: JobOwner,
+    owner: JobOwner | null,
     deadlineMs: number,
   ): Promise<Result<Acceptance, StateError>> {
     const stored = await this.contents.storeSubmission(job);
