--- a/emulator/job-demo.ts
+++ b/emulator/job-demo.ts
@@ -67,7 +67,8 @@
 
 async function startNode(name: string, storeAddress: string): Promise<DemoNode> {
   const metrics = new ServiceMetrics();
-  const node = createServiceNode(settingsOf(name, storeAddress), metrics, silentDecisionLogger);
+  const settings = settingsOf(name, storeAddress);
+  const node = createServiceNode(() => settings, metrics, silentDecisionLogger);
   const ingress = new Ingress(node, metrics, silentDecisionLogger);
   const server = new HttpServer({
     notFound: (request, response) => ingress.handle(request, response),
--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -65,6 +65,8 @@
   /** Streams, from the next one, that end with their connection, after `breakAfterEvents` events. */
   unframedStreams = 0;
   breakAfterEvents = 2;
+  /** Streams, from the next one, whose second event names a version that is no number. */
+  unreadableVersions = 0;
   /** Answers, from the next one, that have no length and are cut: by a reset, or by an orderly end. */
   unframedCuts = 0;
   cutsByReset = true;
@@ -216,6 +218,8 @@
     }
     const breaks = this.streamsToBreak > 0;
     if (breaks) this.streamsToBreak -= 1;
+    const isUnreadable = this.unreadableVersions > 0;
+    if (isUnreadable) this.unreadableVersions -= 1;
     const head = {
       'content-type': 'text/event-stream',
       [HEADER.requestId]: id,
@@ -234,7 +238,8 @@
         return;
       }
       const newest = this.versions.get(model) ?? 0;
-      const change = newest === version ? '' : `${HEADER.weightVersions}: ${newest}\n`;
+      const named = isUnreadable && number === first + 1 ? 'x' : newest;
+      const change = named === version ? '' : `${HEADER.weightVersions}: ${named}\n`;
       version = newest;
       response.write(`${change}id: ${number}\ndata: ${eventData(id, number)}\n\n`);
     }
--- a/src/coordination/generation-attempt.ts
+++ b/src/coordination/generation-attempt.ts
@@ -159,7 +159,7 @@
     for await (const chunk of answer.body as AsyncIterable<Buffer>) {
       watch.heard();
       for (const event of parser.push(chunk)) {
-        version = versionOf(event, client.eventVersionField) ?? version;
+        version = versionOf(event, client.eventVersionField, version);
         const problem = problemOf(event, version, text, terms);
         if (problem) {
           answer.body.destroy();
@@ -178,9 +178,10 @@
   return { kind: 'whole' };
 }
 
-function versionOf(event: StreamEvent, field: string): number | undefined {
+/** The version that made an event; NaN when the event names none that can be read. */
+function versionOf(event: StreamEvent, field: string, before: number): number {
   const value = event.fields[field];
-  return value === undefined ? undefined : Number(value);
+  return value === undefined ? before : Number(value);
 }
 
 function problemOf(
@@ -191,6 +192,7 @@
 ): GenerationOutcome | undefined {
   if (!text.isNext(event.id))
     return { kind: 'broken', reason: `event ${event.id} does not follow ${text.lastEventId}` };
+  if (!Number.isInteger(version)) return { kind: 'broken', reason: 'the version of an event cannot be read' };
   if (version < terms.minVersion)
     return { kind: 'wrong-version', reason: `version ${version} is older than ${terms.minVersion}` };
   const [first] = text.versions;
--- /dev/null
+++ b/test/platform-parsers.test.ts
@@ -0,0 +1,167 @@
+/** Bytes from outside, whatever they are: every parser answers or refuses, none throws, none makes something up. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { parseSubmission } from '../platform/job-bodies.js';
+import { parseConfiguration, parseNamedVersion, parseReplica } from '../platform/operator-rows.js';
+import { parseReport } from '../platform/replica-wire.js';
+import { parseSettingsFile } from '../platform/settings-file.js';
+import { EventStreamError, EventStreamParser, type StreamEvent } from '../src/protocol/event-stream.js';
+import { RoutingSnapshot } from '../src/state/routing-table.js';
+import { usualConfiguration } from './support/service-system.js';
+
+const RUNS = 400;
+const SEED = 20_261_202;
+const options = { numRuns: RUNS, seed: SEED };
+
+/** Any bytes, and any JSON, also with the names that the parsers look for. */
+const keys = fc.constantFrom(
+  'version',
+  'routes',
+  'services',
+  'limits',
+  'host',
+  'pathPrefix',
+  'items',
+  'models',
+  'engine',
+  'split',
+);
+const json = fc.letrec((tie) => ({
+  value: fc.oneof(
+    { maxDepth: 4 },
+    fc.constantFrom(null, true, 0, -1, 1.5, 7, '', 'text', '/a/'),
+    fc.array(tie('value'), { maxLength: 3 }),
+    fc.dictionary(keys, tie('value'), { maxKeys: 5 }),
+  ),
+})).value;
+const bytes = fc.oneof(
+  fc.uint8Array({ maxLength: 200 }).map((array) => Buffer.from(array)),
+  json.map((value) => Buffer.from(JSON.stringify(value), 'utf8')),
+);
+
+/** A valid configuration in which one place is replaced by another value. */
+const damagedConfiguration = fc.tuple(json, fc.nat(30)).map(([value, place]) => {
+  const configuration = JSON.parse(JSON.stringify(usualConfiguration(1))) as Record<string, unknown>;
+  const places: [object: Record<string, unknown>, key: string][] = [];
+  const visit = (node: unknown) => {
+    if (typeof node !== 'object' || node === null) return;
+    for (const key of Object.keys(node)) {
+      places.push([node as Record<string, unknown>, key]);
+      visit((node as Record<string, unknown>)[key]);
+    }
+  };
+  visit(configuration);
+  const [node, key] = places[place % places.length] as (typeof places)[number];
+  node[key] = value;
+  return Buffer.from(JSON.stringify(configuration), 'utf8');
+});
+
+describe('parsers of bytes from outside', () => {
+  it('reads or refuses a configuration, and what it reads can be matched', () => {
+    fc.assert(
+      fc.property(fc.oneof(bytes, damagedConfiguration), (value) => {
+        const configuration = parseConfiguration(value);
+        if (configuration) new RoutingSnapshot(configuration).match('service.example', '/lookup/x');
+      }),
+      options,
+    );
+  });
+
+  it('reads or refuses a named version and a replica', () => {
+    fc.assert(
+      fc.property(bytes, (value) => {
+        const named = parseNamedVersion('version/model-a', value);
+        if (named) expect(Number.isInteger(named.version)).to.equal(true);
+        const replica = parseReplica('replica-1', value);
+        if (replica)
+          for (const version of replica.modelVersions.values())
+            expect(Number.isInteger(version)).to.equal(true);
+      }),
+      options,
+    );
+    const half = {
+      service: 's',
+      addr: '127.0.0.1:1',
+      state: 'ready',
+      models: [{ name: 'm', version: 'x' }, 7, null],
+    };
+    expect(parseReplica('replica-1', Buffer.from(JSON.stringify(half)))?.modelVersions.size).to.equal(0);
+  });
+
+  it('reads or refuses a submission, naming the field', () => {
+    fc.assert(
+      fc.property(bytes, (value) => {
+        const parsed = parseSubmission(value);
+        if (parsed.isErr()) expect(parsed.error.field).to.not.equal('');
+      }),
+      options,
+    );
+  });
+
+  it('reads or refuses the report of a replica', () => {
+    fc.assert(
+      fc.property(bytes, (value) => {
+        const report = parseReport(value);
+        if (report)
+          for (const version of report.modelVersions.values())
+            expect(Number.isInteger(version)).to.equal(true);
+      }),
+      options,
+    );
+  });
+
+  it('reads or refuses a settings file, naming the field', () => {
+    const line = fc.tuple(
+      fc.constantFrom('node', 'zone', 'listen.front', 'listen.ready', 'platform.addr', 'bounds.graceS', 'x'),
+      fc.constantFrom('', '=', '=a', '=127.0.0.1:80', '=:', '=-1', '=9e99', '=1=2'),
+    );
+    fc.assert(
+      fc.property(fc.array(line, { maxLength: 12 }), (lines) => {
+        const parsed = parseSettingsFile(lines.map(([name, value]) => `${name}${value}`).join('\n'));
+        if (parsed.isErr()) expect(parsed.error.field).to.not.equal('');
+      }),
+      options,
+    );
+  });
+
+  it('gives the same events wherever a stream is cut', () => {
+    const event = fc.tuple(fc.nat(99), fc.string(), fc.constantFrom('\n', '\r\n'));
+    fc.assert(
+      fc.property(
+        fc.array(event, { maxLength: 6 }),
+        fc.array(fc.nat(200), { maxLength: 8 }),
+        (events, cuts) => {
+          const data = (text: string) => text.replaceAll(/[\r\n]/g, ' ');
+          const stream = Buffer.from(
+            events.map(([id, text, end]) => `id: ${id}${end}data: ${data(text)}${end}${end}`).join(''),
+            'utf8',
+          );
+          const places = [...new Set(cuts.map((cut) => cut % (stream.length + 1)))].sort((a, b) => a - b);
+          const parser = new EventStreamParser();
+          const found: StreamEvent[] = [];
+          for (const [at, place] of [...places, stream.length].entries())
+            found.push(...parser.push(stream.subarray(places[at - 1] ?? 0, place)));
+          expect(found.map(({ id }) => id)).to.deep.equal(events.map(([id]) => String(id)));
+          expect(found.map((one) => one.data)).to.deep.equal(events.map(([, text]) => data(text)));
+          expect(parser.hasRemainder).to.equal(false);
+        },
+      ),
+      options,
+    );
+  });
+
+  it('throws nothing but its own error at bytes that are no events, and keeps them bounded', () => {
+    fc.assert(
+      fc.property(fc.array(fc.uint8Array({ maxLength: 100 }), { maxLength: 5 }), (chunks) => {
+        const parser = new EventStreamParser();
+        for (const chunk of chunks) parser.push(Buffer.from(chunk));
+      }),
+      options,
+    );
+    const parser = new EventStreamParser();
+    const piece = Buffer.alloc(1024 * 1024, 'a');
+    expect(() => {
+      for (let count = 0; count < 8; count += 1) parser.push(piece);
+    }).to.throw(EventStreamError);
+  });
+});
--- a/test/service-jobs.test.ts
+++ b/test/service-jobs.test.ts
@@ -326,6 +326,18 @@
     expect(fresh?.received.length).to.be.at.least(6);
   });
 
+  it('takes no event whose version cannot be read', async () => {
+    const engine = await system.addEngine();
+    await system.addApplication();
+    engine.unreadableVersions = 2;
+    const urls = await startNodes(1);
+    expect(await system.trainer.submit(urls[0] as string, job('job-1'))).to.equal(202);
+    const results = await system.trainer.readAll(urls, 'job-1', 6);
+    expectWhole(results, job('job-1'));
+    for (const result of results) expect(result.versions).to.deep.equal([1]);
+    expect(engine.received.filter((run) => run.lastEventId === '1').length).to.equal(2);
+  });
+
   it('keeps a submission that is larger than a record', async () => {
     await Promise.all([system.addEngine({ slots: 8 }), system.addApplication({ slots: 50 })]);
     const urls = await startNodes(2);
