--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -62,7 +62,8 @@
     private readonly duty: string,
     private readonly self: JobOwner,
     private readonly sessions: SessionMonitor,
-    private readonly apartMs: number,
+    /** Time that the acts of two holders must be apart, milliseconds. */
+    private readonly apartMs: () => number,
     private readonly logger: DecisionLogger,
   ) {}
 
@@ -154,7 +155,7 @@
   private earliestAct(content: LeaseContent): number {
     const hasOwnActs = content.holder.node === this.self.node && content.acts > 0;
     if (content.epoch === 0 || hasOwnActs) return 0;
-    return this.lastActSeenMs + content.validMs + this.apartMs + APART_MARGIN_MS;
+    return this.lastActSeenMs + content.validMs + this.apartMs() + APART_MARGIN_MS;
   }
 
   private async write(version: number, content: LeaseContent): Promise<boolean> {
--- a/src/coordination/job-owner.ts
+++ b/src/coordination/job-owner.ts
@@ -32,7 +32,7 @@
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
   /** How long results stay readable after a job was accepted, milliseconds. */
-  readonly retentionMs: number;
+  readonly retentionMs: () => number;
 }
 
 /** All jobs that this node knows, and those that it runs. */
@@ -252,7 +252,8 @@
   private scheduleRemoval(head: JobHead): void {
     if (head.record.owner !== null && head.record.owner.node !== this.self.node) return;
     const ageMs = this.services.store.nowMs() - head.record.acceptedAtMs;
-    const delayMs = Math.max(0, this.services.retentionMs - ageMs) + this.services.retentionMs / 4;
+    const retentionMs = this.services.retentionMs();
+    const delayMs = Math.max(0, retentionMs - ageMs) + retentionMs / 4;
     const timer = setTimeout(() => void this.services.repository.remove(head), delayMs);
     timer.unref();
   }
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -46,7 +46,8 @@
 
 /** What an adapter brings. */
 export interface ServiceNodeParts {
-  readonly settings: ServiceSettings;
+  /** The settings in force; they may be read again while the node runs. */
+  readonly settings: () => ServiceSettings;
   readonly store: RecordStore;
   readonly client: ReplicaClient;
   readonly format: AnnouncementFormat;
@@ -81,7 +82,8 @@
   private openRequests = 0;
 
   constructor(private readonly parts: ServiceNodeParts) {
-    const { settings, store, client, format, parseSubmission, metrics, logger } = parts;
+    const { store, client, format, parseSubmission, metrics, logger } = parts;
+    const settings = parts.settings();
     const self: JobOwner = { node: settings.nodeName, life: uniqueId() };
     const splitter = new TargetSplitter();
     const exchange = new ReplicaExchange(client, metrics, logger);
@@ -108,12 +110,13 @@
         parseSubmission,
         store,
         sessions: this.sessions,
-        retentionMs: settings.resultRetentionMs,
+        retentionMs: () => parts.settings().resultRetentionMs,
       },
       self,
     );
     this.jobs = new JobCalls({ repository, ownership: this.ownership, cache, parseSubmission, logger });
-    this.orderLease = new DutyLease(store, ORDERS_DUTY, self, this.sessions, settings.leaseMs, logger);
+    const apartMs = () => parts.settings().leaseMs;
+    this.orderLease = new DutyLease(store, ORDERS_DUTY, self, this.sessions, apartMs, logger);
     this.sessions.onPoll((records) => this.orderLease.observe(records, this.hasModels && !this.isDraining));
     this.orders = new WeightOrders({
       routing: this.routing,
@@ -179,7 +182,7 @@
     if (this.isDraining) return;
     this.isDraining = true;
     const startedAt = monotonicMs();
-    const { stopGraceMs } = this.parts.settings;
+    const { stopGraceMs } = this.parts.settings();
     this.ownership.stopClaiming();
     await Promise.all([this.sessions.announceLeaving(), this.orderLease.resign()]);
     await this.waitUntil(() => this.ownership.ownedCount === 0, startedAt + stopGraceMs * FINISH_FRACTION);
--- a/src/node/service-process.ts
+++ b/src/node/service-process.ts
@@ -19,7 +19,7 @@
 /** What the process works with. */
 export interface ServiceProcessParts {
   readonly node: ServiceNode;
-  readonly settings: ServiceSettings;
+  readonly settings: () => ServiceSettings;
   readonly metrics: ServiceMetrics;
   readonly logger: StandardOutputLogger;
   /** Path of the question whether the node is ready. */
@@ -27,10 +27,20 @@
   /** Port of the metrics; none are served without it. */
   readonly metricsPort: number | undefined;
   readonly serve: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
-  /** Reads the settings again; throws when they are wrong. */
+  /** Reads the settings again and puts them in force; throws when they are wrong. */
   readonly reload: () => { settings: ServiceSettings; unusedFields: number };
 }
 
+/** Settings that take effect while the process runs. */
+const RELOADABLE = ['stopGraceMs', 'leaseMs', 'resultRetentionMs'] as const;
+
+/** What a new reading of the settings changes, one text a setting. */
+function changedSettings(before: ServiceSettings, after: ServiceSettings): string[] {
+  return RELOADABLE.filter((name) => before[name] !== after[name]).map(
+    (name) => `${name} ${before[name]} to ${after[name]}`,
+  );
+}
+
 /** Runs a node in this process. */
 export class ServiceProcess {
   private readonly callers: HttpServer;
@@ -56,10 +66,10 @@
 
   /** Listens and serves until a signal ends the process. */
   async run(detail: string): Promise<void> {
-    const { node, settings, logger, metricsPort } = this.parts;
+    const { node, logger, metricsPort } = this.parts;
     this.handleSignals();
     node.start();
-    const { ingress, readiness } = settings;
+    const { ingress, readiness } = this.parts.settings();
     const readinessPort = await this.readiness.listen(readiness.host, readiness.port);
     const ingressPort = await this.callers.listen(ingress.host, ingress.port);
     const metrics = metricsPort === undefined ? 0 : await this.serveMetrics(ingress.host, metricsPort);
@@ -149,8 +159,9 @@
 
   private reload(): void {
     try {
-      const { unusedFields } = this.parts.reload();
-      const detail = `${unusedFields} unused fields`;
+      const before = this.parts.settings();
+      const { settings, unusedFields } = this.parts.reload();
+      const detail = [...changedSettings(before, settings), `${unusedFields} unused fields`].join(', ');
       this.parts.logger.record({ event: 'process-changed', change: 'settings read again', detail });
     } catch (cause) {
       this.reportDefect('settings are wrong, the old ones stay', cause);
--- a/test/service-requests.test.ts
+++ b/test/service-requests.test.ts
@@ -1,10 +1,13 @@
 /** Requests of callers through serving nodes: routing, whole answers, retries, refusals, limits, planned stops. */
+import { spawnSync } from 'node:child_process';
+import { readFileSync, writeFileSync } from 'node:fs';
 import { expect } from 'chai';
-import { HEADER } from '../platform/names.js';
+import { HEADER, SETTINGS_VARIABLE } from '../platform/names.js';
 import {
   APPLICATION_SERVICE,
   kill,
   LOOKUP_PATH,
+  PROGRAM,
   type ServiceNodeProcess,
   ServiceSystem,
   usualConfiguration,
@@ -254,6 +257,35 @@
       node.log.some((record) => record.context.change === 'settings read again'),
     );
     expect((await system.lookup(node, 'request-1'))?.status).to.equal(200);
+    const settings = readFileSync(node.settingsFile, 'utf8');
+    writeFileSync(node.settingsFile, settings.replace('bounds.leaseMs=1000', 'bounds.leaseMs=2500'));
+    node.child.kill('SIGHUP');
+    await until('the new settings are in force', () =>
+      node.log.some((record) => String(record.context.detail).includes('leaseMs 1000 to 2500')),
+    );
+    writeFileSync(node.settingsFile, settings.replace('listen.front=', 'listen.wrong='));
+    node.child.kill('SIGHUP');
+    await until('the wrong settings are refused', () =>
+      node.log.some((record) => String(record.context.detail).includes('listen.front: is missing')),
+    );
+    expect((await system.lookup(node, 'request-2'))?.status).to.equal(200);
+  });
+
+  it('checks a settings file without starting, and names the field that is wrong', async () => {
+    await system.addApplication();
+    await startNode();
+    const check = () =>
+      spawnSync(process.execPath, [PROGRAM, '--check-settings'], {
+        env: { ...process.env, [SETTINGS_VARIABLE]: node.settingsFile },
+        encoding: 'utf8',
+      });
+    const right = check();
+    expect(right.status).to.equal(0);
+    expect(right.stdout).to.contain('the settings are right');
+    writeFileSync(node.settingsFile, readFileSync(node.settingsFile, 'utf8').replace('node=', 'name='));
+    const wrong = check();
+    expect(wrong.status).to.equal(2);
+    expect(wrong.stderr).to.contain(`${node.settingsFile}: node: is missing`);
   });
 
   it('answers bad requests with the field that is wrong', async () => {
--- a/test/support/service-system.ts
+++ b/test/support/service-system.ts
@@ -17,7 +17,8 @@
 import { FaultProxy } from './fault-proxy.js';
 import { until } from './wait.js';
 
-const PROGRAM = resolve(import.meta.dirname, '../../platform/main.js');
+/** The node program. */
+export const PROGRAM = resolve(import.meta.dirname, '../../platform/main.js');
 export const HOST = 'service.example';
 export const LOOKUP_PATH = '/lookup/';
 export const SCORING_PATH = '/score/';
@@ -42,6 +43,8 @@
   readonly readyUrl: string;
   readonly metricsUrl: string;
   readonly log: LoggedRecord[];
+  /** Path of its settings file. */
+  readonly settingsFile: string;
 }
 
 /** Fields of a route beyond the usual ones. */
@@ -136,6 +139,7 @@
       readyUrl: `http://${readiness}/ready`,
       metricsUrl: `http://${metrics}/metrics`,
       log,
+      settingsFile: file,
     };
     this.nodes.push(node);
     return node;
@@ -159,7 +163,7 @@
 
   /** Sends a lookup as a caller does; `undefined` when the connection ends without an answer. */
   async lookup(
-    node: ServiceNodeProcess,
+    node: Pick<ServiceNodeProcess, 'url'>,
     requestId: string,
     headers: Readonly<Record<string, string>> = {},
     path = `${LOOKUP_PATH}x`,
