--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,10 +1,11 @@
-/** Benchmarks: `npm run bench -- relay|control|engines|rollout|days`. Speeds live here, never in tests. */
+/** Benchmarks: `npm run bench -- relay|control|engines|rollout|days|soak`. Speeds live here, never in tests. */
 import { configureLogging } from '../src/common/logging.js';
 import { benchControl } from './control.js';
 import { runDays } from './days.js';
 import { benchEngines } from './engines.js';
 import { benchRelay } from './relay.js';
 import { benchRollout } from './rollout.js';
+import { runSoak } from './soak/index.js';
 
 const BENCHMARKS: Readonly<Record<string, () => Promise<void>>> = {
   relay: benchRelay,
@@ -14,6 +15,9 @@
   days: async () => {
     if ((await runDays(process.argv.slice(FIRST_ARGUMENT))) > 0) process.exitCode = 1;
   },
+  soak: async () => {
+    if ((await runSoak(process.argv.slice(FIRST_ARGUMENT))) > 0) process.exitCode = 1;
+  },
 };
 
 /** Place of the first argument after the benchmark's name. */
--- /dev/null
+++ b/bench/soak/checks.ts
@@ -0,0 +1,112 @@
+/** The promises, checked on what clients and stand-ins have recorded. Each check returns one line for each breach. */
+import { itemIds } from '../../emulator/clients/job-trainer.js';
+import type { ReceivedOrder, ReceivedRequest } from '../../emulator/replica/replica-server.js';
+import type { FaultSpan, History, JobHistory, LookupHistory } from './records.js';
+
+/** Statuses that promise that nothing ran and nothing will. */
+const PROMISES = new Set([408, 421, 429, 503]);
+/** Time after the end of a job from which nothing of it may reach a replica, milliseconds. */
+const END_BOUND_MS = 3_000;
+const STATUS_OK = 200;
+const STATUS_ACCEPTED = 202;
+
+/** The text that an item must have. */
+export type WholeText = (itemId: string) => string;
+
+/** What the stand-ins have recorded. */
+export interface Evidence {
+  readonly received: readonly ReceivedRequest[];
+  readonly orders: readonly ReceivedOrder[];
+  readonly wholeText: WholeText;
+  /** Least time between the orders of two holders, milliseconds. */
+  readonly apartMs: number;
+}
+
+/** All breaches. */
+export function breaches(history: History, evidence: Evidence): string[] {
+  const reached = new Set(evidence.received.map((request) => request.id));
+  return [
+    ...history.jobs.flatMap((job) => [
+      ...listingBreaches(job),
+      ...resultBreaches(job, evidence.wholeText),
+      ...refusalBreaches(job, reached),
+      ...endBreaches(job, evidence.received, history.faults),
+    ]),
+    ...history.lookups.flatMap((lookup) => lookupBreaches(lookup, reached)),
+    ...orderBreaches(evidence.orders, evidence.apartMs),
+  ];
+}
+
+/** A position never changes, no item stands twice, an accepted job stays known. */
+function listingBreaches({ job, positions, changed, denials }: JobHistory): string[] {
+  const ids = [...positions.values()].map((result) => result.id);
+  const own = new Set(itemIds(job));
+  return [
+    ...changed.map((position) => `${job.id}: position ${position} changed`),
+    ...denials.map((status) => `${job.id}: ${status} after it was accepted`),
+    ...ids.filter((id, at) => ids.indexOf(id) !== at).map((id) => `${job.id}: ${id} stands twice`),
+    ...ids.filter((id) => !own.has(id)).map((id) => `${job.id}: ${id} belongs to another job`),
+  ];
+}
+
+/** A completed result has the whole text, the score of its own call, and versions that the job allows. */
+function resultBreaches({ job, positions }: JobHistory, wholeText: WholeText): string[] {
+  const found: string[] = [];
+  for (const { id, state, text, score, versions } of positions.values()) {
+    if (state !== 'completed') continue;
+    if (text !== wholeText(id)) found.push(`${id}: the text is not whole`);
+    if (score !== `signed-${id}-score`) found.push(`${id}: the score is not that of its call`);
+    if (versions.length === 0 || versions.some((version) => version < job.minVersion))
+      found.push(`${id}: versions ${versions.join(',')}, allowed from ${job.minVersion}`);
+  }
+  return found;
+}
+
+/** A job that was only ever refused does not run. */
+function refusalBreaches({ job, statuses }: JobHistory, reached: ReadonlySet<string>): string[] {
+  if (statuses.length === 0 || !statuses.every((status) => PROMISES.has(status))) return [];
+  return itemIds(job)
+    .filter((id) => reached.has(id))
+    .map((id) => `${id}: ran although its job was only refused`);
+}
+
+/** After the end nothing of a job reaches a replica, once no trouble is on any more. */
+function endBreaches(
+  { job, endedAtMs }: JobHistory,
+  received: readonly ReceivedRequest[],
+  faults: readonly FaultSpan[],
+): string[] {
+  if (endedAtMs === undefined) return [];
+  const own = new Set(itemIds(job));
+  const late = received.filter((request) => own.has(request.id) && request.atMs > endedAtMs + END_BOUND_MS);
+  return late
+    .filter(({ atMs }) => !faults.some((span) => span.fromMs < atMs && atMs < span.untilMs + END_BOUND_MS))
+    .map(({ id }) => `${id}: reached a replica after the end of its job`);
+}
+
+/** An answer is that of the request, and a refused lookup did not run. */
+function lookupBreaches({ id, status, body }: LookupHistory, reached: ReadonlySet<string>): string[] {
+  if (status === STATUS_OK && body !== `answer to ${id}`) return [`${id}: the answer of another request`];
+  if (PROMISES.has(status) && reached.has(id)) return [`${id}: ran although it was refused`];
+  return [];
+}
+
+/** Two holders are apart by the lease time, and fencing tokens never fall. */
+function orderBreaches(orders: readonly ReceivedOrder[], apartMs: number): string[] {
+  const inOrder = [...orders].sort((left, right) => left.atMs - right.atMs);
+  return inOrder.flatMap((order, at) => {
+    const before = inOrder[at - 1];
+    if (!before || before.holder === order.holder) return [];
+    const found: string[] = [];
+    const gapMs = order.atMs - before.atMs;
+    if (gapMs < apartMs)
+      found.push(`orders of ${before.holder} and ${order.holder} ${Math.round(gapMs)} ms apart`);
+    if (order.fence <= before.fence) found.push(`fencing token ${order.fence} after ${before.fence}`);
+    return found;
+  });
+}
+
+/** Jobs that were accepted. */
+export function acceptedJobs(history: History): JobHistory[] {
+  return history.jobs.filter(({ statuses }) => statuses.includes(STATUS_ACCEPTED));
+}
--- /dev/null
+++ b/bench/soak/load.ts
@@ -0,0 +1,127 @@
+/** The clients of a soak: trainers that submit a job for each step, and callers with lookups. */
+import { itemIds, type JobTrainer, type TrainerJob } from '../../emulator/clients/job-trainer.js';
+import { monotonicMs, sleep } from '../../src/common/clock.js';
+import type { Random } from '../../src/common/random.js';
+import { HOST, JOB_PATH, SCORING_PATH, type ServiceSystem } from '../../test/support/service-system.js';
+import { type History, type JobHistory, jobHistory, notePage } from './records.js';
+
+const STEP_LIMIT_MS = 8_000;
+const SUBMIT_LIMIT_MS = 6_000;
+const PAUSE_MS = 60;
+const LOOKUP_PAUSE_MS = 40;
+const STATUS_ACCEPTED = 202;
+const GROUPS = 4;
+const GROUP_SIZE = 3;
+/** Part of the items that a trainer waits for. */
+const AWAITED = 0.9;
+
+/** Where the clients' calls may go now. */
+export type NodeUrls = () => readonly string[];
+
+/** What the clients share. */
+export interface Load {
+  readonly system: ServiceSystem;
+  readonly trainer: JobTrainer;
+  readonly nodes: NodeUrls;
+  readonly history: History;
+  readonly random: Random;
+  readonly signal: AbortSignal;
+}
+
+/** Asks step after step of one model; resolves to the number of whole steps. */
+export async function trainSteps(load: Load, model: string): Promise<number> {
+  let whole = 0;
+  for (let step = 1; !load.signal.aborted; step += 1) {
+    if (step > 1) load.system.nameVersion(step, model);
+    const job: TrainerJob = {
+      id: `${model}-step-${step}`,
+      host: HOST,
+      path: JOB_PATH,
+      model,
+      minVersion: Math.max(1, step - 1),
+      groups: GROUPS,
+      groupSize: GROUP_SIZE,
+      scoringPath: `${SCORING_PATH}x`,
+    };
+    if (await trainStep(load, jobHistory(job))) whole += 1;
+  }
+  return whole;
+}
+
+async function trainStep(load: Load, history: JobHistory): Promise<boolean> {
+  load.history.jobs.push(history);
+  if (!(await submit(load, history))) return false;
+  const deadline = monotonicMs() + STEP_LIMIT_MS;
+  const wanted = Math.ceil(itemIds(history.job).length * AWAITED);
+  while (history.positions.size < wanted && monotonicMs() < deadline) await readOnce(load, history);
+  await end(load, history);
+  return history.positions.size >= wanted;
+}
+
+async function submit(load: Load, history: JobHistory): Promise<boolean> {
+  const deadline = monotonicMs() + SUBMIT_LIMIT_MS;
+  while (monotonicMs() < deadline) {
+    const status = await load.trainer.submit(anyNode(load), history.job);
+    history.statuses.push(status);
+    if (status === STATUS_ACCEPTED) return true;
+    await sleep(PAUSE_MS);
+  }
+  return false;
+}
+
+/** Reads on from the end, and now and then from an earlier position. */
+async function readOnce(load: Load, history: JobHistory): Promise<void> {
+  const listed = history.positions.size;
+  const position = load.random.integer(4) === 0 ? load.random.integer(listed + 1) : listed;
+  const { status, page } = await load.trainer.read(anyNode(load), history.job.id, position);
+  if (page) notePage(history, position, page.results);
+  else if (status === 404 || status === 410) history.denials.push(status);
+  if (!page) await sleep(PAUSE_MS);
+}
+
+async function end(load: Load, history: JobHistory): Promise<void> {
+  for (let tries = 0; tries < 20; tries += 1) {
+    if ((await load.trainer.end(anyNode(load), history.job.id)) === 200) {
+      history.endedAtMs = monotonicMs();
+      return;
+    }
+    await sleep(PAUSE_MS);
+  }
+}
+
+/** Sends lookups until the signal. */
+export async function lookUp(load: Load, caller: string): Promise<void> {
+  for (let count = 1; !load.signal.aborted; count += 1) {
+    const id = `${caller}-${count}`;
+    const answer = await load.system.lookup({ url: anyNode(load) }, id);
+    const body = answer?.body.toString('utf8') ?? '';
+    load.history.lookups.push({ id, status: answer?.status ?? 0, body });
+    await sleep(LOOKUP_PAUSE_MS);
+  }
+}
+
+/** Reads every accepted job from the start at every node, after the last trouble. */
+export async function readAgain(load: Load, histories: readonly JobHistory[]): Promise<string[]> {
+  const unreadable: string[] = [];
+  for (const history of histories)
+    for (const node of load.nodes())
+      if (!(await readFromStart(load, history, node)))
+        unreadable.push(`${history.job.id}: cannot be read again at a node`);
+  return unreadable;
+}
+
+async function readFromStart(load: Load, history: JobHistory, node: string): Promise<boolean> {
+  const listed = history.positions.size;
+  for (let position = 0, tries = 0; position < listed; tries += 1) {
+    const { page } = await load.trainer.read(node, history.job.id, position);
+    if (tries > listed + 20) return false;
+    if (page) notePage(history, position, page.results);
+    position += page?.results.length ?? 0;
+    if (!page || page.results.length === 0) await sleep(PAUSE_MS);
+  }
+  return true;
+}
+
+function anyNode({ nodes, random }: Load): string {
+  return random.pick(nodes());
+}
--- /dev/null
+++ b/bench/soak/records.ts
@@ -0,0 +1,53 @@
+/** What a soak remembers: written by its clients, never by the nodes under test. */
+import type { ReadResult, TrainerJob } from '../../emulator/clients/job-trainer.js';
+
+/** A job as its trainer saw it. */
+export interface JobHistory {
+  readonly job: TrainerJob;
+  /** Statuses of all submissions; 0 stands for no answer. */
+  readonly statuses: number[];
+  /** First result read at each position. */
+  readonly positions: Map<number, ReadResult>;
+  /** Later reads that differed from the first one of their position. */
+  readonly changed: number[];
+  /** Statuses 404 and 410 that were read after the job had been accepted. */
+  readonly denials: number[];
+  /** When its end was acknowledged, milliseconds. */
+  endedAtMs?: number;
+}
+
+/** A lookup as its caller saw it. */
+export interface LookupHistory {
+  readonly id: string;
+  /** 0 stands for no answer. */
+  readonly status: number;
+  readonly body: string;
+}
+
+/** A span in which a trouble was on, milliseconds. */
+export interface FaultSpan {
+  readonly kind: string;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** Everything that a soak remembers. */
+export interface History {
+  readonly jobs: JobHistory[];
+  readonly lookups: LookupHistory[];
+  readonly faults: FaultSpan[];
+}
+
+/** A fresh history of a job. */
+export function jobHistory(job: TrainerJob): JobHistory {
+  return { job, statuses: [], positions: new Map(), changed: [], denials: [] };
+}
+
+/** Takes a page that was read from `position` on. */
+export function notePage(history: JobHistory, position: number, results: readonly ReadResult[]): void {
+  for (const [offset, result] of results.entries()) {
+    const known = history.positions.get(position + offset);
+    if (!known) history.positions.set(position + offset, result);
+    else if (JSON.stringify(known) !== JSON.stringify(result)) history.changed.push(position + offset);
+  }
+}
--- /dev/null
+++ b/test/soak-checks.test.ts
@@ -0,0 +1,115 @@
+/** The checks of the soak find what they are meant to find: each breach is made up, and named. */
+import { expect } from 'chai';
+import { breaches, type Evidence, type History, jobHistory, notePage } from '../bench/soak/index.js';
+import type { ReadResult, TrainerJob } from '../emulator/clients/job-trainer.js';
+import type { ReceivedOrder, ReceivedRequest } from '../emulator/replica/replica-server.js';
+
+const JOB: TrainerJob = {
+  id: 'job-1',
+  host: 'h',
+  path: '/jobs/',
+  model: 'm',
+  minVersion: 2,
+  groups: 1,
+  groupSize: 2,
+};
+
+function result(item: number, fields: Partial<ReadResult> = {}): ReadResult {
+  const id = `job-1-item-${item}`;
+  return {
+    id,
+    state: 'completed',
+    text: `text of ${id}`,
+    versions: [2],
+    score: `signed-${id}-score`,
+    ...fields,
+  };
+}
+
+function request(id: string, atMs: number): ReceivedRequest {
+  return { id, path: '/', deadlineMs: undefined, lastEventId: undefined, atMs };
+}
+
+function order(holder: string, fence: number, atMs: number): ReceivedOrder {
+  return { holder, fence, model: 'm', version: 2, expected: 0, atMs };
+}
+
+describe('checks of the soak', () => {
+  let history: History;
+  let received: ReceivedRequest[];
+  let orders: ReceivedOrder[];
+
+  beforeEach(() => {
+    const job = jobHistory(JOB);
+    job.statuses.push(202);
+    notePage(job, 0, [result(0), result(1)]);
+    job.endedAtMs = 1_000;
+    history = { jobs: [job], lookups: [{ id: 'l-1', status: 200, body: 'answer to l-1' }], faults: [] };
+    received = [request('job-1-item-0', 500), request('job-1-item-1', 3_900), request('l-1', 100)];
+    orders = [order('a', 1, 0), order('a', 1, 100), order('b', 2, 1_200)];
+  });
+
+  const job = () => history.jobs[0] as History['jobs'][number];
+
+  const found = () => {
+    const evidence: Evidence = { received, orders, wholeText: (id) => `text of ${id}`, apartMs: 1_000 };
+    return breaches(history, evidence);
+  };
+
+  it('find nothing in a sound history', () => {
+    expect(found()).to.deep.equal([]);
+  });
+
+  it('find a position that changes, and an item that stands twice', () => {
+    notePage(job(), 1, [result(0)]);
+    expect(found()).to.deep.equal(['job-1: position 1 changed']);
+    notePage(job(), 2, [result(0)]);
+    expect(found()).to.include('job-1: job-1-item-0 stands twice');
+  });
+
+  it('find a job that is denied, and an item of another job', () => {
+    job().denials.push(404);
+    notePage(job(), 2, [result(9)]);
+    expect(found()).to.include.members([
+      'job-1: 404 after it was accepted',
+      'job-1: job-1-item-9 belongs to another job',
+    ]);
+  });
+
+  for (const [what, fields] of [
+    ['the text is not whole', { text: 'text' }],
+    ['the score is not that of its call', { score: 'signed-other' }],
+    ['versions 1, allowed from 2', { versions: [1] }],
+  ] as const)
+    it(`find that ${what}`, () => {
+      job().positions.set(0, result(0, fields));
+      expect(found()).to.deep.equal([`job-1-item-0: ${what}`]);
+    });
+
+  it('find a run of a job that was only refused', () => {
+    job().statuses.splice(0, 1, 503, 429);
+    expect(found()).to.include('job-1-item-0: ran although its job was only refused');
+    job().statuses.push(0);
+    expect(found()).to.deep.equal([]);
+  });
+
+  it('find an item that comes after the end, unless a trouble was on', () => {
+    received.push(request('job-1-item-0', 4_100));
+    expect(found()).to.deep.equal(['job-1-item-0: reached a replica after the end of its job']);
+    history.faults.push({ kind: 'node-freeze', fromMs: 900, untilMs: 4_000 });
+    expect(found()).to.deep.equal([]);
+  });
+
+  it('find the answer of another request, and a refused request that ran', () => {
+    history.lookups.push(
+      { id: 'l-2', status: 200, body: 'answer to l-1' },
+      { id: 'l-1', status: 503, body: '' },
+    );
+    expect(found()).to.deep.equal(['l-2: the answer of another request', 'l-1: ran although it was refused']);
+  });
+
+  it('find two holders too close to each other, and a fencing token that does not rise', () => {
+    orders.push(order('a', 2, 1_300));
+    expect(found()).to.deep.equal(['orders of b and a 100 ms apart', 'fencing token 2 after 2']);
+  });
+});
