Metrics of items, the oldest job and duties are measured; both kinds of node share one base of metrics

Cause: `thymecove_items` and `thymecove_duties_held` were declared and never set, so on-call would have read nothing from them; the age of the oldest job was missing. `metrics.ts` and `service-metrics.ts` declared three metrics twice.

Change: the node brings its gauges up to date when they are asked for; `common/node-metrics.ts` holds what both kinds share. A job that is accepted here and given to another node says so in one line.

Ruled out: counting at each change of an item (three places to keep in step; the figures are asked for every few seconds).

Tests: "tells the items, the oldest job and the duties that it holds" waits in vain without the change, passes with it.

--- a/src/common/metrics.ts
+++ b/src/common/metrics.ts
@@ -1,13 +1,13 @@
 /** Counters, gauges and histograms of one node, in its own registry (several nodes may share a process). */
 import { collectDefaultMetrics } from 'prom-client';
-import { MetricSet } from './metric-set.js';
+import { NodeMetrics } from './node-metrics.js';
 
 const LATENCY_BUCKETS_SECONDS = [
   0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 120,
 ];
 
 /** The metrics of a node. Names follow the Prometheus conventions; every counter starts at 0. */
-export class Metrics extends MetricSet {
+export class Metrics extends NodeMetrics {
   /** Answers to callers by route and status. */
   readonly requests = this.counter('thymecove_requests_total', 'Answers by route and status', [
     'route',
@@ -15,8 +15,6 @@
   ]);
   /** Refusals by reason code. */
   readonly refusals = this.counter('thymecove_refusals_total', 'Refusals by code', ['code']);
-  /** Attempts sent to back ends by outcome. */
-  readonly attempts = this.counter('thymecove_attempts_total', 'Attempts by outcome', ['service', 'outcome']);
   /** Samples by what became of them. */
   readonly samples = this.counter('thymecove_samples_total', 'Samples by outcome', ['trainer', 'outcome']);
   /** Streams resumed on another engine after a cut. */
@@ -26,16 +24,6 @@
     'operation',
     'outcome',
   ]);
-  /** Events that a lifecycle did not take: each one is a defect. */
-  readonly lifecycleDefects = this.counter('thymecove_lifecycle_defects_total', 'Events not taken', [
-    'lifecycle',
-    'event',
-  ]);
-  /** Changes of state by lifecycle and new state. */
-  readonly transitions = this.counter('thymecove_lifecycle_transitions_total', 'State changes', [
-    'lifecycle',
-    'state',
-  ]);
   /** Configuration revision in force on this node. */
   readonly configRevision = this.gauge('thymecove_config_revision', 'Configuration revision in force');
   /** Members that this node believes alive. */
--- a/src/common/service-metrics.ts
+++ b/src/common/service-metrics.ts
@@ -1,10 +1,10 @@
 /** Counters, gauges and latency histograms of a node that serves routes and jobs. Label sets are bounded. */
-import { MetricSet } from './metric-set.js';
+import { NodeMetrics } from './node-metrics.js';
 
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
 
 /** The metrics of a node. Names follow the Prometheus conventions. */
-export class ServiceMetrics extends MetricSet {
+export class ServiceMetrics extends NodeMetrics {
   constructor() {
     super(LATENCY_BUCKETS_SECONDS);
   }
@@ -16,8 +16,6 @@
   ]);
   /** Time from a request to its answer. */
   readonly requestSeconds = this.histogram('thymecove_request_seconds', 'Time to the answer', ['route']);
-  /** Attempts at replicas by service and outcome. */
-  readonly attempts = this.counter('thymecove_attempts_total', 'Attempts by outcome', ['service', 'outcome']);
   /** Calls of the store by kind and outcome. */
   readonly storeCalls = this.counter('thymecove_store_calls_total', 'Store calls', ['call', 'outcome']);
   /** Time of calls of the store. */
@@ -30,24 +28,20 @@
   readonly configVersion = this.gauge('thymecove_config_version', 'Configuration in force', []);
   /** Jobs that this node runs. */
   readonly ownedJobs = this.gauge('thymecove_owned_jobs', 'Jobs that this node runs', []);
-  /** Items of the jobs that this node runs, by state. */
+  /** Items of the jobs that this node runs: `open` ones are not listed yet, `waiting` ones among them have no replica. */
   readonly items = this.gauge('thymecove_items', 'Items by state', ['state']);
+  /** Age of the oldest job that this node runs, 0 without one. */
+  readonly oldestJobSeconds = this.gauge(
+    'thymecove_oldest_job_seconds',
+    'Age of the oldest job run here',
+    [],
+  );
   /** Time from acceptance of a job to the listing of a result. */
   readonly listedSeconds = this.histogram('thymecove_result_listed_seconds', 'Time to a listed result', []);
   /** Orders to replicas by outcome. */
   readonly orders = this.counter('thymecove_orders_total', 'Orders to replicas', ['outcome']);
   /** Duties held by this node. */
   readonly dutiesHeld = this.gauge('thymecove_duties_held', 'Duties held', []);
-  /** Events that a lifecycle did not take: each one is a defect. */
-  readonly lifecycleDefects = this.counter('thymecove_lifecycle_defects_total', 'Events not taken', [
-    'lifecycle',
-    'event',
-  ]);
-  /** Changes of state by lifecycle and new state. */
-  readonly transitions = this.counter('thymecove_lifecycle_transitions_total', 'State changes', [
-    'lifecycle',
-    'state',
-  ]);
   /** Delay of the event loop. */
   readonly loopDelay = this.gauge('thymecove_loop_delay_seconds', 'Delay of the event loop', []);
   /** Resident memory of the process. */
--- a/src/coordination/job-owner.ts
+++ b/src/coordination/job-owner.ts
@@ -58,6 +58,18 @@
     return this.runs.size;
   }
 
+  /** Items of the jobs run here that are not finished. */
+  get openItems(): number {
+    let count = 0;
+    for (const run of this.runs.values()) count += run.openItems;
+    return count;
+  }
+
+  /** Age of the oldest job run here, milliseconds; 0 without one. */
+  get oldestAgeMs(): number {
+    return Math.max(0, ...[...this.runs.values()].map((run) => run.ageMs));
+  }
+
   /** Whether this node runs jobs or ran one lately, so that others may give it the next. */
   get isWarm(): boolean {
     return this.runs.size > 0 || monotonicMs() - this.lastOwnedMs < WARM_MS;
@@ -104,6 +116,8 @@
     const known = this.heads.get(head.jobId);
     if (known && known.version > head.version) return;
     if (this.isMine(head)) this.start(head, specification);
+    else
+      this.report(head, 'accepted here', head.record.owner ? 'owner of the job before' : 'this node leaves');
     this.note(head);
   }
 
--- a/src/coordination/job-run.ts
+++ b/src/coordination/job-run.ts
@@ -36,6 +36,7 @@
 export class JobRun {
   private readonly controller = new AbortController();
   private readonly running = new Map<string, ItemRun>();
+  private readonly startedAtMs = monotonicMs();
   private loaded = false;
 
   constructor(
@@ -47,11 +48,16 @@
     setMaxListeners(0, this.controller.signal);
   }
 
-  /** Items that are not listed yet. */
+  /** Items that are not finished yet. */
   get openItems(): number {
     return this.running.size;
   }
 
+  /** Time since the job was accepted, milliseconds. */
+  get ageMs(): number {
+    return this.storeAgeMs + monotonicMs() - this.startedAtMs;
+  }
+
   /** Whether what was listed before is known. */
   get isLoaded(): boolean {
     return this.loaded;
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -41,6 +41,7 @@
 /** Callers are moved to other nodes within this time after the node says that it is not ready, milliseconds. */
 const MOVE_AWAY_MS = 3_000;
 const DRAIN_POLL_MS = 50;
+const MILLISECONDS_PER_SECOND = 1000;
 /** Part of the time until the process is killed after which it ends by itself. */
 const END_FRACTION = 0.9;
 
@@ -72,6 +73,7 @@
   readonly relay: ServiceRelay;
   readonly jobs: JobCalls;
   private readonly versions = new WeightVersions();
+  private readonly placement: Placement;
   private readonly ownership: JobOwnership;
   private readonly sessions: SessionMonitor;
   private readonly orderLease: DutyLease;
@@ -96,11 +98,12 @@
       () => this.ownership.isWarm || this.orderLease.isHeld,
       () => this.ownership.hasForeignJobs || this.hasModels,
     );
+    this.placement = new Placement(this.directory, settings.zone);
     this.ownership = new JobOwnership(
       {
         routing: this.routing,
         splitter,
-        placement: new Placement(this.directory, settings.zone),
+        placement: this.placement,
         client,
         scorer: new SampleScorer(this.routing, this.directory, this.relay),
         metrics,
@@ -167,9 +170,15 @@
     }
   }
 
-  /** Time since the last answer of each feed, milliseconds. */
-  feedAges(): readonly { table: string; ageMs: number }[] {
-    return this.feeds.map((feed) => ({ table: feed.table, ageMs: feed.ageMs }));
+  /** Brings the gauges up to date. */
+  measure(): void {
+    const { metrics } = this.parts;
+    metrics.items.set({ state: 'open' }, this.ownership.openItems);
+    metrics.items.set({ state: 'waiting' }, this.placement.waitingCount);
+    metrics.oldestJobSeconds.set({}, this.ownership.oldestAgeMs / MILLISECONDS_PER_SECOND);
+    metrics.dutiesHeld.set({}, this.orderLease.isHeld ? 1 : 0);
+    for (const feed of this.feeds)
+      metrics.feedAge.set({ table: feed.table }, feed.ageMs / MILLISECONDS_PER_SECOND);
   }
 
   /** Stops all tasks at once, as a crash would. For nodes that share a process. */
--- a/src/node/service-process.ts
+++ b/src/node/service-process.ts
@@ -122,8 +122,7 @@
     const { metrics, logger, node } = this.parts;
     metrics.memory.set({}, process.memoryUsage.rss());
     metrics.droppedLines.set({}, logger.droppedLines);
-    for (const feed of node.feedAges())
-      metrics.feedAge.set({ table: feed.table }, feed.ageMs / MILLISECONDS_PER_SECOND);
+    node.measure();
   }
 
   private pulse(): void {
--- a/test/service-requests.test.ts
+++ b/test/service-requests.test.ts
@@ -5,8 +5,11 @@
 import { HEADER, SETTINGS_VARIABLE } from '../platform/names.js';
 import {
   APPLICATION_SERVICE,
+  HOST,
+  JOB_PATH,
   kill,
   LOOKUP_PATH,
+  MODEL,
   PROGRAM,
   type ServiceNodeProcess,
   ServiceSystem,
@@ -317,6 +320,24 @@
     expect(message).to.contain('ended with 2');
   });
 
+  it('tells the items, the oldest job and the duties that it holds', async () => {
+    await system.addEngine({ events: 2_000, workMs: 20 });
+    await startNode();
+    const trainer = { host: HOST, path: JOB_PATH, model: MODEL, minVersion: 1, groups: 3, groupSize: 2 };
+    expect(await system.trainer.submit(node.url, { id: 'job-1', ...trainer })).to.equal(202);
+    system.nameVersion(1);
+    const metrics = async () => {
+      const answer = await system.http.exchange({ method: 'GET', url: node.metricsUrl });
+      return answer.isOk() ? answer.value.body.toString() : '';
+    };
+    await until('the items are counted', async () =>
+      /thymecove_items\{state="open"\} 6\n/.test(await metrics()),
+    );
+    await until('four run', async () => /thymecove_items\{state="waiting"\} 2\n/.test(await metrics()));
+    await until('the duty is held', async () => /thymecove_duties_held 1\n/.test(await metrics()));
+    expect(Number(/^thymecove_oldest_job_seconds (\S+)/m.exec(await metrics())?.[1])).to.be.greaterThan(0);
+  });
+
   it('serves metrics', async () => {
     await system.addApplication();
     await startNode();
