After a decline a replica is asked by one request, not by all that wait

Cause: replicas decline requests while they load weights or are full.

Change: after a decline a replica gets one request at a time until one is taken (the head of its stream) or ends without telling; then all that fit. An announcement with a new version ends the pause: the load is over. A pause for fullness is kept apart from suspicion after failures.

Ruled out: asking the replica's report before each wave (a priced question each); telling all nodes of orders under way (a write for each order).

Tests: test/placement.test.ts; without the change the first two fail, the third as it stands now was not run without it.

--- a/src/coordination/generation-attempt.ts
+++ b/src/coordination/generation-attempt.ts
@@ -20,6 +20,8 @@
   /** Longest silence before the attempt is broken off, milliseconds. */
   readonly stallMs: number;
   readonly priority?: number;
+  /** Called when the replica has taken the request. */
+  readonly onTaken: () => void;
   readonly signal: AbortSignal;
 }
 
@@ -126,6 +128,7 @@
   }
   watch.heard();
   const answer = sent.value;
+  if (answer.status === 200 && answer.isForRequest) terms.onTaken();
   if (answer.status === 200) return streamEvents(client, state, answer, text, terms, watch);
   return judgeRefusal(answer);
 }
--- a/src/coordination/item-run.ts
+++ b/src/coordination/item-run.ts
@@ -135,6 +135,7 @@
       minVersion,
       isSingleVersion: route.isSingleVersion,
       deadlineMs: Math.min(DEFAULT_DEADLINE_MS, Math.max(1_000, route.maxQueueMs - this.ageMs)),
+      onTaken: () => placement.noteTaken(state),
       stallMs: Math.max(MIN_STALL_MS, route.targetLatencyMs * STALL_FACTOR),
       signal: this.job.signal,
     });
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -62,9 +62,16 @@
     });
   }
 
+  /** Looks at the waiting requests again: a replica has taken a request. */
+  noteTaken(state: ReplicaState): void {
+    state.noteTaken();
+    this.schedule();
+  }
+
   /** Gives a slot back. */
   release(state: ReplicaState): void {
     state.inFlight -= 1;
+    state.noteUntold();
     this.schedule();
   }
 
@@ -100,6 +107,7 @@
         continue;
       }
       state.inFlight += 1;
+      state.noteSent();
       waiter.resolve(state);
     }
     this.waiters = still;
@@ -114,7 +122,7 @@
       zone: this.zone,
       preferredId: request.preferredId(),
       allowsSuspected: false,
-      accepts: (state) => state.inFlight < request.slots(state) && request.accepts(state),
+      accepts: (state) => state.admitsMore && state.inFlight < request.slots(state) && request.accepts(state),
     });
   }
 
--- a/src/state/replica-directory.ts
+++ b/src/state/replica-directory.ts
@@ -23,6 +23,8 @@
   private failures = 0;
   private declines = 0;
   private avoidUntilMs = 0;
+  private pausedUntilMs = 0;
+  private isProbed = false;
 
   constructor(public replica: Replica) {}
 
@@ -31,13 +33,35 @@
   }
 
   get isSuspected(): boolean {
-    return monotonicMs() < this.avoidUntilMs;
+    return monotonicMs() < Math.max(this.avoidUntilMs, this.pausedUntilMs);
+  }
+
+  /** Whether it may get one more request: after a decline only one at a time, until one is taken. */
+  get admitsMore(): boolean {
+    return this.declines === 0 || !this.isProbed;
+  }
+
+  /** A request was sent whose answer tells whether it takes requests again. */
+  noteSent(): void {
+    this.isProbed = this.declines > 0;
+  }
+
+  /** It took a request. */
+  noteTaken(): void {
+    this.declines = 0;
+    this.pausedUntilMs = 0;
+    this.isProbed = false;
+  }
+
+  /** The request that should tell whether it takes requests ended without telling. */
+  noteUntold(): void {
+    this.isProbed = false;
   }
 
   noteSuccess(tookMs: number): void {
     this.failures = 0;
-    this.declines = 0;
     this.avoidUntilMs = 0;
+    this.noteTaken();
     this.averageMs =
       this.averageMs === 0 ? tookMs : this.averageMs + (tookMs - this.averageMs) * AVERAGE_WEIGHT;
   }
@@ -50,10 +74,11 @@
 
   /** Avoids the replica for a while without counting a failure: it said that it is full. Longer each time. */
   pause(durationMs: number): void {
+    this.isProbed = false;
     if (this.isSuspected) return;
     const delay = Math.min(PAUSE_MAX_MS, durationMs * 2 ** this.declines);
     this.declines += 1;
-    this.avoidUntilMs = monotonicMs() + delay;
+    this.pausedUntilMs = monotonicMs() + delay;
   }
 
   /** Weight version of `model` that the replica has, 0 when unknown. */
@@ -91,7 +116,7 @@
   /** Adds a replica or takes its newer announcement. */
   set(replica: Replica): void {
     const existing = this.states.get(replica.id);
-    if (existing) existing.replica = replica;
+    if (existing) this.update(existing, replica);
     else this.add(replica);
     this.notify();
   }
@@ -148,6 +173,14 @@
     return best;
   }
 
+  /** A replica whose versions have changed has ended a load: it takes requests again. */
+  private update(state: ReplicaState, replica: Replica): void {
+    const before = state.replica.modelVersions;
+    state.replica = replica;
+    for (const [model, version] of replica.modelVersions)
+      if (before.get(model) !== version) state.noteTaken();
+  }
+
   private add(replica: Replica): void {
     const state = new ReplicaState(replica);
     this.states.set(replica.id, state);
--- /dev/null
+++ b/test/placement.test.ts
@@ -0,0 +1,100 @@
+/** Placement on replicas that declined: one request asks whether they take requests again, the others wait. */
+import { setImmediate as turn } from 'node:timers/promises';
+import { expect } from 'chai';
+import { Placement } from '../src/coordination/placement.js';
+import type { Replica } from '../src/protocol/replica.js';
+import { ReplicaDirectory, type ReplicaState } from '../src/state/replica-directory.js';
+import { until } from './support/wait.js';
+
+const SLOTS = 8;
+const PAUSE_MS = 30;
+const LONG_PAUSE_MS = 60_000;
+
+const REPLICA: Replica = {
+  id: 'r1',
+  service: 's',
+  address: '127.0.0.1:1',
+  zone: 'z',
+  slots: SLOTS,
+  isDraining: false,
+  modelVersions: new Map([['m', 1]]),
+};
+
+describe('placement', () => {
+  let directory: ReplicaDirectory;
+  let placement: Placement;
+  let placed: ReplicaState[];
+
+  beforeEach(() => {
+    directory = new ReplicaDirectory();
+    directory.set(REPLICA);
+    placement = new Placement(directory, 'z');
+    placed = [];
+  });
+
+  function wait(count: number): void {
+    for (let index = 0; index < count; index += 1)
+      void placement
+        .acquire({
+          service: () => 's',
+          slots: () => SLOTS,
+          accepts: () => true,
+          preferredId: () => undefined,
+          rank: 1,
+          signal: new AbortController().signal,
+        })
+        .then((state) => state && placed.push(state));
+  }
+
+  /** Lets the placement look at the waiting requests again, several times. */
+  async function lookAgain(): Promise<void> {
+    for (let index = 0; index < 5; index += 1) {
+      directory.set(REPLICA);
+      await turn();
+    }
+  }
+
+  /** One request was sent and declined; the pause after it is over once another is sent. */
+  async function declineFirst(): Promise<ReplicaState> {
+    wait(1);
+    await until('the first is sent', () => placed.length === 1);
+    const [state] = placed as [ReplicaState];
+    placement.release(state);
+    state.pause(PAUSE_MS);
+    placed = [];
+    return state;
+  }
+
+  it('sends one request after a decline, and all others once that one is taken', async () => {
+    const state = await declineFirst();
+    wait(5);
+    await until('one is sent', () => placed.length === 1);
+    await lookAgain();
+    expect(placed).to.have.length(1);
+    placement.noteTaken(state);
+    await until('all are sent', () => placed.length === 5);
+    expect(state.inFlight).to.equal(5);
+  });
+
+  it('sends the next one when the first one ended without telling', async () => {
+    const state = await declineFirst();
+    wait(2);
+    await until('one is sent', () => placed.length === 1);
+    placement.release(state);
+    await until('the other is sent', () => placed.length === 2);
+  });
+
+  it('sends all at once when the replica has a new version, because its load is over', async () => {
+    const state = await declineFirst();
+    wait(3);
+    await until('one is sent', () => placed.length === 1);
+    placement.release(state);
+    state.pause(LONG_PAUSE_MS);
+    await lookAgain();
+    expect(placed).to.have.length(1);
+    directory.set({ ...REPLICA, modelVersions: new Map([['m', 2]]) });
+    await turn();
+    await turn();
+    expect(placed).to.have.length(3);
+  });
+});
