--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,8 +1,9 @@
-/** Benchmarks: `npm run bench -- relay|control|engines|rollout|days|soak`. Speeds live here, never in tests. */
+/** Benchmarks: `npm run bench -- relay|control|engines|rollout|days|soak|logging`. Speeds live here, never in tests. */
 import { configureLogging } from '../src/common/logging.js';
 import { benchControl } from './control.js';
 import { runDays } from './days.js';
 import { benchEngines } from './engines.js';
+import { benchLogging } from './logging.js';
 import { benchRelay } from './relay.js';
 import { benchRollout } from './rollout.js';
 import { runSoak } from './soak/index.js';
@@ -12,6 +13,7 @@
   control: benchControl,
   engines: benchEngines,
   rollout: benchRollout,
+  logging: benchLogging,
   days: async () => {
     if ((await runDays(process.argv.slice(FIRST_ARGUMENT))) > 0) process.exitCode = 1;
   },
