`jobs list` and `jobs show`: batch jobs as the store has them

Cause: an operator had only logs to learn who owns a job and how far it is; while all nodes are down, nothing.

The node program loads none of it.

--- /dev/null
+++ b/src/cli/job-accounts.ts
@@ -0,0 +1,96 @@
+/** What operators see of batch jobs: one account a job, read from the store, without asking any node. */
+import { ok, type Result } from 'neverthrow';
+import type { JobHead } from '../state/job-record.js';
+import type { JobRepository } from '../state/job-repository.js';
+import type { StateError } from '../state/state-error.js';
+import { formatTable } from './output.js';
+
+const MS_PER_SECOND = 1000;
+
+/** A job in the words of an operator. */
+export interface JobAccount {
+  readonly id: string;
+  readonly state: 'open' | 'ended';
+  /** Node that runs it, empty when nobody does. */
+  readonly owner: string;
+  /** Rises with each change of the owner. */
+  readonly epoch: number;
+  readonly model: string;
+  readonly items: number;
+  readonly ageSeconds: number;
+}
+
+/** A job with what has become of its items. */
+export interface JobDetail extends JobAccount {
+  readonly listed: number;
+  readonly dead: number;
+  /** Items whose text so far is kept for the next owner. */
+  readonly keptTexts: number;
+}
+
+function toAccount({ jobId, record }: JobHead, nowMs: number): JobAccount {
+  return {
+    id: jobId,
+    state: record.state,
+    owner: record.owner?.node ?? '',
+    epoch: record.epoch,
+    model: record.model,
+    items: record.total,
+    ageSeconds: Math.round((nowMs - record.acceptedAtMs) / MS_PER_SECOND),
+  };
+}
+
+/** All jobs, the newest first. `nowMs` is asked after the jobs were read: time on the store's clock, milliseconds. */
+export async function listJobs(
+  repository: JobRepository,
+  nowMs: () => number,
+): Promise<Result<JobAccount[], StateError>> {
+  const listing = await repository.list();
+  return listing.map(({ heads }) =>
+    heads.map((head) => toAccount(head, nowMs())).sort((left, right) => left.ageSeconds - right.ageSeconds),
+  );
+}
+
+/** One job, `undefined` when there is none. */
+export async function showJob(
+  repository: JobRepository,
+  jobId: string,
+  nowMs: () => number,
+): Promise<Result<JobDetail | undefined, StateError>> {
+  const head = await repository.read(jobId);
+  if (head.isErr()) return head.map(() => undefined);
+  if (!head.value) return ok(undefined);
+  const account = toAccount(head.value, nowMs());
+  const results = await repository.contents.allResults(jobId);
+  if (results.isErr()) return results.map(() => undefined);
+  const texts = await repository.contents.texts(jobId);
+  return texts.map(({ size }) => ({
+    ...account,
+    listed: results.value.length,
+    dead: results.value.filter((result) => (JSON.parse(result) as { state: string }).state === 'dead').length,
+    keptTexts: size,
+  }));
+}
+
+/** Jobs as an aligned table. */
+export function jobTable(jobs: readonly JobAccount[]): string {
+  const head = ['JOB', 'STATE', 'OWNER', 'EPOCH', 'MODEL', 'ITEMS', 'AGE S'];
+  const rows = jobs.map(({ id, state, owner, epoch, model, items, ageSeconds }) => [
+    id,
+    state,
+    owner || '-',
+    String(epoch),
+    model,
+    String(items),
+    String(ageSeconds),
+  ]);
+  return formatTable(head, rows);
+}
+
+/** One job as an aligned table of fields. */
+export function jobDetailTable(job: JobDetail): string {
+  return formatTable(
+    ['FIELD', 'VALUE'],
+    Object.entries(job).map(([field, value]) => [field, String(value)]),
+  );
+}
--- a/test/support/service-system.ts
+++ b/test/support/service-system.ts
@@ -100,6 +100,11 @@
     return system;
   }
 
+  /** `IP:PORT` of the store. */
+  get address(): string {
+    return this.storeAddress;
+  }
+
   /** Writes a configuration as the operator does. */
   configure(configuration: object): void {
     this.store.rows.put(TABLE.operator, OPERATOR_KEY.configuration, configuration);
