--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
-/** Benchmarks: `npm run bench -- relay|control|engines|rollout|days|soak|logging`. Speeds live here, never in tests. */
+/** Benchmarks: `npm run bench -- relay|control|engines|rollout|days|soak|logging|compare`. Speeds live here, never in tests. */
 import { configureLogging } from '../src/common/logging.js';
+import { runCompare } from './compare.js';
 import { benchControl } from './control.js';
 import { runDays } from './days.js';
 import { benchEngines } from './engines.js';
@@ -13,6 +14,7 @@
   control: benchControl,
   engines: benchEngines,
   rollout: benchRollout,
+  compare: () => runCompare(process.argv.slice(FIRST_ARGUMENT)),
   logging: benchLogging,
   days: async () => {
     if ((await runDays(process.argv.slice(FIRST_ARGUMENT))) > 0) process.exitCode = 1;
