--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,8 +1,10 @@
-/** Benchmarks: `npm run bench -- relay|control|engines|rollout|days|soak`. Speeds live here, never in tests. */
+/** Benchmarks: `npm run bench -- relay|control|engines|rollout|days|soak|logging|compare`. Speeds live here, never in tests. */
 import { configureLogging } from '../src/common/logging.js';
+import { runCompare } from './compare.js';
 import { benchControl } from './control.js';
 import { runDays } from './days.js';
 import { benchEngines } from './engines.js';
+import { benchLogging } from './logging.js';
 import { benchRelay } from './relay.js';
 import { benchRollout } from './rollout.js';
 import { runSoak } from './soak/index.js';
@@ -12,6 +14,8 @@
   control: benchControl,
   engines: benchEngines,
   rollout: benchRollout,
+  compare: () => runCompare(process.argv.slice(FIRST_ARGUMENT)),
+  logging: benchLogging,
   days: async () => {
     if ((await runDays(process.argv.slice(FIRST_ARGUMENT))) > 0) process.exitCode = 1;
   },
