thymecove timeline: how the time of jobs was spent, from the logs

The lines of a job named neither how many groups its trainer waits for nor how many slots there were. Change: an owner writes a job-planned line when it begins; attempts say how long they waited for a slot; the command joins the lines into milestones, waits of the last wanted item, runs in flight by second and replica, idle time and staleness. Ruled out: listing the item ids of each batch (2.5 KB for a job); an item belongs to the first listing begun after it.

--- a/src/cli/commands/trace.ts
+++ b/src/cli/commands/trace.ts
@@ -1,18 +1,9 @@
 /** `thymecove trace`: joins the log lines of many processes into one account of a request, an item or a job. */
-import { createInterface } from 'node:readline';
 import { command, option, positional, string } from 'cmd-ts';
 import { ExitCode } from '../exit-codes.js';
+import { readLogLines } from '../log-lines.js';
 import { printNote } from '../output.js';
-import { parseLogLine, renderTrace, type TraceLine, traceOf } from '../trace.js';
-
-async function readLines(input: NodeJS.ReadableStream): Promise<TraceLine[]> {
-  const lines: TraceLine[] = [];
-  for await (const text of createInterface({ input })) {
-    const line = parseLogLine(text);
-    if (line) lines.push(line);
-  }
-  return lines;
-}
+import { renderTrace, traceOf } from '../trace.js';
 
 /** The command. */
 export const traceCommand = command({
@@ -41,7 +32,7 @@
     }),
   },
   handler: async ({ id, output }) => {
-    const trace = traceOf(id, await readLines(process.stdin));
+    const trace = traceOf(id, await readLogLines(process.stdin));
     if (trace.lines.length === 0) {
       printNote(`nothing is said of ${id}`);
       process.exitCode = ExitCode.notFound;
--- /dev/null
+++ b/src/cli/job-timeline.ts
@@ -0,0 +1,310 @@
+/**
+ * How the time of jobs was spent, from log lines. A job's clock starts at its acceptance, and every time in here is
+ * milliseconds after that unless said. Attempts that are missing from the logs are missing here as well.
+ */
+import { groupBy } from '../common/collections.js';
+import type { TraceLine } from './trace.js';
+
+/** Parts of a job's items, or of the groups that its submitter waits for, whose completion is told. */
+export const MILESTONES = [0.5, 0.9, 0.97, 1] as const;
+
+const SECOND_MS = 1000;
+const LISTED = 'listed';
+const DECLINED = 'declined';
+const WHOLE = 'whole';
+const COMPLETED = 'completed';
+const OUTCOMES: ReadonlySet<string> = new Set([COMPLETED, 'dead']);
+
+/** One run of an item at a replica. */
+interface Attempt {
+  readonly replica: string;
+  readonly outcome: string;
+  readonly startMs: number;
+  readonly endMs: number;
+}
+
+/** One transaction that listed results. */
+interface Listing {
+  readonly startMs: number;
+  readonly endMs: number;
+}
+
+/** A weight version, and when a node learnt of it (time of day, milliseconds). */
+interface NamedVersion {
+  readonly model: string;
+  readonly version: number;
+  readonly timeMs: number;
+}
+
+/** Where the time of one item went, milliseconds. */
+export interface ItemWaits {
+  /** From the job's acceptance, or from an earlier attempt, until a replica was given the item. */
+  readonly queueMs: number;
+  /** At replicas that declined it. */
+  readonly declinedMs: number;
+  /** At replicas that broke off or failed. */
+  readonly brokenMs: number;
+  /** At the replica that finished it. */
+  readonly runMs: number;
+  /** From the last event to the score. */
+  readonly scoringMs: number;
+  /** From the score to the listing. */
+  readonly listingMs: number;
+}
+
+/** One item of a job. */
+export interface ItemTimeline {
+  readonly id: string;
+  readonly group: string;
+  readonly state: string;
+  readonly events: number;
+  readonly attempts: number;
+  readonly listedMs: number;
+  readonly waits: ItemWaits;
+}
+
+/** One job. */
+export interface JobTimeline {
+  readonly jobId: string;
+  readonly model: string;
+  /** Time of day of the acceptance on the owner's clock, milliseconds. */
+  readonly acceptedAtMs: number;
+  readonly items: number;
+  readonly wantedGroups: number;
+  readonly slots: number;
+  /** Owners that the job had. */
+  readonly owners: number;
+  readonly declined: number;
+  readonly firstStartMs: number | undefined;
+  readonly lastStartMs: number | undefined;
+  /** When each of `MILESTONES` of the items was listed. */
+  readonly itemsListedMs: readonly (number | undefined)[];
+  /** When each of `MILESTONES` of the wanted groups was whole. */
+  readonly groupsWholeMs: readonly (number | undefined)[];
+  /** When the submitter ended the job; until then it had nothing new to train on. */
+  readonly endedMs: number | undefined;
+  /** The item that made the last wanted group whole. */
+  readonly lastWanted: ItemTimeline | undefined;
+  /** Mean number of runs in flight in each second. */
+  readonly inFlight: readonly number[];
+  /** The same by replica. */
+  readonly inFlightByReplica: Readonly<Record<string, readonly number[]>>;
+  /** Mean number of versions by which the oldest version of a sample was behind the newest named one when it was done. */
+  readonly staleness: number;
+}
+
+/** The jobs of one model. */
+export interface TrainerTimeline {
+  readonly model: string;
+  readonly jobs: number;
+  /** Median time from acceptance to the last wanted group, milliseconds. */
+  readonly medianWantedMs: number;
+  /** Median time from acceptance to the end of the job, milliseconds. */
+  readonly medianIdleMs: number;
+  readonly totalIdleMs: number;
+  readonly staleness: number;
+}
+
+/** All jobs of the logs. */
+export interface Timeline {
+  readonly jobs: readonly JobTimeline[];
+  readonly trainers: readonly TrainerTimeline[];
+}
+
+/** The jobs that the lines tell of, in the order of their acceptance. */
+export function timelineOf(unordered: readonly TraceLine[]): Timeline {
+  const lines = [...unordered].sort(
+    (left, right) => left.timeMs - right.timeMs || left.sequence - right.sequence,
+  );
+  const named = namedVersions(lines);
+  const jobs = [...groupBy(lines, (line) => line.fields.jobId)]
+    .flatMap(([jobId, ofJob]) => (jobId === undefined ? [] : jobOf(String(jobId), ofJob, named)))
+    .sort((left, right) => left.acceptedAtMs - right.acceptedAtMs);
+  const trainers = [...groupBy(jobs, (job) => job.model)].map(([model, own]) => trainerOf(model, own));
+  return { jobs, trainers };
+}
+
+/** Named weight versions, each as often as nodes have said it. */
+function namedVersions(lines: readonly TraceLine[]): NamedVersion[] {
+  return lines
+    .filter((line) => line.event === 'belief-changed' && line.fields.subject === 'weight-version')
+    .map(({ fields, timeMs }) => ({ model: String(fields.name), version: Number(fields.version), timeMs }));
+}
+
+/** The job, unless its plan is missing. */
+function jobOf(jobId: string, lines: readonly TraceLine[], named: readonly NamedVersion[]): JobTimeline[] {
+  const plans = lines.filter((line) => line.event === 'job-planned');
+  const plan = plans[0];
+  if (!plan) return [];
+  const acceptedAtMs = plan.timeMs - Number(plan.fields.ageMs);
+  const model = String(plan.fields.model);
+  const total = Number(plan.fields.items);
+  const wantedGroups = Number(plan.fields.wantedGroups);
+  const attempts = attemptsByItem(lines, acceptedAtMs);
+  const all = [...attempts.values()].flat();
+  const runs = all.filter(({ outcome }) => outcome !== DECLINED);
+  const starts = runs.map(({ startMs }) => startMs);
+  const items = itemsOf(lines, acceptedAtMs, attempts);
+  const whole = wholeGroups(items, Number(plan.fields.groupSize), wantedGroups);
+  const ended = lines.find(({ fields }) => fields.call === 'end' && fields.outcome === 'ended');
+  const job: JobTimeline = {
+    jobId,
+    model,
+    acceptedAtMs,
+    items: total,
+    wantedGroups,
+    slots: Number(plan.fields.slots),
+    owners: plans.length,
+    declined: all.length - runs.length,
+    firstStartMs: starts.length > 0 ? Math.min(...starts) : undefined,
+    lastStartMs: starts.length > 0 ? Math.max(...starts) : undefined,
+    itemsListedMs: milestonesOf(items, total),
+    groupsWholeMs: milestonesOf(whole, wantedGroups),
+    endedMs: ended && ended.timeMs - acceptedAtMs,
+    lastWanted: whole[wantedGroups - 1],
+    inFlight: bySecond(runs),
+    inFlightByReplica: Object.fromEntries(
+      [...groupBy(runs, ({ replica }) => replica)].map(([replica, own]) => [replica, bySecond(own)]),
+    ),
+    staleness: mean(completions(lines).map((line) => stalenessOf(line, model, named))),
+  };
+  return [job];
+}
+
+function attemptsByItem(lines: readonly TraceLine[], acceptedAtMs: number): Map<string, Attempt[]> {
+  const ended = lines.filter((line) => line.event === 'attempt-ended');
+  const byItem = groupBy(ended, ({ fields }) => String(fields.requestId));
+  return new Map(
+    [...byItem].map(([id, own]) => [id, own.map((line) => attemptOf(line, line.timeMs - acceptedAtMs))]),
+  );
+}
+
+/** The items whose outcome and listing are told. */
+function itemsOf(
+  lines: readonly TraceLine[],
+  acceptedAtMs: number,
+  attempts: ReadonlyMap<string, readonly Attempt[]>,
+): ItemTimeline[] {
+  const listings = lines
+    .filter((line) => line.event === 'results-listed' && line.fields.outcome === LISTED)
+    .map((line) => listingOf(line, line.timeMs - acceptedAtMs));
+  const outcomes = lines.filter(
+    ({ event, fields }) => event === 'item-changed' && OUTCOMES.has(String(fields.change)),
+  );
+  const byItem = groupBy(outcomes, ({ fields }) => String(fields.requestId));
+  return [...byItem].flatMap(([id, [outcome]]) =>
+    outcome ? itemOf(outcome, outcome.timeMs - acceptedAtMs, attempts.get(id) ?? [], listings) : [],
+  );
+}
+
+function completions(lines: readonly TraceLine[]): TraceLine[] {
+  return lines.filter(({ event, fields }) => event === 'item-changed' && fields.change === COMPLETED);
+}
+
+function listingOf(line: TraceLine, endMs: number): Listing {
+  return { startMs: endMs - Number(line.fields.tookMs), endMs };
+}
+
+function attemptOf(line: TraceLine, endMs: number): Attempt {
+  const startMs = endMs - Number(line.fields.tookMs);
+  return { replica: String(line.fields.replica), outcome: String(line.fields.outcome), startMs, endMs };
+}
+
+/** The item, when its listing is told. A listing that began after the outcome holds it. */
+function itemOf(
+  outcome: TraceLine,
+  atMs: number,
+  attempts: readonly Attempt[],
+  listings: readonly Listing[],
+): ItemTimeline[] {
+  const listing = listings.find(({ startMs }) => startMs >= atMs - 1);
+  if (!listing) return [];
+  const lastEndMs = attempts.at(-1)?.endMs ?? atMs;
+  const tookMs = (fits: (attempt: Attempt) => boolean) =>
+    attempts.filter(fits).reduce((sum, { startMs, endMs }) => sum + endMs - startMs, 0);
+  const declinedMs = tookMs((attempt) => attempt.outcome === DECLINED);
+  const runMs = tookMs((attempt) => attempt.outcome === WHOLE);
+  const brokenMs = tookMs(() => true) - declinedMs - runMs;
+  return [
+    {
+      id: String(outcome.fields.requestId),
+      group: String(outcome.fields.group),
+      state: String(outcome.fields.change),
+      events: Number(outcome.fields.events),
+      attempts: attempts.length,
+      listedMs: listing.endMs,
+      waits: {
+        queueMs: Math.max(0, lastEndMs - declinedMs - runMs - brokenMs),
+        declinedMs,
+        brokenMs,
+        runMs,
+        scoringMs: atMs - lastEndMs,
+        listingMs: listing.endMs - atMs,
+      },
+    },
+  ];
+}
+
+/** For each group whose items are all listed, the item listed last; in the order of these listings. */
+function wholeGroups(items: readonly ItemTimeline[], groupSize: number, wanted: number): ItemTimeline[] {
+  return [...groupBy(items, ({ group }) => group).values()]
+    .filter((group) => group.length >= groupSize)
+    .map((group) => group.reduce((last, item) => (item.listedMs > last.listedMs ? item : last)))
+    .sort((left, right) => left.listedMs - right.listedMs)
+    .slice(0, wanted);
+}
+
+function milestonesOf(items: readonly ItemTimeline[], total: number): (number | undefined)[] {
+  const sorted = items.map(({ listedMs }) => listedMs).sort((left, right) => left - right);
+  return MILESTONES.map((part) => sorted[Math.ceil(total * part) - 1]);
+}
+
+/** Mean number of attempts in flight in each second. */
+function bySecond(attempts: readonly Attempt[]): number[] {
+  const endMs = Math.max(0, ...attempts.map((attempt) => attempt.endMs));
+  return Array.from({ length: Math.ceil(endMs / SECOND_MS) }, (_, second) => {
+    const fromMs = second * SECOND_MS;
+    const busyMs = attempts.reduce(
+      (sum, attempt) =>
+        sum + Math.max(0, Math.min(attempt.endMs, fromMs + SECOND_MS) - Math.max(attempt.startMs, fromMs)),
+      0,
+    );
+    return Math.round(busyMs / SECOND_MS);
+  });
+}
+
+function stalenessOf(line: TraceLine, model: string, named: readonly NamedVersion[]): number {
+  const oldest = Number(String(line.fields.versions).split(',')[0]);
+  const newest = Math.max(
+    oldest,
+    ...named
+      .filter((entry) => entry.model === model && entry.timeMs <= line.timeMs)
+      .map(({ version }) => version),
+  );
+  return newest - oldest;
+}
+
+function trainerOf(model: string, jobs: readonly JobTimeline[]): TrainerTimeline {
+  const defined = (values: readonly (number | undefined)[]) => values.filter((value) => value !== undefined);
+  const idle = defined(jobs.map((job) => job.endedMs));
+  return {
+    model,
+    jobs: jobs.length,
+    medianWantedMs: median(defined(jobs.map((job) => job.groupsWholeMs.at(-1)))),
+    medianIdleMs: median(idle),
+    totalIdleMs: idle.reduce((sum, value) => sum + value, 0),
+    staleness: mean(jobs.map((job) => job.staleness)),
+  };
+}
+
+function mean(values: readonly number[]): number {
+  if (values.length === 0) return 0;
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  const middle = sorted.length >> 1;
+  if (sorted.length % 2 === 1) return sorted[middle] as number;
+  return sorted.length === 0 ? 0 : ((sorted[middle - 1] as number) + (sorted[middle] as number)) / 2;
+}
--- /dev/null
+++ b/src/cli/log-lines.ts
@@ -0,0 +1,13 @@
+/** Log lines of nodes from a stream. */
+import { createInterface } from 'node:readline';
+import { parseLogLine, type TraceLine } from './trace.js';
+
+/** Reads all lines; what is no log line is passed over. */
+export async function readLogLines(input: NodeJS.ReadableStream): Promise<TraceLine[]> {
+  const lines: TraceLine[] = [];
+  for await (const text of createInterface({ input })) {
+    const line = parseLogLine(text);
+    if (line) lines.push(line);
+  }
+  return lines;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -12,6 +12,7 @@
 } from './commands/inspect.js';
 import { nodeCommand } from './commands/node.js';
 import { approveCommand, drainCommand } from './commands/operate.js';
+import { timelineCommand } from './commands/timeline.js';
 import { traceCommand } from './commands/trace.js';
 import { ExitCode } from './exit-codes.js';
 
@@ -30,6 +31,7 @@
     approve: approveCommand,
     explain: explainCommand,
     status: statusCommand,
+    timeline: timelineCommand,
     trace: traceCommand,
   },
 });
--- /dev/null
+++ b/src/cli/timeline-table.ts
@@ -0,0 +1,86 @@
+/** Tables of timelines for the terminal. Times are in milliseconds. */
+import {
+  type ItemTimeline,
+  type JobTimeline,
+  MILESTONES,
+  type Timeline,
+  type TrainerTimeline,
+} from './job-timeline.js';
+import { formatTable } from './output.js';
+
+const UNKNOWN = '-';
+const PERCENT = 100;
+const ID_LENGTH = 8;
+
+const PERCENTS = MILESTONES.map((part) => `${part * PERCENT}%`);
+const JOB_HEAD = [
+  'job',
+  'first start',
+  'last start',
+  ...PERCENTS.map((percent) => `items ${percent}`),
+  ...PERCENTS.map((percent) => `wanted ${percent}`),
+  'ended',
+  'declined',
+  'owners',
+  'stale',
+];
+const LAST_HEAD = [
+  'job',
+  'last wanted item',
+  'events',
+  'queue',
+  'declined',
+  'broken',
+  'run',
+  'scoring',
+  'listing',
+];
+const LOAD_HEAD = ['job', 'slots', 'runs in flight by second'];
+const TRAINER_HEAD = ['model', 'jobs', 'median wanted', 'median idle', 'total idle', 'stale'];
+
+/** All tables of a timeline. */
+export function renderTimeline({ jobs, trainers }: Timeline): string {
+  const lasts = jobs.flatMap((job) => (job.lastWanted ? [lastRow(job, job.lastWanted)] : []));
+  return [
+    formatTable(JOB_HEAD, jobs.map(jobRow)),
+    formatTable(LAST_HEAD, lasts),
+    formatTable(
+      LOAD_HEAD,
+      jobs.map((job) => [nameOf(job), String(job.slots), job.inFlight.join(' ')]),
+    ),
+    formatTable(TRAINER_HEAD, trainers.map(trainerRow)),
+  ].join('\n\n');
+}
+
+function jobRow(job: JobTimeline): string[] {
+  return [
+    nameOf(job),
+    time(job.firstStartMs),
+    time(job.lastStartMs),
+    ...job.itemsListedMs.map(time),
+    ...job.groupsWholeMs.map(time),
+    time(job.endedMs),
+    String(job.declined),
+    String(job.owners),
+    job.staleness.toFixed(2),
+  ];
+}
+
+function lastRow(job: JobTimeline, { id, events, waits }: ItemTimeline): string[] {
+  const { queueMs, declinedMs, brokenMs, runMs, scoringMs, listingMs } = waits;
+  const times = [queueMs, declinedMs, brokenMs, runMs, scoringMs, listingMs];
+  return [nameOf(job), id.slice(0, ID_LENGTH), String(events), ...times.map(time)];
+}
+
+function trainerRow(trainer: TrainerTimeline): string[] {
+  const times = [trainer.medianWantedMs, trainer.medianIdleMs, trainer.totalIdleMs];
+  return [trainer.model, String(trainer.jobs), ...times.map(time), trainer.staleness.toFixed(2)];
+}
+
+function nameOf(job: JobTimeline): string {
+  return job.jobId.slice(0, ID_LENGTH);
+}
+
+function time(value: number | undefined): string {
+  return value === undefined ? UNKNOWN : String(Math.round(value));
+}
--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -29,6 +29,8 @@
   readonly outcome: string;
   readonly detail?: string;
   readonly tookMs: number;
+  /** Time that the request waited for a slot at a replica before. */
+  readonly waitedMs?: number;
   readonly inFlight: number;
   readonly configVersion: number;
 }
@@ -54,6 +56,27 @@
   readonly detail?: string;
 }
 
+/** An owner begins to run a job: what is asked, and what there is to run it on. */
+export interface JobPlanned {
+  readonly event: 'job-planned';
+  readonly jobId: string;
+  readonly model: string;
+  readonly minVersion: number;
+  readonly items: number;
+  /** Items of the largest group. */
+  readonly groupSize: number;
+  /** Whole groups that the submitter waits for. */
+  readonly wantedGroups: number;
+  /** Items that an earlier owner has listed, and texts that were kept. */
+  readonly listed: number;
+  readonly keptTexts: number;
+  /** Requests that all available replicas run at once. */
+  readonly slots: number;
+  /** Slots of the replicas whose version fits. */
+  readonly fittingSlots: number;
+  readonly ageMs: number;
+}
+
 /** An item of a job reached its outcome, or lost time. */
 export interface ItemChanged {
   readonly event: 'item-changed';
@@ -138,6 +161,7 @@
   | AttemptEnded
   | JobCallAnswered
   | JobChanged
+  | JobPlanned
   | ItemChanged
   | ResultsListed
   | BeliefChanged
--- a/src/coordination/item-run.ts
+++ b/src/coordination/item-run.ts
@@ -111,6 +111,7 @@
   private async attempt(route: Route): Promise<GenerationOutcome | undefined> {
     const { placement, client } = this.services;
     const { model, minVersion } = this.job.specification;
+    const queuedAt = monotonicMs();
     const chosen = this.services.splitter.next(route)?.service;
     const state = await placement.acquire({
       service: () =>
@@ -140,7 +141,8 @@
       signal: this.job.signal,
     });
     placement.release(state);
-    this.noteOutcome(state, outcome, monotonicMs() - startedAt, this.text.eventCount - eventsBefore);
+    const took = { waitedMs: startedAt - queuedAt, tookMs: monotonicMs() - startedAt };
+    this.noteOutcome(state, outcome, took, this.text.eventCount - eventsBefore);
     return outcome;
   }
 
@@ -150,11 +152,15 @@
   }
 
   private slotsOf(state: ReplicaState): number {
-    const slots = this.services.routing.current?.engineSlotsOf(state.replica.service) ?? 0;
-    return slots > 0 ? slots : state.replica.slots;
+    return this.services.routing.current?.slotsOf(state.replica) ?? state.replica.slots;
   }
 
-  private noteOutcome(state: ReplicaState, outcome: GenerationOutcome, tookMs: number, events: number): void {
+  private noteOutcome(
+    state: ReplicaState,
+    outcome: GenerationOutcome,
+    { waitedMs, tookMs }: { waitedMs: number; tookMs: number },
+    events: number,
+  ): void {
     const { service, id } = state.replica;
     if (outcome.kind === 'whole' && events > 0) state.noteSuccess(tookMs / events);
     else if (outcome.kind === 'declined' && outcome.isFull) state.pause(DECLINED_PAUSE_MS);
@@ -172,6 +178,7 @@
       outcome: outcome.kind,
       detail: `${events} events${'reason' in outcome ? `, ${outcome.reason}` : ''}`,
       tookMs: Math.round(tookMs),
+      waitedMs: Math.round(waitedMs),
       inFlight: state.inFlight,
       configVersion: this.services.routing.current?.version ?? 0,
     });
--- a/src/coordination/job-run.ts
+++ b/src/coordination/job-run.ts
@@ -1,10 +1,12 @@
 /** Runs one job as its owner: generates, scores and lists what is not listed yet, and keeps texts on the way. */
 import { setMaxListeners } from 'node:events';
 import { monotonicMs, sleep } from '../common/clock.js';
+import { groupBy } from '../common/collections.js';
 import type { DecisionLogger } from '../common/decision-logger.js';
 import type { JobItem, JobSpecification, PartialText } from '../protocol/batch-job.js';
 import type { JobHead } from '../state/job-record.js';
 import type { JobRepository } from '../state/job-repository.js';
+import type { ReplicaDirectory, ReplicaState } from '../state/replica-directory.js';
 import { type ItemJob, ItemRun, type ItemServices } from './item-run.js';
 import { type ListerServices, ResultLister } from './result-lister.js';
 
@@ -19,6 +21,7 @@
 /** What a run works with. */
 export interface JobRunServices extends ItemServices, ListerServices {
   readonly repository: JobRepository;
+  readonly directory: ReplicaDirectory;
   readonly logger: DecisionLogger;
   readonly parseSubmission: SubmissionParser;
 }
@@ -87,6 +90,7 @@
     if (!loaded) return this.controller.signal.aborted ? 'stopped' : 'unreadable';
     const { specification, listedIds, texts } = loaded;
     this.loaded = true;
+    this.reportPlan(loaded);
     const acceptedAtMs = monotonicMs() - this.storeAgeMs;
     const lister = new ResultLister(
       this.services,
@@ -137,6 +141,39 @@
     }
   }
 
+  private reportPlan({ specification, listedIds, texts }: LoadedJob): void {
+    const { model, minVersion, desiredGroups, items } = specification;
+    const groups = groupBy(items, ({ group }) => group);
+    const states = this.replicas();
+    this.services.logger.record({
+      event: 'job-planned',
+      jobId: this.head.jobId,
+      model,
+      minVersion,
+      items: items.length,
+      groupSize: Math.max(0, ...[...groups.values()].map((group) => group.length)),
+      wantedGroups: desiredGroups,
+      listed: listedIds.size,
+      keptTexts: texts.size,
+      slots: this.slotsOf(states),
+      fittingSlots: this.slotsOf(states.filter((state) => state.versionOf(model) >= minVersion)),
+      ageMs: Math.round(this.ageMs),
+    });
+  }
+
+  /** Available replicas of the services that the job's route leads to. */
+  private replicas(): ReplicaState[] {
+    const { routing, directory } = this.services;
+    const { host, path } = this.head.record;
+    const targets = routing.current?.match(host, path)?.targets ?? [];
+    return targets.flatMap(({ service }) => directory.availableOf(service));
+  }
+
+  private slotsOf(states: readonly ReplicaState[]): number {
+    const snapshot = this.services.routing.current;
+    return states.reduce((sum, state) => sum + (snapshot?.slotsOf(state.replica) ?? 0), 0);
+  }
+
   /** Reads the job until the store answers; `undefined` when it is stopped or cannot be read. */
   private async load(): Promise<LoadedJob | undefined> {
     if (this.knownSpecification)
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -104,6 +104,7 @@
         routing: this.routing,
         splitter,
         placement: this.placement,
+        directory: this.directory,
         client,
         scorer: new SampleScorer(this.routing, this.directory, this.relay),
         metrics,
--- a/src/state/routing-table.ts
+++ b/src/state/routing-table.ts
@@ -1,4 +1,5 @@
 /** The configuration in force, indexed by host and path prefix. It never goes back to an older version. */
+import type { Replica } from '../protocol/replica.js';
 import type {
   CallerLimits,
   Route,
@@ -48,9 +49,9 @@
     return this.modelServices.get(model) ?? [];
   }
 
-  /** Requests that an engine of `service` runs at once; 0 when it is no engine. */
-  engineSlotsOf(service: string): number {
-    return this.engineSlots.get(service) ?? 0;
+  /** Requests that a replica runs at once: as the engine of its service is configured, else as it announces. */
+  slotsOf(replica: Replica): number {
+    return this.engineSlots.get(replica.service) || replica.slots;
   }
 
   private prefixesOf(host: string): Map<string, Route> {
