--- a/src/cli/job-timeline.ts
+++ b/src/cli/job-timeline.ts
@@ -23,6 +23,15 @@
   readonly endMs: number;
 }
 
+/** The lines of a job. */
+interface PlannedJob {
+  readonly jobId: string;
+  readonly lines: readonly TraceLine[];
+  readonly plan: TraceLine;
+  readonly owners: number;
+  readonly acceptedAtMs: number;
+}
+
 /** One transaction that listed results. */
 interface Listing {
   readonly startMs: number;
@@ -74,6 +83,8 @@
   readonly slots: number;
   /** Owners that the job had. */
   readonly owners: number;
+  /** Groups that an earlier job left unfinished. The submitter waits for all of them. */
+  readonly carriedGroups: number;
   readonly declined: number;
   readonly firstStartMs: number | undefined;
   readonly lastStartMs: number | undefined;
@@ -117,9 +128,11 @@
     (left, right) => left.timeMs - right.timeMs || left.sequence - right.sequence,
   );
   const named = namedVersions(lines);
+  const seenItems = new Set<string>();
   const jobs = [...groupBy(lines, (line) => line.fields.jobId)]
-    .flatMap(([jobId, ofJob]) => (jobId === undefined ? [] : jobOf(String(jobId), ofJob, named)))
-    .sort((left, right) => left.acceptedAtMs - right.acceptedAtMs);
+    .flatMap(([jobId, ofJob]) => (jobId === undefined ? [] : plannedJob(String(jobId), ofJob)))
+    .sort((left, right) => left.acceptedAtMs - right.acceptedAtMs)
+    .map((planned) => jobOf(planned, named, seenItems));
   const trainers = [...groupBy(jobs, (job) => job.model)].map(([model, own]) => trainerOf(model, own));
   return { jobs, trainers };
 }
@@ -131,12 +144,22 @@
     .map(({ fields, timeMs }) => ({ model: String(fields.name), version: Number(fields.version), timeMs }));
 }
 
-/** The job, unless its plan is missing. */
-function jobOf(jobId: string, lines: readonly TraceLine[], named: readonly NamedVersion[]): JobTimeline[] {
+/** A job with its lines, unless its plan is missing. */
+function plannedJob(jobId: string, lines: readonly TraceLine[]): PlannedJob[] {
   const plans = lines.filter((line) => line.event === 'job-planned');
   const plan = plans[0];
   if (!plan) return [];
-  const acceptedAtMs = plan.timeMs - Number(plan.fields.ageMs);
+  return [
+    { jobId, lines, plan, owners: plans.length, acceptedAtMs: plan.timeMs - Number(plan.fields.ageMs) },
+  ];
+}
+
+/** `seenItems` are those of earlier jobs; those of this one are added. */
+function jobOf(
+  { jobId, lines, plan, owners, acceptedAtMs }: PlannedJob,
+  named: readonly NamedVersion[],
+  seenItems: Set<string>,
+): JobTimeline {
   const model = String(plan.fields.model);
   const total = Number(plan.fields.items);
   const wantedGroups = Number(plan.fields.wantedGroups);
@@ -145,16 +168,19 @@
   const runs = all.filter(({ outcome }) => outcome !== DECLINED);
   const starts = runs.map(({ startMs }) => startMs);
   const items = itemsOf(lines, acceptedAtMs, attempts);
-  const whole = wholeGroups(items, Number(plan.fields.groupSize), wantedGroups);
+  const carried = new Set(items.filter(({ id }) => seenItems.has(id)).map(({ group }) => group));
+  for (const id of attempts.keys()) seenItems.add(id);
+  const whole = wholeGroups(items, Number(plan.fields.groupSize), wantedGroups, carried);
   const ended = lines.find(({ fields }) => fields.call === 'end' && fields.outcome === 'ended');
-  const job: JobTimeline = {
+  return {
     jobId,
     model,
     acceptedAtMs,
     items: total,
     wantedGroups,
     slots: Number(plan.fields.slots),
-    owners: plans.length,
+    owners,
+    carriedGroups: carried.size,
     declined: all.length - runs.length,
     firstStartMs: starts.length > 0 ? Math.min(...starts) : undefined,
     lastStartMs: starts.length > 0 ? Math.max(...starts) : undefined,
@@ -168,7 +194,6 @@
     ),
     staleness: mean(completions(lines).map((line) => stalenessOf(line, model, named))),
   };
-  return [job];
 }
 
 function attemptsByItem(lines: readonly TraceLine[], acceptedAtMs: number): Map<string, Attempt[]> {
@@ -245,13 +270,23 @@
   ];
 }
 
-/** For each group whose items are all listed, the item listed last; in the order of these listings. */
-function wholeGroups(items: readonly ItemTimeline[], groupSize: number, wanted: number): ItemTimeline[] {
-  return [...groupBy(items, ({ group }) => group).values()]
+/**
+ * The groups that the submitter waits for, in the order in which they were whole, each by its item that was listed last:
+ * carried groups, and of the others those that were whole first.
+ */
+function wholeGroups(
+  items: readonly ItemTimeline[],
+  groupSize: number,
+  wanted: number,
+  carried: ReadonlySet<string>,
+): ItemTimeline[] {
+  const byListing = (left: ItemTimeline, right: ItemTimeline) => left.listedMs - right.listedMs;
+  const whole = [...groupBy(items, ({ group }) => group).values()]
     .filter((group) => group.length >= groupSize)
     .map((group) => group.reduce((last, item) => (item.listedMs > last.listedMs ? item : last)))
-    .sort((left, right) => left.listedMs - right.listedMs)
-    .slice(0, wanted);
+    .sort(byListing);
+  const others = whole.filter(({ group }) => !carried.has(group)).slice(0, wanted - carried.size);
+  return [...whole.filter(({ group }) => carried.has(group)), ...others].sort(byListing);
 }
 
 function milestonesOf(items: readonly ItemTimeline[], total: number): (number | undefined)[] {
--- a/src/cli/timeline-table.ts
+++ b/src/cli/timeline-table.ts
@@ -22,6 +22,7 @@
   'ended',
   'declined',
   'owners',
+  'carried',
   'stale',
 ];
 const LAST_HEAD = [
@@ -62,6 +63,7 @@
     time(job.endedMs),
     String(job.declined),
     String(job.owners),
+    String(job.carriedGroups),
     job.staleness.toFixed(2),
   ];
 }
--- a/test/job-timeline.test.ts
+++ b/test/job-timeline.test.ts
@@ -106,6 +106,25 @@
     expect(trainer?.staleness).to.be.closeTo(1 / 3, 1e-9);
   });
 
+  it('wait for the groups that an earlier job left unfinished, whatever others are whole', () => {
+    const later = LINES.filter(({ event }) => event !== 'belief-changed').map((entry) => ({
+      ...entry,
+      timeMs: entry.timeMs + 10_000,
+      fields: { ...entry.fields, jobId: 'job-2' },
+    }));
+    const fresh = [attempt('c1', 'r1', 'whole', 50, 60), attempt('c2', 'r1', 'whole', 50, 60)];
+    const [first, second] = timelineOf([
+      ...LINES,
+      ...[...later, ...fresh, completed(60, 'c1'), completed(60, 'c2'), listed(70, 80, 2)].map((entry) =>
+        entry.fields.jobId === 'job-2'
+          ? entry
+          : { ...entry, timeMs: entry.timeMs + 10_000, fields: { ...entry.fields, jobId: 'job-2' } },
+      ),
+    ]).jobs;
+    expect([first?.carriedGroups, second?.carriedGroups]).to.deep.equal([0, 2]);
+    expect(second?.lastWanted?.group).to.equal('a');
+  });
+
   it('take the clock of the first owner when a job had several', () => {
     const job = only([...LINES, planned(2_000)]);
     expect([job.owners, job.acceptedAtMs]).to.deep.equal([2, ACCEPTED_MS]);
