A lost holder is noticed a second sooner

Change: holders beat every 0.25 s and wait for no answer, so two looks without a change (0.9 s) tell a loss. Looks, which every node makes, are as many as before; beats, which only holders write, are twice as many. Ruled out: more looks (at 400 nodes 1,600 reads a second of 2,000 for all).

--- a/src/coordination/session-monitor.ts
+++ b/src/coordination/session-monitor.ts
@@ -10,10 +10,16 @@
 /** Table of the beats, and of whatever else every node looks at together with them. */
 export const SESSION_TABLE = 'sessions';
 const BEAT_PREFIX = 'beat/';
-const BEAT_MS = 500;
+/** Beats are written by the few holders and read by all, so they come more often than the looks. */
+const BEAT_MS = 250;
 const POLL_MS = 500;
-/** Observed time after which a silent holder counts as lost, milliseconds, and answers of a slow store on top. */
-const EXPIRY_MS = 1_700;
+/** Beats without an answer after which the next one waits: lost answers must not delay it. */
+const MAX_OPEN_BEATS = 4;
+/**
+ * Observed time after which a silent holder counts as lost, milliseconds, and answers of a slow store on top. Two looks
+ * at the longest distance fit in, and each look sees a beat that is at most `BEAT_MS` old.
+ */
+const EXPIRY_MS = 900;
 const EXPIRY_ANSWERS = 4;
 /** Time between two reads above which nothing in between counts as observed, milliseconds. */
 const GAP_MS = 1_100;
@@ -44,6 +50,8 @@
   private restartedAtMs = 0;
   private lastReadMs = Number.NEGATIVE_INFINITY;
   private beats = 0;
+  /** Beats that the store has not answered yet. */
+  private openBeats = 0;
   private isLeaving = false;
   private readonly listeners = new Set<(records: readonly StoredRecord[]) => void>();
 
@@ -97,12 +105,18 @@
 
   private async beatRegularly(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.isHolder()) await this.beat();
+      if (this.isHolder() && this.openBeats < MAX_OPEN_BEATS) void this.beat();
       await sleep(BEAT_MS, signal);
     }
   }
 
   private async beat(): Promise<void> {
+    this.openBeats += 1;
+    await this.writeBeat();
+    this.openBeats -= 1;
+  }
+
+  private async writeBeat(): Promise<void> {
     this.beats += 1;
     const beat: Beat = { life: this.self.life, count: this.beats, isLeaving: this.isLeaving };
     const value = Buffer.from(JSON.stringify(beat), 'utf8');
