The next load begins when the one before is usually over

Change: the time of a load is learnt; its replica is asked from 0.9 of it on, every 60 ms, and the next load begins when this one should be over, whether or not that is confirmed yet. Ruled out: more loads at a time: they share what brings the weights. Shown: a test in test/weight-orders.test.ts, failing before.

--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -77,6 +77,8 @@
   lateOrderMs = 0;
   /** Time between two events, or of an answer, milliseconds. */
   workMs: number;
+  /** Time of a load, milliseconds. */
+  loadMs: number;
   private orderCount = 0;
   private isLoading = false;
   private active = 0;
@@ -89,6 +91,7 @@
   ) {
     this.versions = new Map(Object.entries(options.models ?? {}));
     this.workMs = options.workMs ?? 5;
+    this.loadMs = options.loadMs ?? 50;
     this.server = createServer((request, response) => void this.serve(request, response));
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
@@ -279,7 +282,7 @@
       this.isLoading = false;
       this.versions.set(order.model, order.version);
       this.announce('ready');
-    }, this.options.loadMs ?? 50);
+    }, this.loadMs);
     return 202;
   }
 }
--- a/src/coordination/weight-orders.ts
+++ b/src/coordination/weight-orders.ts
@@ -18,9 +18,14 @@
 const CALL_TIMEOUT_MS = 800;
 /** A load that is not seen to end within this time is looked at again, milliseconds. */
 const LOAD_TIMEOUT_MS = 4_000;
-/** How often a loading replica is asked for its state, milliseconds. */
+/** Distance of the first questions to a loading replica while the usual time of a load is unknown, milliseconds. */
 const REPORT_MS = 350;
-const PASS_MS = 100;
+/** Part of the usual time of a load after which the replica is first asked, and the distance of the next questions. */
+const FIRST_REPORT_FRACTION = 0.9;
+const NEXT_REPORT_MS = 60;
+/** Loads whose times are remembered. */
+const REMEMBERED_LOADS = 8;
+const PASS_MS = 50;
 /** Pause of one replica after an order that failed, milliseconds. */
 const RETRY_MS = 600;
 
@@ -47,8 +52,10 @@
 
 /** The giver of orders of one node; it acts only while the lease is held. */
 export class WeightOrders {
-  /** Replicas with an order under way, by identifier. */
-  private readonly loading = new Set<string>();
+  /** Replicas with an order under way, and since when, by identifier. */
+  private readonly loading = new Map<string, number>();
+  /** Times of the newest loads, milliseconds. */
+  private readonly loadTimes: number[] = [];
   private readonly notBeforeMs = new Map<string, number>();
 
   constructor(private readonly services: WeightOrderServices) {}
@@ -72,7 +79,7 @@
     const { directory, versions } = this.services;
     const states = directory.availableOf(service);
     const room = Math.max(1, Math.ceil(states.length * LOADING_FRACTION));
-    let loadingCount = states.filter((state) => this.loading.has(state.replica.id)).length;
+    let loadingCount = states.filter((state) => this.isProbablyLoading(state)).length;
     const targets = models.map((model) => ({
       model,
       version: Math.max(1, versions.newestOf(model)),
@@ -82,7 +89,7 @@
       if (loadingCount >= room) return;
       loadingCount += 1;
       const { id } = load.state.replica;
-      this.loading.add(id);
+      this.loading.set(id, monotonicMs());
       void this.load(load, signal).finally(() => this.loading.delete(id));
     }
   }
@@ -115,6 +122,25 @@
     return { model, version, behind, share: lag + behind.length / Math.max(1, planned.length) };
   }
 
+  /** Time that a load takes when nothing holds it up, milliseconds; infinite while none was seen. */
+  private get usualLoadMs(): number {
+    return Math.min(...this.loadTimes, Number.POSITIVE_INFINITY);
+  }
+
+  /**
+   * A load is known to be over only some time afterwards. The next one need not wait for that: it begins when a load is
+   * usually over.
+   */
+  private isProbablyLoading({ id }: ReplicaState): boolean {
+    const sinceMs = this.loading.get(id);
+    return sinceMs !== undefined && monotonicMs() - sinceMs < this.usualLoadMs;
+  }
+
+  private noteLoad(tookMs: number): void {
+    this.loadTimes.push(tookMs);
+    if (this.loadTimes.length > REMEMBERED_LOADS) this.loadTimes.shift();
+  }
+
   private isFree(state: ReplicaState): boolean {
     const { id } = state.replica;
     return !this.loading.has(id) && monotonicMs() >= (this.notBeforeMs.get(id) ?? 0);
@@ -152,15 +178,22 @@
     version: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const deadline = monotonicMs() + LOAD_TIMEOUT_MS;
+    const startedAt = monotonicMs();
+    const deadline = startedAt + LOAD_TIMEOUT_MS;
+    const usualMs = this.usualLoadMs;
+    const isUsualKnown = Number.isFinite(usualMs);
+    await sleep(isUsualKnown ? usualMs * FIRST_REPORT_FRACTION : REPORT_MS, signal);
     while (monotonicMs() < deadline && !signal.aborted) {
-      await sleep(REPORT_MS, signal);
-      if (state.versionOf(model) >= version || !this.services.directory.isAvailable(state)) return;
+      if (!this.services.directory.isAvailable(state)) return;
+      if (state.versionOf(model) >= version) return this.noteLoad(monotonicMs() - startedAt);
       const report = await this.services.client.report(state.replica, CALL_TIMEOUT_MS);
-      if (report.isErr()) continue;
-      if ((report.value.modelVersions.get(model) ?? 0) >= version)
+      if (report.isOk() && (report.value.modelVersions.get(model) ?? 0) >= version) {
+        this.noteLoad(monotonicMs() - startedAt);
         return this.noteVersions(state, report.value.modelVersions);
-      if (!report.value.isBusy && monotonicMs() > deadline - LOAD_TIMEOUT_MS / 2) return;
+      }
+      const elapsedMs = monotonicMs() - startedAt;
+      if (report.isOk() && !report.value.isBusy && elapsedMs > LOAD_TIMEOUT_MS / 2) return;
+      await sleep(isUsualKnown && elapsedMs < usualMs * 2 ? NEXT_REPORT_MS : REPORT_MS, signal);
     }
   }
 
--- a/test/weight-orders.test.ts
+++ b/test/weight-orders.test.ts
@@ -57,6 +57,20 @@
     for (const engine of engines) expect(engine.orders.map((order) => order.version)).to.deep.equal([2, 3]);
   });
 
+  it('begins the next load when the one before should be over, also when that one takes longer', async () => {
+    const [slow, ...others] = engines as [ReplicaServer, ...ReplicaServer[]];
+    await startNodes(1);
+    system.nameVersion(2);
+    await allAt(2);
+    slow.loadMs = 4_000;
+    system.nameVersion(3);
+    await until('the others have version 3', () =>
+      others.every((engine) => engine.versions.get(MODEL) === 3),
+    );
+    expect(slow.orders.at(-1)?.version).to.equal(3);
+    expect(slow.versions.get(MODEL)).to.equal(2);
+  });
+
   it('passes to another node when the giver is killed, with the lease time between them', async () => {
     const nodes = await startNodes(3);
     system.nameVersion(2);
