The longest samples start first, where they are made fastest, and move when they are not

Cause: a step lasts as long as its longest samples. Length-Hint was never read; replicas were chosen by load alone, so long samples ran anywhere; nothing left a replica that had turned slow; a replica that loads was asked by the longest items first, because it seemed empty. Change: items start longest first, by the submitter's estimate, by how many tokens an event was seen to carry, and by what an earlier job had of the same item; a replica's cost is the time that the sample would take there, by the time between its events, and its load; a sample moves when the rest of it would be made sooner elsewhere by more than the move costs, twice at most, and does not go back at once; a replica that declined is asked again when the others are full; a version seen in an event is believed before it is announced, unless nobody has named it. Ruled out: texts kept for the next job of the trainer: their versions are too old for it (a job allows one version back and the next but one begins two versions later); fewer requests at a replica (its events come 5 to 9% faster, while the rest takes longer); groups sorted as wholes: their short samples take the fast slots of other groups' long ones.

--- a/emulator/clients/job-trainer.ts
+++ b/emulator/clients/job-trainer.ts
@@ -14,6 +14,8 @@
   readonly groupSize: number;
   /** Path of the scoring calls; none without it. */
   readonly scoringPath?: string;
+  /** Estimated tokens of each item, in their order; none without it. */
+  readonly estimates?: readonly number[];
 }
 
 /** A result as read. */
@@ -42,11 +44,16 @@
   return Array.from({ length: count }, (_, index) => `${job.id}-item-${index}`);
 }
 
+function estimateOf({ estimates }: TrainerJob, index: number): Record<string, string> {
+  const tokens = estimates?.[index];
+  return tokens === undefined ? {} : { [HEADER.lengthHint]: String(tokens) };
+}
+
 function submissionOf(job: TrainerJob): string {
   const items = itemIds(job).map((id, index) => ({
     id,
     path: `${job.path}${id}`,
-    headers: { Model: job.model, 'Token-Usage': '10,20' },
+    headers: { Model: job.model, 'Token-Usage': '10,20', ...estimateOf(job, index) },
     body: BYTES,
     tokens: 30,
     group: `group-${Math.floor(index / job.groupSize)}`,
--- a/src/coordination/generation-attempt.ts
+++ b/src/coordination/generation-attempt.ts
@@ -19,9 +19,13 @@
   readonly deadlineMs: number;
   /** Longest silence before the attempt is broken off, milliseconds. */
   readonly stallMs: number;
+  /** Whether another replica would finish the sample sooner, at this pace here; asked again and again. */
+  readonly isFasterElsewhere: (pace: AttemptPace) => boolean;
   readonly priority?: number;
   /** Called when the replica has taken the request. */
   readonly onTaken: () => void;
+  /** Called with the weight version of each event. */
+  readonly onVersion: (version: number) => void;
   readonly signal: AbortSignal;
 }
 
@@ -38,45 +42,87 @@
   | { readonly kind: 'wrong-version'; readonly reason: string }
   /** The stream broke; what came before is kept. */
   | { readonly kind: 'broken'; readonly reason: string }
+  /** Broken off from here, to go on at a faster replica. */
+  | { readonly kind: 'moved'; readonly reason: string }
   | { readonly kind: 'cancelled' };
 
 const STATUS_IMPOSSIBLE = 422;
 const STATUS_FAILED = 500;
 const MAX_ERROR_BYTES = 64 * 1024;
+/** How often an attempt is looked at, milliseconds. */
+const WATCH_MS = 100;
+/** Events over which the pace of an attempt is measured. */
+const PACE_EVENTS = 6;
 
-/** Aborts an exchange after a silence. */
-class StallWatch {
+/** How fast an attempt goes on. */
+export interface AttemptPace {
+  /** Mean time of the last events, the silence since then included, milliseconds. */
+  readonly eventMs: number;
+}
+
+/** Why a watch has broken an attempt off. */
+type BreakReason = 'silence' | 'moved';
+
+/** Follows the events of an attempt; breaks it off after a silence, or when it would be finished sooner elsewhere. */
+class AttemptWatch {
   private readonly controller = new AbortController();
   private readonly timer: NodeJS.Timeout;
   private readonly onAbort = () => this.controller.abort();
   private heardAtMs = monotonicMs();
-  hasStalled = false;
+  /** Times of the last events, the oldest first. */
+  private readonly eventTimes: number[] = [];
+  private broken: BreakReason | undefined;
 
   constructor(
-    private readonly stallMs: number,
-    private readonly outer: AbortSignal,
+    private readonly terms: Pick<GenerationTerms, 'stallMs' | 'isFasterElsewhere' | 'signal'>,
+    private readonly state: ReplicaState,
   ) {
-    this.timer = setInterval(() => this.check(), Math.max(20, stallMs / 4));
-    outer.addEventListener('abort', this.onAbort, { once: true });
-    if (outer.aborted) this.controller.abort();
+    this.timer = setInterval(() => this.check(), WATCH_MS);
+    terms.signal.addEventListener('abort', this.onAbort, { once: true });
+    if (terms.signal.aborted) this.controller.abort();
   }
 
   get signal(): AbortSignal {
     return this.controller.signal;
   }
 
+  /** Why the attempt was broken off from here, if it was. */
+  get breakReason(): BreakReason | undefined {
+    return this.broken;
+  }
+
+  /** Something has come. */
   heard(): void {
     this.heardAtMs = monotonicMs();
   }
 
+  /** An event has come. */
+  noteEvent(): void {
+    const before = this.eventTimes.at(-1);
+    const now = monotonicMs();
+    if (before !== undefined) this.state.noteEvent(now - before);
+    this.eventTimes.push(now);
+    if (this.eventTimes.length > PACE_EVENTS) this.eventTimes.shift();
+  }
+
   stop(): void {
     clearInterval(this.timer);
-    this.outer.removeEventListener('abort', this.onAbort);
+    this.terms.signal.removeEventListener('abort', this.onAbort);
   }
 
   private check(): void {
-    if (monotonicMs() - this.heardAtMs < this.stallMs) return;
-    this.hasStalled = true;
+    if (monotonicMs() - this.heardAtMs >= this.terms.stallMs) this.breakOff('silence');
+    else if (this.isOutpaced()) this.breakOff('moved');
+  }
+
+  private isOutpaced(): boolean {
+    const [first] = this.eventTimes;
+    if (first === undefined || this.eventTimes.length < PACE_EVENTS) return false;
+    return this.terms.isFasterElsewhere({ eventMs: (monotonicMs() - first) / this.eventTimes.length });
+  }
+
+  private breakOff(reason: BreakReason): void {
+    this.broken = reason;
     this.controller.abort();
   }
 }
@@ -89,11 +135,13 @@
   text: SampleText,
   terms: GenerationTerms,
 ): Promise<GenerationOutcome> {
-  const watch = new StallWatch(terms.stallMs, terms.signal);
+  const watch = new AttemptWatch(terms, state);
   try {
     const outcome = await exchange(client, state, item, text, terms, watch);
-    if (terms.signal.aborted && outcome.kind !== 'whole') return { kind: 'cancelled' };
-    return watch.hasStalled && outcome.kind !== 'whole' ? { kind: 'broken', reason: 'silence' } : outcome;
+    if (outcome.kind === 'whole') return outcome;
+    if (terms.signal.aborted) return { kind: 'cancelled' };
+    if (watch.breakReason === 'silence') return { kind: 'broken', reason: 'silence' };
+    return watch.breakReason === 'moved' ? { kind: 'moved', reason: 'faster elsewhere' } : outcome;
   } finally {
     watch.stop();
   }
@@ -105,7 +153,7 @@
   item: JobItem,
   text: SampleText,
   terms: GenerationTerms,
-  watch: StallWatch,
+  watch: AttemptWatch,
 ): Promise<GenerationOutcome> {
   const mustHaveVersion = terms.isSingleVersion && text.eventCount > 0 ? text.versions[0] : undefined;
   const sent = await client.dispatch(state.replica, {
@@ -149,7 +197,7 @@
   answer: ReplicaAnswer,
   text: SampleText,
   terms: GenerationTerms,
-  watch: StallWatch,
+  watch: AttemptWatch,
 ): Promise<GenerationOutcome> {
   const defect = defectOf(answer);
   if (defect) {
@@ -168,7 +216,9 @@
           answer.body.destroy();
           return problem;
         }
+        terms.onVersion(version);
         text.append(event.id, event.data, version);
+        watch.noteEvent();
       }
     }
   } catch (cause) {
--- a/src/coordination/item-run.ts
+++ b/src/coordination/item-run.ts
@@ -5,10 +5,12 @@
 import type { JobItem, JobResult, JobSpecification, PartialText } from '../protocol/batch-job.js';
 import type { ReplicaClient } from '../protocol/replica.js';
 import type { Route } from '../protocol/routing-configuration.js';
-import type { ReplicaState } from '../state/replica-directory.js';
+import type { ReplicaDirectory, ReplicaState } from '../state/replica-directory.js';
 import type { RoutingSnapshot, RoutingTable, TargetSplitter } from '../state/routing-table.js';
-import { attemptGeneration, type GenerationOutcome } from './generation-attempt.js';
+import type { WeightVersions } from '../state/weight-versions.js';
+import { type AttemptPace, attemptGeneration, type GenerationOutcome } from './generation-attempt.js';
 import type { Placement } from './placement.js';
+import type { SampleLengths } from './sample-lengths.js';
 import type { SampleScorer } from './sample-scorer.js';
 import { SampleText } from './sample-text.js';
 
@@ -19,6 +21,9 @@
   readonly placement: Placement;
   readonly client: ReplicaClient;
   readonly scorer: SampleScorer;
+  readonly lengths: SampleLengths;
+  readonly directory: ReplicaDirectory;
+  readonly versions: WeightVersions;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
@@ -48,6 +53,14 @@
 const DEFAULT_DEADLINE_MS = 60_000;
 /** Pause after a replica declined an item, milliseconds. */
 const DECLINED_PAUSE_MS = 60;
+/** Moves of one item to faster replicas at most. */
+const MAX_MOVES = 2;
+/** An item moves when its replica takes this many times as long for an event as another. */
+const MIN_SPEEDUP = 1.2;
+/** Time that a move must save, milliseconds: reading the prompt and the text so far, and a new connection. */
+const MOVE_COST_MS = 300;
+/** What it must save beyond that when no slot is free, milliseconds; an interrupted sample gets the next one. */
+const SLOT_WAIT_MS = 700;
 
 /** One item under way. */
 export class ItemRun {
@@ -55,6 +68,9 @@
   private failures = 0;
   private attempts = 0;
   private hasRun = false;
+  private moves = 0;
+  /** The replica that the item has left for a faster one last. */
+  private left: { readonly replicaId: string; readonly atMs: number } | undefined;
 
   constructor(
     private readonly services: ItemServices,
@@ -119,8 +135,9 @@
           ? chosen
           : this.currentTarget(),
       slots: (candidate) => this.slotsOf(candidate),
-      accepts: (candidate) => model === '' || candidate.versionOf(model) >= minVersion,
+      accepts: (candidate) => this.fits(candidate) && !this.hasJustLeft(candidate),
       preferredId: () => this.job.groupReplicas.get(this.item.group),
+      expectedEvents: this.services.lengths.remaining(this.item, this.text.eventCount),
       rank: this.hasRun ? RANK_INTERRUPTED : RANK_NEW,
       signal: this.job.signal,
     });
@@ -137,15 +154,53 @@
       isSingleVersion: route.isSingleVersion,
       deadlineMs: Math.min(DEFAULT_DEADLINE_MS, Math.max(1_000, route.maxQueueMs - this.ageMs)),
       onTaken: () => placement.noteTaken(state),
+      onVersion: (version) => this.noteVersion(state, version),
+      isFasterElsewhere: (pace) => this.isFasterElsewhere(route, state, pace),
       stallMs: Math.max(MIN_STALL_MS, route.targetLatencyMs * STALL_FACTOR),
       signal: this.job.signal,
     });
     placement.release(state);
+    if (outcome.kind === 'moved') this.left = { replicaId: state.id, atMs: monotonicMs() };
     const took = { waitedMs: startedAt - queuedAt, tookMs: monotonicMs() - startedAt };
     this.noteOutcome(state, outcome, took, this.text.eventCount - eventsBefore);
     return outcome;
   }
 
+  /** An event shows which version a replica has, often before it is announced; one that nobody has named is a fault. */
+  private noteVersion(state: ReplicaState, version: number): void {
+    const { model } = this.job.specification;
+    if (version <= this.services.versions.newestOf(model))
+      this.services.directory.noteVersion(state, model, version);
+  }
+
+  private fits(candidate: ReplicaState): boolean {
+    const { model, minVersion } = this.job.specification;
+    return model === '' || candidate.versionOf(model) >= minVersion;
+  }
+
+  /** An item waits for a faster replica rather than go back at once, but not for long. */
+  private hasJustLeft({ id }: ReplicaState): boolean {
+    return this.left?.replicaId === id && monotonicMs() - this.left.atMs < SLOT_WAIT_MS;
+  }
+
+  /** Whether another replica would end the sample sooner by more than the move, and the wait for a slot, cost. */
+  private isFasterElsewhere(route: Route, state: ReplicaState, { eventMs }: AttemptPace): boolean {
+    if (this.moves >= MAX_MOVES) return false;
+    const [version] = route.isSingleVersion ? this.text.versions : [];
+    const elsewhere = this.services.placement.fastest({
+      service: state.replica.service,
+      slots: (candidate) => this.slotsOf(candidate),
+      accepts: (candidate) =>
+        candidate !== state &&
+        this.fits(candidate) &&
+        (version === undefined || candidate.versionOf(this.job.specification.model) === version),
+    });
+    if (!elsewhere || eventMs < elsewhere.eventMs * MIN_SPEEDUP) return false;
+    const left = this.services.lengths.remaining(this.item, this.text.eventCount);
+    const costMs = elsewhere.hasFreeSlot ? MOVE_COST_MS : MOVE_COST_MS + SLOT_WAIT_MS;
+    return left * (eventMs - elsewhere.eventMs) > costMs;
+  }
+
   private currentTarget(): string | undefined {
     const route = this.matchRoute()?.route;
     return route && this.services.splitter.next(route)?.service;
@@ -162,7 +217,8 @@
     events: number,
   ): void {
     const { service, id } = state.replica;
-    if (outcome.kind === 'whole' && events > 0) state.noteSuccess(tookMs / events);
+    if (outcome.kind === 'whole') state.noteWhole();
+    else if (outcome.kind === 'moved') this.moves += 1;
     else if (outcome.kind === 'declined' && outcome.isFull) state.pause(DECLINED_PAUSE_MS);
     else if (outcome.kind === 'declined' || outcome.kind === 'broken') state.noteFailure();
     else if (outcome.kind === 'wrong-version') state.pause(DECLINED_PAUSE_MS);
@@ -196,6 +252,7 @@
   }
 
   private async score(): Promise<JobResult | undefined> {
+    this.services.lengths.note(this.item, this.text.eventCount);
     const { scoring } = this.item;
     if (!scoring) return this.completed(undefined);
     const scored = await this.services.scorer.score(scoring, this.job);
--- a/src/coordination/job-run.ts
+++ b/src/coordination/job-run.ts
@@ -6,7 +6,7 @@
 import type { JobItem, JobSpecification, PartialText } from '../protocol/batch-job.js';
 import type { JobHead } from '../state/job-record.js';
 import type { JobRepository } from '../state/job-repository.js';
-import type { ReplicaDirectory, ReplicaState } from '../state/replica-directory.js';
+import type { ReplicaState } from '../state/replica-directory.js';
 import { type ItemJob, ItemRun, type ItemServices } from './item-run.js';
 import { type ListerServices, ResultLister } from './result-lister.js';
 
@@ -21,7 +21,6 @@
 /** What a run works with. */
 export interface JobRunServices extends ItemServices, ListerServices {
   readonly repository: JobRepository;
-  readonly directory: ReplicaDirectory;
   readonly logger: DecisionLogger;
   readonly parseSubmission: SubmissionParser;
 }
@@ -108,7 +107,7 @@
       groupReplicas: new Map(),
       signal: this.controller.signal,
     };
-    for (const item of specification.items)
+    for (const item of this.services.lengths.longestFirst(specification.items))
       if (!listedIds.has(item.id)) void this.runItem(job, item, texts.get(item.id), lister);
     const keeping = this.keepRegularly();
     const keptOwnership = await lister.run(specification.items.length);
@@ -128,6 +127,7 @@
     const run = new ItemRun(this.services, job, item, kept);
     this.running.set(item.id, run);
     const result = await run.run();
+    if (!result) this.services.lengths.noteUnfinished(item, run.text.eventCount);
     if (!result || this.controller.signal.aborted) return;
     lister.add(JSON.stringify(result));
     this.running.delete(item.id);
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -7,6 +7,12 @@
 /** How often waiting requests are looked at again without a reason, milliseconds: suspicions end in silence. */
 const RECHECK_MS = 50;
 
+/** What a full replica, and one in another zone, cost, milliseconds. */
+const FULL_REPLICA_MS = 1_000;
+const OTHER_ZONE_MS = 50;
+/** What a replica costs that has declined the last request: it is asked again when the others are full. */
+const DOUBTFUL_MS = 3_000;
+
 /** What a request asks of a replica. */
 export interface PlacementRequest {
   /** Service at this moment; `undefined` while the route is unknown. */
@@ -16,11 +22,23 @@
   readonly accepts: (state: ReplicaState) => boolean;
   /** Replica that is likely to have read the prompt. */
   readonly preferredId: () => string | undefined;
+  /** Events that the request will probably take. */
+  readonly expectedEvents: number;
   /** Lower ranks are placed first. */
   readonly rank: number;
   readonly signal: AbortSignal;
 }
 
+/** A replica as a move sees it. */
+export interface FastestReplica {
+  /** Measured time of an event, milliseconds. */
+  readonly eventMs: number;
+  readonly hasFreeSlot: boolean;
+}
+
+/** What a request that runs already asks of other replicas. */
+export type RoomRequest = Pick<PlacementRequest, 'slots' | 'accepts'> & { readonly service: string };
+
 interface Waiter {
   readonly request: PlacementRequest;
   readonly resolve: (state: ReplicaState | undefined) => void;
@@ -68,6 +86,18 @@
     this.schedule();
   }
 
+  /** The fastest replica as measured; one with a free slot if there is any, and none waits for it. */
+  fastest({ service, slots, accepts }: RoomRequest): FastestReplica | undefined {
+    const measured = this.directory
+      .availableOf(service)
+      .filter((state) => !state.isSuspected && state.admitsMore && state.averageMs > 0 && accepts(state));
+    const free = this.waiters.length > 0 ? [] : measured.filter((state) => state.inFlight < slots(state));
+    const candidates = free.length > 0 ? free : measured;
+    if (candidates.length === 0) return undefined;
+    const eventMs = Math.min(...candidates.map((state) => state.averageMs));
+    return { eventMs, hasFreeSlot: free.length > 0 };
+  }
+
   /** Gives a slot back. */
   release(state: ReplicaState): void {
     state.inFlight -= 1;
@@ -123,6 +153,7 @@
       preferredId: request.preferredId(),
       allowsSuspected: false,
       accepts: (state) => state.admitsMore && state.inFlight < request.slots(state) && request.accepts(state),
+      cost: (state, zone, fastestMs) => generationCost(state, zone, fastestMs, request.expectedEvents),
     });
   }
 
@@ -134,3 +165,21 @@
     }, RECHECK_MS);
   }
 }
+
+/**
+ * Expected time of the request at a replica, milliseconds, and what it costs the others there: the longer a request, the
+ * more the replica's speed counts; the shorter, the more its load.
+ */
+function generationCost(
+  state: ReplicaState,
+  zone: string,
+  fastestMs: number,
+  expectedEvents: number,
+): number {
+  const usualMs = Number.isFinite(fastestMs) ? fastestMs : 0;
+  const runMs = (state.averageMs || usualMs) * expectedEvents;
+  const loadMs = (state.inFlight / Math.max(1, state.replica.slots)) * FULL_REPLICA_MS;
+  const distanceMs = state.replica.zone === zone ? 0 : OTHER_ZONE_MS;
+  const doubtMs = state.isDoubtful ? DOUBTFUL_MS : 0;
+  return runMs + loadMs + distanceMs + doubtMs + Math.random() * 1e-6;
+}
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -18,6 +18,7 @@
 import { Placement } from '../coordination/placement.js';
 import { type FeedObserver, RecordFeed } from '../coordination/record-feed.js';
 import { ReplicaExchange } from '../coordination/replica-exchange.js';
+import { SampleLengths } from '../coordination/sample-lengths.js';
 import { SampleScorer } from '../coordination/sample-scorer.js';
 import { ServiceRelay } from '../coordination/service-relay.js';
 import { SessionMonitor } from '../coordination/session-monitor.js';
@@ -105,7 +106,9 @@
         splitter,
         placement: this.placement,
         directory: this.directory,
+        versions: this.versions,
         client,
+        lengths: new SampleLengths(),
         scorer: new SampleScorer(this.routing, this.directory, this.relay),
         metrics,
         logger,
--- a/src/state/replica-directory.ts
+++ b/src/state/replica-directory.ts
@@ -9,8 +9,12 @@
 const PAUSE_MAX_MS = 250;
 /** Weight of the newest measurement in moving averages. */
 const AVERAGE_WEIGHT = 0.2;
+/** Weight of the time of one event: a replica sends many. */
+const EVENT_WEIGHT = 0.05;
 /** A replica is slow when it takes this many times as long as the fastest of its service. */
 const SLOW_FACTOR = 2;
+/** A preferred replica is taken unless it takes this many times as long as the fastest candidate. */
+const PREFERRED_SLACK = 1.2;
 /** Work in flight at a replica of another zone counts this much more than in the own zone. */
 const OTHER_ZONE_PENALTY = 0.5;
 
@@ -18,7 +22,10 @@
 export class ReplicaState {
   /** Requests of this node that it works on. */
   inFlight = 0;
-  /** Moving average of the service time, milliseconds; 0 while nothing was measured. */
+  /**
+   * Moving average of the service time, milliseconds: of a request, at a model replica of an event. 0 while nothing was
+   * measured.
+   */
   averageMs = 0;
   private failures = 0;
   private declines = 0;
@@ -41,6 +48,11 @@
     return this.declines === 0 || !this.isProbed;
   }
 
+  /** Whether it declined the last request that was sent to it. */
+  get isDoubtful(): boolean {
+    return this.declines > 0;
+  }
+
   /** A request was sent whose answer tells whether it takes requests again. */
   noteSent(): void {
     this.isProbed = this.declines > 0;
@@ -58,12 +70,22 @@
     this.isProbed = false;
   }
 
+  /** It served a request in `tookMs`. */
   noteSuccess(tookMs: number): void {
+    this.noteWhole();
+    this.measure(tookMs, AVERAGE_WEIGHT);
+  }
+
+  /** It finished a request whose events were measured one by one. */
+  noteWhole(): void {
     this.failures = 0;
     this.avoidUntilMs = 0;
     this.noteTaken();
-    this.averageMs =
-      this.averageMs === 0 ? tookMs : this.averageMs + (tookMs - this.averageMs) * AVERAGE_WEIGHT;
+  }
+
+  /** It sent an event `tookMs` after the one before. */
+  noteEvent(tookMs: number): void {
+    this.measure(tookMs, EVENT_WEIGHT);
   }
 
   noteFailure(): void {
@@ -85,6 +107,10 @@
   versionOf(model: string): number {
     return this.replica.modelVersions.get(model) ?? 0;
   }
+
+  private measure(tookMs: number, weight: number): void {
+    this.averageMs = this.averageMs === 0 ? tookMs : this.averageMs + (tookMs - this.averageMs) * weight;
+  }
 }
 
 /** What a choice of a replica must heed. */
@@ -100,8 +126,13 @@
   readonly preferredId?: string;
   /** Whether suspected replicas are taken when there are no others. Default true. */
   readonly allowsSuspected?: boolean;
+  /** What decides among replicas that fit; the lowest is taken. Default: the expected wait. */
+  readonly cost?: ReplicaCost;
 }
 
+/** Cost of a request at a replica for a node of `zone`. `fastestMs` is the lowest `averageMs` of the candidates. */
+export type ReplicaCost = (state: ReplicaState, zone: string, fastestMs: number) => number;
+
 /** The replicas of all services. */
 export class ReplicaDirectory {
   private readonly states = new Map<string, ReplicaState>();
@@ -121,6 +152,12 @@
     this.notify();
   }
 
+  /** Takes a version that a replica shows before it is announced. */
+  noteVersion(state: ReplicaState, model: string, version: number): void {
+    if (state.versionOf(model) >= version || !this.isAvailable(state)) return;
+    this.set({ ...state.replica, modelVersions: new Map(state.replica.modelVersions).set(model, version) });
+  }
+
   /** Forgets a replica. */
   remove(id: string): void {
     const state = this.states.get(id);
@@ -157,11 +194,16 @@
     const trusted = fitting.filter((state) => !state.isSuspected);
     const candidates = trusted.length > 0 || criteria.allowsSuspected === false ? trusted : fitting;
     const preferred = candidates.find((state) => state.replica.id === criteria.preferredId);
-    return preferred ?? this.leastLoaded(candidates, criteria.zone);
+    if (preferred && preferred.averageMs <= fastestOf(candidates) * PREFERRED_SLACK) return preferred;
+    return this.cheapest(candidates, criteria.zone, criteria.cost ?? expectedWait);
   }
 
-  private leastLoaded(candidates: readonly ReplicaState[], zone: string): ReplicaState | undefined {
-    const fastest = Math.min(...candidates.map((state) => state.averageMs || Number.POSITIVE_INFINITY));
+  private cheapest(
+    candidates: readonly ReplicaState[],
+    zone: string,
+    costOf: ReplicaCost,
+  ): ReplicaState | undefined {
+    const fastest = fastestOf(candidates);
     let best: ReplicaState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const state of candidates) {
@@ -194,8 +236,13 @@
   }
 }
 
-/** Expected wait: work in flight for each slot, more in another zone, more at a slow replica. */
-function costOf(state: ReplicaState, zone: string, fastestMs: number): number {
+/** Lowest measured service time, milliseconds; infinite while nothing was measured. */
+function fastestOf(candidates: readonly ReplicaState[]): number {
+  return Math.min(...candidates.map((state) => state.averageMs || Number.POSITIVE_INFINITY));
+}
+
+/** Work in flight for each slot, more in another zone, more at a slow replica. */
+function expectedWait(state: ReplicaState, zone: string, fastestMs: number): number {
   const load = (state.inFlight + 1) / Math.max(1, state.replica.slots);
   const distance = state.replica.zone === zone ? 0 : OTHER_ZONE_PENALTY;
   const slowness = state.averageMs > fastestMs * SLOW_FACTOR ? state.averageMs / fastestMs : 1;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -32,14 +32,15 @@
     placed = [];
   });
 
-  function wait(count: number): void {
+  function wait(count: number, expectedEvents = 0, preferredId?: string): void {
     for (let index = 0; index < count; index += 1)
       void placement
         .acquire({
           service: () => 's',
           slots: () => SLOTS,
           accepts: () => true,
-          preferredId: () => undefined,
+          preferredId: () => preferredId,
+          expectedEvents,
           rank: 1,
           signal: new AbortController().signal,
         })
@@ -97,4 +98,71 @@
     await turn();
     expect(placed).to.have.length(3);
   });
+
+  it('asks a replica that declined only when the others are full', async () => {
+    directory.set({ ...REPLICA, id: 'r2' });
+    const other = directory.get('r2') as ReplicaState;
+    const declined = directory.get('r1') as ReplicaState;
+    other.inFlight = SLOTS - 1;
+    declined.pause(1);
+    await until('its pause is over', () => !declined.isSuspected);
+    wait(1);
+    await until('one is sent', () => placed.length === 1);
+    expect(placed[0]).to.equal(other);
+    wait(1);
+    await until('the next one is sent', () => placed.length === 2);
+    expect(placed[1]).to.equal(declined);
+  });
+
+  describe('on replicas of different speed', () => {
+    const EVENT_MS = 40;
+    const SLOW_EVENT_MS = 60;
+
+    function add(id: string, eventMs: number): ReplicaState {
+      directory.set({ ...REPLICA, id });
+      const state = directory.get(id) as ReplicaState;
+      state.noteEvent(eventMs);
+      return state;
+    }
+
+    it('sends long requests to the fastest, however much it runs', async () => {
+      directory.remove(REPLICA.id);
+      const slow = add('slow', SLOW_EVENT_MS);
+      const fast = add('fast', EVENT_MS);
+      wait(SLOTS + 2, 100);
+      await until('all are sent', () => placed.length === SLOTS + 2);
+      expect([fast.inFlight, slow.inFlight]).to.deep.equal([SLOTS, 2]);
+      expect(placed.slice(0, SLOTS).every((state) => state === fast)).to.equal(true);
+    });
+
+    it('spreads short requests by load', async () => {
+      directory.remove(REPLICA.id);
+      const slow = add('slow', SLOW_EVENT_MS);
+      const fast = add('fast', EVENT_MS);
+      wait(SLOTS, 5);
+      await until('all are sent', () => placed.length === SLOTS);
+      expect([fast.inFlight, slow.inFlight]).to.deep.equal([SLOTS / 2, SLOTS / 2]);
+    });
+
+    it('leaves the replica of the group when it has become slow', async () => {
+      directory.remove(REPLICA.id);
+      const slow = add('slow', SLOW_EVENT_MS);
+      const fast = add('fast', EVENT_MS);
+      wait(1, 100, slow.id);
+      await until('it is sent', () => placed.length === 1);
+      expect(placed[0]).to.equal(fast);
+    });
+
+    it('names the fastest replica for a move, one with a free slot first', () => {
+      directory.remove(REPLICA.id);
+      add('slow', SLOW_EVENT_MS);
+      const fast = add('fast', EVENT_MS);
+      const room = { service: 's', slots: () => SLOTS, accepts: () => true };
+      expect(placement.fastest(room)).to.deep.equal({ eventMs: EVENT_MS, hasFreeSlot: true });
+      fast.inFlight = SLOTS;
+      expect(placement.fastest(room)).to.deep.equal({ eventMs: SLOW_EVENT_MS, hasFreeSlot: true });
+      wait(1);
+      expect(placement.fastest(room)).to.deep.equal({ eventMs: EVENT_MS, hasFreeSlot: false });
+    });
+  });
 });
--- a/test/service-jobs.test.ts
+++ b/test/service-jobs.test.ts
@@ -10,6 +10,7 @@
   SCORING_PATH,
   type ServiceNodeProcess,
   ServiceSystem,
+  usualConfiguration,
 } from './support/service-system.js';
 import { until } from './support/wait.js';
 
@@ -96,6 +97,38 @@
     expect((await system.trainer.read(urls[0] as string, 'no-such-job', 0)).status).to.equal(404);
   });
 
+  it('starts the groups with the longest estimated samples first', async () => {
+    const engine = await system.addEngine({ slots: 1 });
+    await system.addApplication();
+    system.configure(usualConfiguration(2, { jobs: {} }, 1));
+    const urls = await startNodes(1);
+    const submitted = job('job-1', { groups: 4, groupSize: 1, estimates: [10, 40, 20, 30] });
+    await system.trainer.submit(urls[0] as string, submitted);
+    expectWhole(await system.trainer.readAll(urls, 'job-1', 4), submitted);
+    const started = engine.received.map(({ id }) => id);
+    expect(started).to.deep.equal([1, 3, 2, 0].map((index) => `job-1-item-${index}`));
+  });
+
+  it('moves a sample to a faster replica, which goes on after the last event', async () => {
+    const events = 40;
+    const engines = await Promise.all([system.addEngine({ events }), system.addEngine({ events })]);
+    await system.addApplication();
+    const urls = await startNodes(1);
+    const first = job('job-1', { groups: 8, groupSize: 1 });
+    await system.trainer.submit(urls[0] as string, first);
+    await system.trainer.readAll(urls, 'job-1', 8);
+    const second = job('job-2', { groups: 1, groupSize: 1 });
+    await system.trainer.submit(urls[0] as string, second);
+    const slow = await until('the sample is begun', () => engines.find(({ running }) => running > 0));
+    slow.workMs = 400;
+    expectWhole(await system.trainer.readAll(urls, 'job-2', 1), second, events);
+    const runs = engines.map(({ received }) => received.filter(({ id }) => id === 'job-2-item-0'));
+    expect(runs.map(({ length }) => length)).to.deep.equal([1, 1]);
+    const [moved] = runs[engines.indexOf(slow) === 0 ? 1 : 0] as [(typeof runs)[0][0]];
+    expect(Number(moved?.lastEventId)).to.be.greaterThan(0);
+    await until('the slow replica has stopped', () => slow.running === 0);
+  });
+
   it('takes a job once, however often and wherever it is submitted', async () => {
     const engine = await system.addEngine();
     await system.addApplication();
--- a/test/support/service-system.ts
+++ b/test/support/service-system.ts
@@ -50,8 +50,14 @@
 /** Fields of a route beyond the usual ones. */
 export type RouteFields = Readonly<Record<string, unknown>>;
 
+const ENGINE_SLOTS = 4;
+
 /** Routes and services as the operator's row has them. */
-export function usualConfiguration(version: number, overrides: Readonly<Record<string, RouteFields>> = {}) {
+export function usualConfiguration(
+  version: number,
+  overrides: Readonly<Record<string, RouteFields>> = {},
+  engineSlots = ENGINE_SLOTS,
+) {
   const route = (name: string, fields: RouteFields) => ({
     name,
     host: HOST,
@@ -70,7 +76,7 @@
       route('jobs', { pathPrefix: JOB_PATH, kind: 'rollout', service: ENGINE_SERVICE, maxQueueS: 30 }),
     ],
     services: [
-      { name: ENGINE_SERVICE, maxConns: 100, engine: { slots: 4, models: [{ name: MODEL }] } },
+      { name: ENGINE_SERVICE, maxConns: 100, engine: { slots: engineSlots, models: [{ name: MODEL }] } },
       { name: APPLICATION_SERVICE, maxConns: 100 },
     ],
     limits: {
