Few requests go to a replica before it has taken one; moves are counted apart

Cause: at the begin of a job, when a new version has just been named, two of eight replicas load. Change: a replica gets three requests before it has taken or declined the first; a request whose best replica is about to tell waits for that, 0.1 s at most. What decides on moves has a module of its own.

--- a/src/coordination/item-run.ts
+++ b/src/coordination/item-run.ts
@@ -11,6 +11,7 @@
 import { type AttemptPace, attemptGeneration, type GenerationOutcome } from './generation-attempt.js';
 import type { Placement } from './placement.js';
 import type { SampleLengths } from './sample-lengths.js';
+import { SampleMoves } from './sample-moves.js';
 import type { SampleScorer } from './sample-scorer.js';
 import { SampleText } from './sample-text.js';
 
@@ -53,24 +54,13 @@
 const DEFAULT_DEADLINE_MS = 60_000;
 /** Pause after a replica declined an item, milliseconds. */
 const DECLINED_PAUSE_MS = 60;
-/** Moves of one item to faster replicas at most. */
-const MAX_MOVES = 2;
-/** An item moves when its replica takes this many times as long for an event as another. */
-const MIN_SPEEDUP = 1.2;
-/** Time that a move must save, milliseconds: reading the prompt and the text so far, and a new connection. */
-const MOVE_COST_MS = 300;
-/** What it must save beyond that when no slot is free, milliseconds; an interrupted sample gets the next one. */
-const SLOT_WAIT_MS = 700;
-
 /** One item under way. */
 export class ItemRun {
   readonly text: SampleText;
   private failures = 0;
   private attempts = 0;
   private hasRun = false;
-  private moves = 0;
-  /** The replica that the item has left for a faster one last. */
-  private left: { readonly replicaId: string; readonly atMs: number } | undefined;
+  private readonly moves = new SampleMoves();
 
   constructor(
     private readonly services: ItemServices,
@@ -135,7 +125,7 @@
           ? chosen
           : this.currentTarget(),
       slots: (candidate) => this.slotsOf(candidate),
-      accepts: (candidate) => this.fits(candidate) && !this.hasJustLeft(candidate),
+      accepts: (candidate) => this.fits(candidate) && !this.moves.hasJustLeft(candidate),
       preferredId: () => this.job.groupReplicas.get(this.item.group),
       expectedEvents: this.services.lengths.remaining(this.item, this.text.eventCount),
       rank: this.hasRun ? RANK_INTERRUPTED : RANK_NEW,
@@ -147,20 +137,23 @@
     this.job.groupReplicas.set(this.item.group, state.replica.id);
     this.hasRun = true;
     this.attempts += 1;
+    let wasTaken = false;
     const outcome = await attemptGeneration(client, state, this.item, this.text, {
       host: this.job.host,
       model,
       minVersion,
       isSingleVersion: route.isSingleVersion,
       deadlineMs: Math.min(DEFAULT_DEADLINE_MS, Math.max(1_000, route.maxQueueMs - this.ageMs)),
-      onTaken: () => placement.noteTaken(state),
+      onTaken: () => {
+        wasTaken = true;
+        placement.noteTaken(state);
+      },
       onVersion: (version) => this.noteVersion(state, version),
       isFasterElsewhere: (pace) => this.isFasterElsewhere(route, state, pace),
       stallMs: Math.max(MIN_STALL_MS, route.targetLatencyMs * STALL_FACTOR),
       signal: this.job.signal,
     });
-    placement.release(state);
-    if (outcome.kind === 'moved') this.left = { replicaId: state.id, atMs: monotonicMs() };
+    placement.release(state, wasTaken);
     const took = { waitedMs: startedAt - queuedAt, tookMs: monotonicMs() - startedAt };
     this.noteOutcome(state, outcome, took, this.text.eventCount - eventsBefore);
     return outcome;
@@ -178,14 +171,9 @@
     return model === '' || candidate.versionOf(model) >= minVersion;
   }
 
-  /** An item waits for a faster replica rather than go back at once, but not for long. */
-  private hasJustLeft({ id }: ReplicaState): boolean {
-    return this.left?.replicaId === id && monotonicMs() - this.left.atMs < SLOT_WAIT_MS;
-  }
-
-  /** Whether another replica would end the sample sooner by more than the move, and the wait for a slot, cost. */
+  /** Whether the sample should go on at another replica that has a version which fits. */
   private isFasterElsewhere(route: Route, state: ReplicaState, { eventMs }: AttemptPace): boolean {
-    if (this.moves >= MAX_MOVES) return false;
+    if (!this.moves.areLeft) return false;
     const [version] = route.isSingleVersion ? this.text.versions : [];
     const elsewhere = this.services.placement.fastest({
       service: state.replica.service,
@@ -195,10 +183,9 @@
         this.fits(candidate) &&
         (version === undefined || candidate.versionOf(this.job.specification.model) === version),
     });
-    if (!elsewhere || eventMs < elsewhere.eventMs * MIN_SPEEDUP) return false;
-    const left = this.services.lengths.remaining(this.item, this.text.eventCount);
-    const costMs = elsewhere.hasFreeSlot ? MOVE_COST_MS : MOVE_COST_MS + SLOT_WAIT_MS;
-    return left * (eventMs - elsewhere.eventMs) > costMs;
+    if (!elsewhere) return false;
+    const remaining = this.services.lengths.remaining(this.item, this.text.eventCount);
+    return SampleMoves.isWorthwhile(eventMs, elsewhere, remaining);
   }
 
   private currentTarget(): string | undefined {
@@ -218,7 +205,7 @@
   ): void {
     const { service, id } = state.replica;
     if (outcome.kind === 'whole') state.noteWhole();
-    else if (outcome.kind === 'moved') this.moves += 1;
+    else if (outcome.kind === 'moved') this.moves.note(state);
     else if (outcome.kind === 'declined' && outcome.isFull) state.pause(DECLINED_PAUSE_MS);
     else if (outcome.kind === 'declined' || outcome.kind === 'broken') state.noteFailure();
     else if (outcome.kind === 'wrong-version') state.pause(DECLINED_PAUSE_MS);
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -10,6 +10,8 @@
 /** What a full replica, and one in another zone, cost, milliseconds. */
 const FULL_REPLICA_MS = 1_000;
 const OTHER_ZONE_MS = 50;
+/** Part by which a request takes longer at a full replica. */
+const FULL_REPLICA_SLOWDOWN = 0.1;
 /** What a replica costs that has declined the last request: it is asked again when the others are full. */
 const DOUBTFUL_MS = 3_000;
 
@@ -80,8 +82,9 @@
     });
   }
 
-  /** Looks at the waiting requests again: a replica has taken a request. */
+  /** A replica has taken a request: looks at the waiting requests again. */
   noteTaken(state: ReplicaState): void {
+    state.noteTold();
     state.noteTaken();
     this.schedule();
   }
@@ -98,10 +101,10 @@
     return { eventMs, hasFreeSlot: free.length > 0 };
   }
 
-  /** Gives a slot back. */
-  release(state: ReplicaState): void {
+  /** Gives a slot back; `wasTaken` says whether the replica had taken the request. */
+  release(state: ReplicaState, wasTaken: boolean): void {
     state.inFlight -= 1;
-    state.noteUntold();
+    if (!wasTaken) state.noteTold();
     this.schedule();
   }
 
@@ -144,10 +147,11 @@
     this.armTimer();
   }
 
+  /** The fittest replica; none when it will soon tell whether it takes requests, and the request should wait for that. */
   private choose(request: PlacementRequest): ReplicaState | undefined {
     const service = request.service();
     if (service === undefined) return undefined;
-    return this.directory.select({
+    const fittest = this.directory.select({
       service,
       zone: this.zone,
       preferredId: request.preferredId(),
@@ -155,6 +159,7 @@
       accepts: (state) => state.admitsMore && state.inFlight < request.slots(state) && request.accepts(state),
       cost: (state, zone, fastestMs) => generationCost(state, zone, fastestMs, request.expectedEvents),
     });
+    return fittest?.isAboutToTell ? undefined : fittest;
   }
 
   private armTimer(): void {
@@ -178,7 +183,8 @@
 ): number {
   const usualMs = Number.isFinite(fastestMs) ? fastestMs : 0;
   const runMs = (state.averageMs || usualMs) * expectedEvents;
-  const loadMs = (state.inFlight / Math.max(1, state.replica.slots)) * FULL_REPLICA_MS;
+  const load = state.inFlight / Math.max(1, state.replica.slots);
+  const loadMs = load * (FULL_REPLICA_MS + runMs * FULL_REPLICA_SLOWDOWN);
   const distanceMs = state.replica.zone === zone ? 0 : OTHER_ZONE_MS;
   const doubtMs = state.isDoubtful ? DOUBTFUL_MS : 0;
   return runMs + loadMs + distanceMs + doubtMs + Math.random() * 1e-6;
--- a/src/state/replica-directory.ts
+++ b/src/state/replica-directory.ts
@@ -7,6 +7,10 @@
 const SUSPICION_MAX_MS = 4_000;
 /** Longest pause of a replica that says that it is full, milliseconds. */
 const PAUSE_MAX_MS = 250;
+/** Requests that a replica gets before it has taken or declined the first of them. */
+const MAX_UNTOLD = 3;
+/** A replica that has told nothing for this long is not waited for, milliseconds. */
+const SILENCE_MS = 100;
 /** Weight of the newest measurement in moving averages. */
 const AVERAGE_WEIGHT = 0.2;
 /** Weight of the time of one event: a replica sends many. */
@@ -32,6 +36,10 @@
   private avoidUntilMs = 0;
   private pausedUntilMs = 0;
   private isProbed = false;
+  /** Requests that were sent and neither taken nor declined yet. */
+  private untold = 0;
+  /** When it told last, or was sent the first request that it has not told of. */
+  private toldAtMs = 0;
 
   constructor(public replica: Replica) {}
 
@@ -45,7 +53,20 @@
 
   /** Whether it may get one more request: after a decline only one at a time, until one is taken. */
   get admitsMore(): boolean {
-    return this.declines === 0 || !this.isProbed;
+    if (this.declines > 0) return !this.isProbed;
+    return this.untold < MAX_UNTOLD || !this.isSilent;
+  }
+
+  /**
+   * Whether it will soon tell if it takes requests. Few are sent before that, so that a replica that declines does not hold
+   * up many.
+   */
+  get isAboutToTell(): boolean {
+    return this.untold >= MAX_UNTOLD && !this.isSilent;
+  }
+
+  private get isSilent(): boolean {
+    return this.untold > 0 && monotonicMs() - this.toldAtMs > SILENCE_MS;
   }
 
   /** Whether it declined the last request that was sent to it. */
@@ -53,20 +74,24 @@
     return this.declines > 0;
   }
 
-  /** A request was sent whose answer tells whether it takes requests again. */
+  /** A request was sent whose answer tells whether it takes requests. */
   noteSent(): void {
+    if (this.untold === 0) this.toldAtMs = monotonicMs();
+    this.untold += 1;
     this.isProbed = this.declines > 0;
   }
 
-  /** It took a request. */
-  noteTaken(): void {
-    this.declines = 0;
-    this.pausedUntilMs = 0;
+  /** It has taken or declined a request that was sent, or the request ended without telling. */
+  noteTold(): void {
+    this.untold -= 1;
+    this.toldAtMs = monotonicMs();
     this.isProbed = false;
   }
 
-  /** The request that should tell whether it takes requests ended without telling. */
-  noteUntold(): void {
+  /** It takes requests. */
+  noteTaken(): void {
+    this.declines = 0;
+    this.pausedUntilMs = 0;
     this.isProbed = false;
   }
 
