--- a/src/coordination/generation-attempt.ts
+++ b/src/coordination/generation-attempt.ts
@@ -19,8 +19,8 @@
   readonly deadlineMs: number;
   /** Longest silence before the attempt is broken off, milliseconds. */
   readonly stallMs: number;
-  /** Whether another replica would finish the sample sooner, at this pace here; asked again and again. */
-  readonly isFasterElsewhere: (pace: AttemptPace) => boolean;
+  /** Why another replica would finish the sample sooner, at this pace here, if one would; asked again and again. */
+  readonly reasonToMove: (pace: AttemptPace) => string | undefined;
   readonly priority?: number;
   /** Called when the replica has taken the request. */
   readonly onTaken: () => void;
@@ -60,8 +60,8 @@
   readonly eventMs: number;
 }
 
-/** Why a watch has broken an attempt off. */
-type BreakReason = 'silence' | 'moved';
+/** How a watch has broken an attempt off, and why. */
+type WatchBreak = Extract<GenerationOutcome, { kind: 'broken' | 'moved' }>;
 
 /** Follows the events of an attempt; breaks it off after a silence, or when it would be finished sooner elsewhere. */
 class AttemptWatch {
@@ -71,10 +71,10 @@
   private heardAtMs = monotonicMs();
   /** Times of the last events, the oldest first. */
   private readonly eventTimes: number[] = [];
-  private broken: BreakReason | undefined;
+  private broken: WatchBreak | undefined;
 
   constructor(
-    private readonly terms: Pick<GenerationTerms, 'stallMs' | 'isFasterElsewhere' | 'signal'>,
+    private readonly terms: Pick<GenerationTerms, 'stallMs' | 'reasonToMove' | 'signal'>,
     private readonly state: ReplicaState,
   ) {
     this.timer = setInterval(() => this.check(), WATCH_MS);
@@ -86,8 +86,8 @@
     return this.controller.signal;
   }
 
-  /** Why the attempt was broken off from here, if it was. */
-  get breakReason(): BreakReason | undefined {
+  /** How the attempt was broken off from here, if it was. */
+  get outcome(): WatchBreak | undefined {
     return this.broken;
   }
 
@@ -111,18 +111,20 @@
   }
 
   private check(): void {
-    if (monotonicMs() - this.heardAtMs >= this.terms.stallMs) this.breakOff('silence');
-    else if (this.isOutpaced()) this.breakOff('moved');
+    const isSilent = monotonicMs() - this.heardAtMs >= this.terms.stallMs;
+    const reason = isSilent ? undefined : this.reasonToMove();
+    if (isSilent) this.breakOff({ kind: 'broken', reason: 'silence' });
+    else if (reason !== undefined) this.breakOff({ kind: 'moved', reason });
   }
 
-  private isOutpaced(): boolean {
+  private reasonToMove(): string | undefined {
     const [first] = this.eventTimes;
-    if (first === undefined || this.eventTimes.length < PACE_EVENTS) return false;
-    return this.terms.isFasterElsewhere({ eventMs: (monotonicMs() - first) / this.eventTimes.length });
+    if (first === undefined || this.eventTimes.length < PACE_EVENTS) return undefined;
+    return this.terms.reasonToMove({ eventMs: (monotonicMs() - first) / this.eventTimes.length });
   }
 
-  private breakOff(reason: BreakReason): void {
-    this.broken = reason;
+  private breakOff(outcome: WatchBreak): void {
+    this.broken ??= outcome;
     this.controller.abort();
   }
 }
@@ -140,8 +142,7 @@
     const outcome = await exchange(client, state, item, text, terms, watch);
     if (outcome.kind === 'whole') return outcome;
     if (terms.signal.aborted) return { kind: 'cancelled' };
-    if (watch.breakReason === 'silence') return { kind: 'broken', reason: 'silence' };
-    return watch.breakReason === 'moved' ? { kind: 'moved', reason: 'faster elsewhere' } : outcome;
+    return watch.outcome ?? outcome;
   } finally {
     watch.stop();
   }
--- a/src/coordination/item-run.ts
+++ b/src/coordination/item-run.ts
@@ -149,7 +149,7 @@
         placement.noteTaken(state);
       },
       onVersion: (version) => this.noteVersion(state, version),
-      isFasterElsewhere: (pace) => this.isFasterElsewhere(route, state, pace),
+      reasonToMove: (pace) => this.reasonToMove(route, state, pace),
       stallMs: Math.max(MIN_STALL_MS, route.targetLatencyMs * STALL_FACTOR),
       signal: this.job.signal,
     });
@@ -171,9 +171,9 @@
     return model === '' || candidate.versionOf(model) >= minVersion;
   }
 
-  /** Whether the sample should go on at another replica that has a version which fits. */
-  private isFasterElsewhere(route: Route, state: ReplicaState, { eventMs }: AttemptPace): boolean {
-    if (!this.moves.areLeft) return false;
+  /** Why the sample should go on at another replica that has a version which fits, if it should. */
+  private reasonToMove(route: Route, state: ReplicaState, { eventMs }: AttemptPace): string | undefined {
+    if (!this.moves.areLeft) return undefined;
     const [version] = route.isSingleVersion ? this.text.versions : [];
     const elsewhere = this.services.placement.fastest({
       service: state.replica.service,
@@ -183,9 +183,11 @@
         this.fits(candidate) &&
         (version === undefined || candidate.versionOf(this.job.specification.model) === version),
     });
-    if (!elsewhere) return false;
+    if (!elsewhere) return undefined;
     const remaining = this.services.lengths.remaining(this.item, this.text.eventCount);
-    return SampleMoves.isWorthwhile(eventMs, elsewhere, remaining);
+    if (!SampleMoves.isWorthwhile(eventMs, elsewhere, remaining)) return undefined;
+    const times = `${Math.round(eventMs)} ms an event here, ${Math.round(elsewhere.eventMs)} elsewhere`;
+    return `${times}, about ${Math.round(remaining)} left`;
   }
 
   private currentTarget(): string | undefined {
