--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,7 @@
-/** Benchmarks: `npm run bench -- relay|control|engines|rollout|days|soak|logging|compare`. Speeds live here, never in tests. */
+/**
+ * Benchmarks: `npm run bench -- relay|control|engines|rollout|days|soak|logging|compare|variants`. Speeds live here, never
+ * in tests.
+ */
 import { configureLogging } from '../src/common/logging.js';
 import { runCompare } from './compare.js';
 import { benchControl } from './control.js';
@@ -8,6 +11,7 @@
 import { benchRelay } from './relay.js';
 import { benchRollout } from './rollout.js';
 import { runSoak } from './soak/index.js';
+import { writeVariants } from './variants.js';
 
 const BENCHMARKS: Readonly<Record<string, () => Promise<void>>> = {
   relay: benchRelay,
@@ -15,6 +19,7 @@
   engines: benchEngines,
   rollout: benchRollout,
   compare: () => runCompare(process.argv.slice(FIRST_ARGUMENT)),
+  variants: () => writeVariants(process.argv.slice(FIRST_ARGUMENT)),
   logging: benchLogging,
   days: async () => {
     if ((await runDays(process.argv.slice(FIRST_ARGUMENT))) > 0) process.exitCode = 1;
