--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -89,7 +89,8 @@
 
 /** An answer is that of the request, and a refused lookup did not run. */
 function lookupBreaches({ id, status, body }: LookupHistory, reached: ReadonlySet<string>): string[] {
-  if (status === STATUS_OK && body !== `answer to ${id}`) return [`${id}: answered with '${body.slice(0, SHOWN_CHARACTERS)}'`];
+  if (status === STATUS_OK && body !== `answer to ${id}`)
+    return [`${id}: answered with '${body.slice(0, SHOWN_CHARACTERS)}'`];
   if (PROMISES.has(status) && reached.has(id)) return [`${id}: ran although it was refused`];
   return [];
 }
