A lease is adopted only with the row of its own epoch

Cause: a session that finds itself as the holder adopted the lease with the epoch row of the same read; the rows are read one after the other, so a take whose answer had been lost could come in between: epoch 2 of the lease with version 1 of the epoch row. All commits of this holder then fail while it believes in its lease. The product drops a lease whose commit says that it is lost, so it lost a try there; the test's owner does not. Ruled out: staleness (the four slots were free), publishing whose outcome was unknown (version 9 stored, 10 believed: the draw was empty, not refused). Change: both rows must be of one epoch, or the next try decides.

--- a/src/state/lease-store.ts
+++ b/src/state/lease-store.ts
@@ -219,8 +219,10 @@
     return ok(this.hold(name, epoch, (epochRow?.version ?? 0) + 1));
   }
 
+  /** A lease that this session was found to hold. The rows are read one after the other: both must be of one epoch. */
   private adopt(name: string, epoch: number, epochRow: Row | undefined): HeldLease | undefined {
-    return epochRow === undefined ? undefined : this.hold(name, epoch, epochRow.version);
+    const epochValue = epochRow?.value as { epoch: number } | undefined;
+    return epochRow && epochValue?.epoch === epoch ? this.hold(name, epoch, epochRow.version) : undefined;
   }
 
   private hold(name: string, epoch: number, version: number): HeldLease {
--- /dev/null
+++ b/test/lease-store.test.ts
@@ -0,0 +1,37 @@
+/** Leases whose rows change while they are read. */
+import { expect } from 'chai';
+import { ok } from 'neverthrow';
+import { LeaseStore } from '../src/state/lease-store.js';
+import type { Table } from '../src/state/row-table.js';
+
+const LEASE = 'rollouts/t/0';
+const SESSION = 'session-1';
+const LEASE_MS = 60_000;
+
+/** A table in which the session holds the lease at epoch 2, and whose epoch row is read as given. */
+function tableWith(epochRow: { version: number; epoch: number }): Table {
+  const rows = [
+    { key: `lease/${LEASE}`, version: 2, value: { holder: 'node-1', session: SESSION, epoch: 2 } },
+    { key: `lease-epoch/${LEASE}`, version: epochRow.version, value: { epoch: epochRow.epoch } },
+  ];
+  return {
+    read: async (keys: readonly string[]) => ok(rows.filter(({ key }) => keys.includes(key))),
+    transact: async () => ok({ committed: true, failed: [] }),
+  } as unknown as Table;
+}
+
+async function acquire(epochRow: { version: number; epoch: number }) {
+  const leases = new LeaseStore(tableWith(epochRow), 'node-1', SESSION, LEASE_MS);
+  await leases.renew();
+  return (await leases.tryAcquire(LEASE))._unsafeUnwrap();
+}
+
+describe('leases that a session was found to hold', () => {
+  it('are adopted with the version of their epoch', async () => {
+    expect((await acquire({ version: 2, epoch: 2 }))?.condition.version).to.equal(2);
+  });
+
+  it('are not adopted with the row of an earlier epoch, which was read before the lease was taken', async () => {
+    expect(await acquire({ version: 1, epoch: 1 })).to.equal(undefined);
+  });
+});
--- a/test/ledger-properties.test.ts
+++ b/test/ledger-properties.test.ts
@@ -28,6 +28,9 @@
 /** Rounds without faults in which whatever is left must be delivered. */
 const FINISHING_ROUNDS = 50;
 
+/** Schedules that failed once. */
+const FOUND = [481_340];
+
 /** One trainer, two owners and a network that delays draws. */
 class Schedule {
   private readonly random: Random;
@@ -201,7 +204,7 @@
         expect(schedule.problems).to.deep.equal([]);
         expect(schedule.doubled()).to.deep.equal([]);
       }),
-      { numRuns: 1_500, seed: 42 },
+      { numRuns: 1_500, seed: 42, examples: FOUND.map((seed) => [seed]) },
     );
   });
 });
