Looks at the beats of holders keep their distance, and their test its verdict

Looks came 400 to 600 ms apart, so a silent holder was lost at the second look without a beat, or at the third when two lay less than 900 ms apart: up to 2,100 ms after its last beat. The test drew one of these distances anew in each run. Ruled out: load. The times are those that the code allows, worked out by the distances above. Change: looks come within 5% of their distance (they still drift apart by chance and by the store's answers), so the second look without a beat always counts and the first never does. The monitor takes its clock and chance as an argument; the test moves a clock of its own on, for looks as early, as late as they may be and drawn with a seed, at 50 phases of the beats. The bound of 1,600 ms stays, and a second test holds the other side: 700 ms late is no loss. The same verdict each time; a lost owner is noticed by the second look, sooner by 60 ms in the mean (worked out).

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -29,3 +29,16 @@
     signal?.addEventListener('abort', finish, { once: true });
   });
 }
+
+/** Time and chance as a task sees them; tests bring their own, so that a run takes no time and repeats exactly. */
+export interface Clock {
+  /** Monotonic time, milliseconds. */
+  now(): number;
+  /** Resolves after `ms` milliseconds, or at once when `signal` is aborted. */
+  sleep(ms: number, signal?: AbortSignal): Promise<void>;
+  /** A number from 0 up to 1. */
+  random(): number;
+}
+
+/** The clock of this process. */
+export const SYSTEM_CLOCK: Clock = { now: monotonicMs, sleep, random: Math.random };
--- a/src/coordination/session-monitor.ts
+++ b/src/coordination/session-monitor.ts
@@ -3,7 +3,7 @@
  * store, and every node looks at all beats now and then. A holder counts as lost when its beat stood still for
  * `EXPIRY_MS` of time in which this node could read the store without a gap; an outage of the store costs nobody a job.
  */
-import { monotonicMs, sleep } from '../common/clock.js';
+import { type Clock, SYSTEM_CLOCK } from '../common/clock.js';
 import type { RecordStore, StoredRecord } from '../protocol/record-store.js';
 import type { JobOwner } from '../state/job-record.js';
 
@@ -13,11 +13,13 @@
 /** Beats are written by the few holders and read by all, so they come more often than the looks. */
 const BEAT_MS = 250;
 const POLL_MS = 500;
+/** Part of `POLL_MS` by which looks come sooner or later, so that those of different nodes spread. */
+const POLL_SPREAD = 0.05;
 /** Beats without an answer after which the next one waits: lost answers must not delay it. */
 const MAX_OPEN_BEATS = 4;
 /**
- * Observed time after which a silent holder counts as lost, milliseconds, and answers of a slow store on top. Two looks
- * at the longest distance fit in, and each look sees a beat that is at most `BEAT_MS` old.
+ * Observed time after which a silent holder counts as lost, milliseconds, and answers of a slow store on top. It lies
+ * between one look and two, at any distance that looks have: one look without a new beat never counts, the second does.
  */
 const EXPIRY_MS = 900;
 const EXPIRY_ANSWERS = 4;
@@ -62,6 +64,7 @@
     private readonly isHolder: () => boolean,
     /** Whether anything is held by others, so that their beats matter. */
     private readonly mustWatch: () => boolean,
+    private readonly clock: Clock = SYSTEM_CLOCK,
   ) {}
 
   /** Called after each look, with all records of the table. */
@@ -89,7 +92,7 @@
   isFresh(owner: JobOwner): boolean {
     const session = this.sessions.get(owner.node);
     if (session?.life !== owner.life || session.isLeaving) return false;
-    return this.observedMs - session.changedAtMs <= FRESH_MS && monotonicMs() - this.lastReadMs <= GAP_MS;
+    return this.observedMs - session.changedAtMs <= FRESH_MS && this.clock.now() - this.lastReadMs <= GAP_MS;
   }
 
   /** Tells all nodes that this process takes no new jobs. */
@@ -106,7 +109,7 @@
   private async beatRegularly(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.isHolder() && this.openBeats < MAX_OPEN_BEATS) void this.beat();
-      await sleep(BEAT_MS, signal);
+      await this.clock.sleep(BEAT_MS, signal);
     }
   }
 
@@ -127,7 +130,8 @@
   private async watchRegularly(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.mustWatch()) await this.look();
-      await sleep(POLL_MS * (0.8 + 0.4 * Math.random()), signal);
+      const spread = POLL_SPREAD * (2 * this.clock.random() - 1);
+      await this.clock.sleep(POLL_MS * (1 + spread), signal);
     }
   }
 
@@ -140,7 +144,7 @@
   }
 
   private advance(): void {
-    const now = monotonicMs();
+    const now = this.clock.now();
     const elapsed = now - this.lastReadMs;
     if (elapsed > GAP_MS) this.restartedAtMs = this.observedMs;
     else this.observedMs += elapsed;
