Results are listed together when the submitter has what it waits for

A submitter reads every 0.5 s, or as soon as a read that waited ends. Each result that was listed alone ended a read that waited, so the last wanted one lay in the list until the next read, and the end followed another read's distance later. Ruled out: holding a read although results are there (the protocol lets it wait only until there is one); waking readers at other nodes sooner (they ask every 120 ms, 0.06 s in the mean). Change: results gather for up to 1 s, as long as a read may wait, and are listed at once when all wanted groups are whole (those that an earlier job left unfinished among them), when one is dead, or when they are due. Texts of finished items are kept until they are listed, so a lost owner costs no more than before.

--- a/src/coordination/job-run.ts
+++ b/src/coordination/job-run.ts
@@ -3,12 +3,14 @@
 import { monotonicMs, sleep } from '../common/clock.js';
 import { groupBy } from '../common/collections.js';
 import type { DecisionLogger } from '../common/decision-logger.js';
-import type { JobItem, JobSpecification, PartialText } from '../protocol/batch-job.js';
+import type { JobItem, JobResult, JobSpecification, PartialText } from '../protocol/batch-job.js';
+import type { Route } from '../protocol/routing-configuration.js';
 import type { JobHead } from '../state/job-record.js';
 import type { JobRepository } from '../state/job-repository.js';
 import type { ReplicaState } from '../state/replica-directory.js';
 import { type ItemJob, ItemRun, type ItemServices } from './item-run.js';
 import { type ListerServices, ResultLister } from './result-lister.js';
+import { WantedGroups } from './wanted-groups.js';
 
 /** How often texts of running items are kept, milliseconds. */
 const KEEP_TEXTS_MS = 400;
@@ -37,6 +39,7 @@
 /** One job under this node's ownership. */
 export class JobRun {
   private readonly controller = new AbortController();
+  /** Items without a listed result: their texts are kept, so that another owner need not make them again. */
   private readonly running = new Map<string, ItemRun>();
   private readonly startedAtMs = monotonicMs();
   private loaded = false;
@@ -91,13 +94,17 @@
     this.loaded = true;
     this.reportPlan(loaded);
     const acceptedAtMs = monotonicMs() - this.storeAgeMs;
-    const lister = new ResultLister(
-      this.services,
-      this.head,
-      listedIds.size,
+    const { items, desiredGroups } = specification;
+    const wanted = new WantedGroups(items, desiredGroups, (item) => this.services.lengths.isUnfinished(item));
+    for (const item of items) if (listedIds.has(item.id)) wanted.note(item);
+    const listed = {
+      head: this.head,
+      listedCount: listedIds.size,
       acceptedAtMs,
-      this.controller.signal,
-    );
+      dueAgeMs: () => this.route?.resultDeadlineMs ?? 0,
+      onListed: (itemId: string) => this.running.delete(itemId),
+    };
+    const lister = new ResultLister(this.services, listed, this.controller.signal);
     const job: ItemJob = {
       jobId: this.head.jobId,
       host: this.head.record.host,
@@ -107,10 +114,14 @@
       groupReplicas: new Map(),
       signal: this.controller.signal,
     };
-    for (const item of this.services.lengths.longestFirst(specification.items))
-      if (!listedIds.has(item.id)) void this.runItem(job, item, texts.get(item.id), lister);
+    const list = (item: JobItem, result: JobResult) => {
+      wanted.note(item);
+      lister.add(result, wanted.areWhole || result.state === 'dead');
+    };
+    for (const item of this.services.lengths.longestFirst(items))
+      if (!listedIds.has(item.id)) void this.runItem(job, item, texts.get(item.id), list);
     const keeping = this.keepRegularly();
-    const keptOwnership = await lister.run(specification.items.length);
+    const keptOwnership = await lister.run(items.length);
     const wasStopped = this.controller.signal.aborted;
     this.stop();
     await keeping;
@@ -122,15 +133,14 @@
     job: ItemJob,
     item: JobItem,
     kept: PartialText | undefined,
-    lister: ResultLister,
+    list: (item: JobItem, result: JobResult) => void,
   ): Promise<void> {
     const run = new ItemRun(this.services, job, item, kept);
     this.running.set(item.id, run);
     const result = await run.run();
     if (!result) this.services.lengths.noteUnfinished(item, run.text.eventCount);
     if (!result || this.controller.signal.aborted) return;
-    lister.add(JSON.stringify(result));
-    this.running.delete(item.id);
+    list(item, result);
   }
 
   private async keepRegularly(): Promise<void> {
@@ -163,10 +173,14 @@
 
   /** Available replicas of the services that the job's route leads to. */
   private replicas(): ReplicaState[] {
-    const { routing, directory } = this.services;
+    const targets = this.route?.targets ?? [];
+    return targets.flatMap(({ service }) => this.services.directory.availableOf(service));
+  }
+
+  /** The job's route in the configuration in force. */
+  private get route(): Route | undefined {
     const { host, path } = this.head.record;
-    const targets = routing.current?.match(host, path)?.targets ?? [];
-    return targets.flatMap(({ service }) => directory.availableOf(service));
+    return this.services.routing.current?.match(host, path);
   }
 
   private slotsOf(states: readonly ReplicaState[]): number {
--- a/src/coordination/sample-lengths.ts
+++ b/src/coordination/sample-lengths.ts
@@ -39,6 +39,11 @@
     if (this.unfinished.size > MAX_UNFINISHED && oldest !== undefined) this.unfinished.delete(oldest);
   }
 
+  /** Whether an earlier job ended before this sample did. */
+  isUnfinished({ id }: JobItem): boolean {
+    return this.unfinished.has(id);
+  }
+
   /** Events that a sample is expected to have in the end; 0 when nothing is known. */
   expected({ id, expectedTokens }: JobItem): number {
     const atLeast = (this.unfinished.get(id) ?? 0) * (1 + OVERRUN);
