Orders wait for the store as a whole, not each replica for itself

During the outage each replica whose order the store did not confirm was set back by 600 ms. So the first replicas to load afterwards were the two that nothing was asked of meanwhile: those with the newest version, the only ones that the waiting job could use (log of the orders, 25.1 s). Ruled out: late news of versions (rows of replicas come within 50 ms of the store's return); more loads at a time (they share what brings the weights). Change: the lease is confirmed before the replica is asked; without the store all orders wait 150 ms together, and nothing is asked of replicas meanwhile.

--- a/src/coordination/weight-orders.ts
+++ b/src/coordination/weight-orders.ts
@@ -28,6 +28,8 @@
 const PASS_MS = 50;
 /** Pause of one replica after an order that failed, milliseconds. */
 const RETRY_MS = 600;
+/** Pause of all orders after the store has not confirmed the lease, milliseconds. */
+const CONFIRMATION_RETRY_MS = 150;
 
 /** What the orders work with. */
 export interface WeightOrderServices {
@@ -57,6 +59,8 @@
   /** Times of the newest loads, milliseconds. */
   private readonly loadTimes: number[] = [];
   private readonly notBeforeMs = new Map<string, number>();
+  /** When the lease may be confirmed again. */
+  private confirmFromMs = 0;
 
   constructor(private readonly services: WeightOrderServices) {}
 
@@ -70,7 +74,7 @@
 
   private pass(signal: AbortSignal): void {
     const snapshot = this.services.routing.current;
-    if (!snapshot) return;
+    if (!snapshot || monotonicMs() < this.confirmFromMs) return;
     for (const { name, models } of snapshot.configuration.services)
       if (models.length > 0) this.passService(name, models, signal);
   }
@@ -150,12 +154,13 @@
   private async load(wanted: WantedLoad, signal: AbortSignal): Promise<void> {
     const { state, model, version } = wanted;
     const { client, lease } = this.services;
+    const confirmation = await lease.confirm();
+    if (!confirmation) return this.delayAll();
     const report = await client.report(state.replica, CALL_TIMEOUT_MS);
     if (report.isErr() || report.value.isBusy) return this.delay(state);
     if ((report.value.modelVersions.get(model) ?? 0) >= version)
       return this.noteVersions(state, report.value.modelVersions);
-    const confirmation = await lease.confirm();
-    if (!confirmation?.isFresh() || !this.services.directory.isAvailable(state)) return this.delay(state);
+    if (!confirmation.isFresh() || !this.services.directory.isAvailable(state)) return this.delay(state);
     const startedAt = monotonicMs();
     const order = {
       model,
@@ -202,6 +207,11 @@
     this.services.directory.set({ ...state.replica, modelVersions });
   }
 
+  /** Without the store no order can be given, so no replica is worse than another for it. */
+  private delayAll(): void {
+    this.confirmFromMs = monotonicMs() + CONFIRMATION_RETRY_MS;
+  }
+
   private delay(state: ReplicaState): void {
     this.notBeforeMs.set(state.replica.id, monotonicMs() + RETRY_MS);
   }
--- a/test/weight-orders.test.ts
+++ b/test/weight-orders.test.ts
@@ -1,7 +1,13 @@
 /** Orders to load weight versions: one giver at a time, late orders void, every model within reach of its versions. */
 import { expect } from 'chai';
+import { ok } from 'neverthrow';
 import type { ReplicaServer } from '../emulator/replica/replica-server.js';
+import { type WeightOrderServices, WeightOrders } from '../src/coordination/weight-orders.js';
 import { planReplicas, shareReplicas } from '../src/coordination/weight-plan.js';
+import type { Replica } from '../src/protocol/replica.js';
+import { ReplicaDirectory } from '../src/state/replica-directory.js';
+import { RoutingTable } from '../src/state/routing-table.js';
+import { WeightVersions } from '../src/state/weight-versions.js';
 import { kill, MODEL, type ServiceNodeProcess, ServiceSystem } from './support/service-system.js';
 import { until } from './support/wait.js';
 
@@ -132,6 +138,64 @@
   });
 });
 
+describe('orders that the store does not confirm', () => {
+  const IDS = ['r1', 'r2', 'r3', 'r4'];
+  const REFUSALS = 20;
+
+  it('set no replica back: after an outage those furthest behind come first', async () => {
+    const directory = new ReplicaDirectory();
+    const versions = new WeightVersions();
+    const routing = new RoutingTable();
+    const service = { name: 's', maxConnections: 9, models: [MODEL], engineSlots: 4 };
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    routing.install({ version: 1, routes: [], services: [service], limits });
+    for (const id of IDS)
+      directory.set({
+        id,
+        service: 's',
+        address: '127.0.0.1:1',
+        zone: 'z',
+        slots: 4,
+        isDraining: false,
+        modelVersions: new Map([[MODEL, id === 'r1' ? 2 : 1]]),
+      });
+    versions.note(MODEL, 2);
+    const ordered: string[] = [];
+    let refusals = 0;
+    const confirm = async () => {
+      refusals += 1;
+      if (refusals < REFUSALS) return undefined;
+      versions.note(MODEL, 3);
+      return { epoch: 1, isFresh: () => true };
+    };
+    const report = { modelVersions: new Map(), isBusy: false, orderCount: 0, waiting: 0, running: 0 };
+    const client = {
+      report: async () => ok(report),
+      order: async ({ id }: Replica) => {
+        ordered.push(id);
+        return ok('rejected');
+      },
+    };
+    const services = {
+      routing,
+      directory,
+      versions,
+      client,
+      lease: { isHeld: true, confirm },
+      demandOf: () => 1,
+      nodeName: 'node-1',
+      metrics: { orders: { inc: () => {} } },
+      logger: { record: () => {} },
+    };
+    const controller = new AbortController();
+    const orders = new WeightOrders(services as unknown as WeightOrderServices).run(controller.signal);
+    await until('orders are given', () => ordered.length >= IDS.length - 1);
+    controller.abort();
+    await orders;
+    expect(ordered.slice(0, IDS.length - 1).sort()).to.deep.equal(['r2', 'r3', 'r4']);
+  });
+});
+
 describe('the plan of replicas for models', () => {
   const replica = (id: string, versions: Record<string, number>) => ({
     id,
