A node that the store does not serve says that it is not ready, and sends readers elsewhere at once

Change: the open calls of the store tell since when nothing was answered (refusals for the rate count as such); after 1 s, or four usual answers, the store is out of reach: the node is not ready, and reads that memory does not answer are refused at once. In an outage of the whole store all nodes are out alike, and callers go to all of them. Test: service-jobs, 'is read at other nodes'.

--- a/src/coordination/job-calls.ts
+++ b/src/coordination/job-calls.ts
@@ -52,6 +52,8 @@
   readonly cache: ResultCache;
   readonly parseSubmission: SubmissionParser;
   readonly logger: DecisionLogger;
+  /** Whether the store answers this node; when it does not, readers are sent elsewhere at once. */
+  readonly isStoreInReach: () => boolean;
 }
 
 /** The calls of one node. */
@@ -113,6 +115,7 @@
   private async findHead(jobId: string): Promise<JobHead | 'not-found' | 'unavailable'> {
     const known = this.services.ownership.known(jobId);
     if (known) return known;
+    if (!this.services.isStoreInReach()) return 'unavailable';
     const found = await this.services.repository.read(jobId);
     if (found.isErr()) return 'unavailable';
     return found.value ?? 'not-found';
@@ -147,6 +150,7 @@
     const cached = cache.read(jobId, position, PAGE_BYTES);
     if (cached.length > 0 || position >= total) return cached;
     if (ownership.isRunning(jobId)) return [];
+    if (!this.services.isStoreInReach()) return undefined;
     const page = await repository.contents.results(jobId, position);
     if (page.isErr()) return undefined;
     cache.append(jobId, position, page.value.results);
@@ -175,6 +179,7 @@
     const head = await this.findHead(jobId);
     if (typeof head === 'string') return head;
     if (head.record.total === 0) return 'not-found';
+    if (!this.services.isStoreInReach()) return 'unavailable';
     const submission = await this.services.repository.contents.submission(head);
     if (submission.isErr()) return 'unavailable';
     const specification = this.services.parseSubmission(submission.value);
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -121,7 +121,14 @@
       },
       self,
     );
-    this.jobs = new JobCalls({ repository, ownership: this.ownership, cache, parseSubmission, logger });
+    this.jobs = new JobCalls({
+      repository,
+      ownership: this.ownership,
+      cache,
+      parseSubmission,
+      logger,
+      isStoreInReach: () => store.isInReach(),
+    });
     const apartMs = () => parts.settings().leaseMs;
     this.orderLease = new DutyLease(store, ORDERS_DUTY, self, this.sessions, apartMs, logger);
     this.sessions.onPoll((records) => this.orderLease.observe(records, this.hasModels && !this.isDraining));
@@ -154,9 +161,13 @@
     void this.orders.run(signal);
   }
 
-  /** Whether new callers may be sent here. */
+  /**
+   * Whether new callers may be sent here. Without the store a node can serve no jobs, and what it knows of replicas and the
+   * configuration grows old; others may have the store.
+   */
   get isReady(): boolean {
-    return !this.isDraining && this.routing.current !== undefined && this.directory.ids.length > 0;
+    const isInformed = this.routing.current !== undefined && this.directory.ids.length > 0;
+    return !this.isDraining && isInformed && this.parts.store.isInReach();
   }
 
   /** Whether the node is on its way out. */
--- a/src/state/instrumented-store.ts
+++ b/src/state/instrumented-store.ts
@@ -10,6 +10,7 @@
   RecordRange,
   RecordStore,
   RecordStoreError,
+  RecordStoreFailure,
   RecordTransaction,
 } from '../protocol/record-store.js';
 import { OverdueCalls } from './overdue-calls.js';
@@ -27,11 +28,18 @@
 const LATE_MS = 100;
 const MILLISECONDS_PER_SECOND = 1000;
 
+/** A store counts as out of reach after this time without an answer, milliseconds, or this many usual answers. */
+const OUT_OF_REACH_MS = 1_000;
+const OUT_OF_REACH_ANSWERS = 4;
+
 /** A small question, to learn whether the store answers. */
 const PROBE: RecordRange = { table: 'probe', partition: '', limit: 1 };
 
+/** Failures that say nothing of the store's state: it was not reached, or turned the call away. */
+const NOT_SERVED: ReadonlySet<RecordStoreFailure> = new Set(['unavailable', 'rate-limited']);
+
 function isAnswered(answer: Result<unknown, RecordStoreError>): boolean {
-  return answer.isOk() || answer.error.failure !== 'unavailable';
+  return answer.isOk() || !NOT_SERVED.has(answer.error.failure);
 }
 
 /** Wraps a store; passes every call on unchanged. */
@@ -60,6 +68,10 @@
     return this.calls.usualAnswerMs;
   }
 
+  isInReach(): boolean {
+    return this.calls.silentMs < Math.max(OUT_OF_REACH_MS, this.usualAnswerMs() * OUT_OF_REACH_ANSWERS);
+  }
+
   nowMs(): number {
     return this.inner.nowMs();
   }
--- a/src/state/overdue-calls.ts
+++ b/src/state/overdue-calls.ts
@@ -1,5 +1,6 @@
 /**
- * Gives up calls of the store whose answer will not come. A missing answer alone proves nothing: the store may be slow.
+ * The open calls of the store: how long answers take, since when none has come, and which calls are given up because
+ * their answer will not come. A missing answer alone proves nothing: the store may be slow.
  * But when a call that was made later has been answered, and the earlier one has waited many times as long as answers
  * take now, its answer is lost, and waiting for it only delays the repeat. While calls wait, a small question is asked now
  * and then, so that there is something to be answered.
@@ -38,6 +39,9 @@
   private averageMs = 0;
   /** Start of the latest call that has been answered. */
   private answeredCallStartedAtMs = Number.NEGATIVE_INFINITY;
+  private answeredAtMs = Number.NEGATIVE_INFINITY;
+  /** When the first call was due that has failed since the last answer; `undefined` without one. */
+  private failingSinceMs: number | undefined;
   private probedAtMs = Number.NEGATIVE_INFINITY;
   private timer: NodeJS.Timeout | undefined;
 
@@ -49,6 +53,17 @@
     return this.averageMs;
   }
 
+  /**
+   * Time for which nothing was answered although something was asked, milliseconds: since the first call that has failed or
+   * waits, but not longer than since the last answer. Calls that the store may hold count from then on.
+   */
+  get silentMs(): number {
+    const now = monotonicMs();
+    const dueSinceMs = [...this.waiting].map((call) => call.startedAtMs + call.heldMs);
+    const askedAtMs = Math.min(this.failingSinceMs ?? now, ...dueSinceMs, now);
+    return Math.min(now - askedAtMs, now - this.answeredAtMs);
+  }
+
   /** Opens a call. `outer` gives it up as well. */
   open(heldMs: number, outer?: AbortSignal): OpenCall {
     const call = { startedAtMs: monotonicMs(), heldMs, controller: new AbortController() };
@@ -63,11 +78,19 @@
         this.waiting.delete(call);
         outer?.removeEventListener('abort', onOuterAbort);
         if (isAnswered) this.noteAnswer(call);
+        else if (!outer?.aborted) this.noteFailure(call);
       },
     };
   }
 
+  private noteFailure({ startedAtMs, heldMs }: WaitingCall): void {
+    const dueAtMs = Math.min(startedAtMs + heldMs, monotonicMs());
+    this.failingSinceMs = Math.min(this.failingSinceMs ?? dueAtMs, dueAtMs);
+  }
+
   private noteAnswer(call: WaitingCall): void {
+    this.answeredAtMs = monotonicMs();
+    this.failingSinceMs = undefined;
     this.answeredCallStartedAtMs = Math.max(this.answeredCallStartedAtMs, call.startedAtMs);
     if (call.heldMs > 0) return;
     const tookMs = monotonicMs() - call.startedAtMs;
--- a/test/service-jobs.test.ts
+++ b/test/service-jobs.test.ts
@@ -4,6 +4,9 @@
 import { kill, MODEL, type ServiceNodeProcess, ServiceSystem } from './support/service-system.js';
 import { until } from './support/wait.js';
 
+/** Time in which a refusal that needs nothing else must be there, milliseconds: a call to the store may take 3,000. */
+const AT_ONCE_MS = 1_500;
+
 describe('batch jobs on serving nodes', () => {
   let system: ServiceSystem;
   let nodes: ServiceNodeProcess[];
@@ -176,6 +179,28 @@
     expect(ownerOf('job-1')).to.equal(owner);
   });
 
+  it('is read at other nodes when the store does not serve one, which says so at once', async () => {
+    await system.addEngine({ events: 60, workMs: 80 });
+    await system.addApplication();
+    const urls = await startNodes(2);
+    expect(await system.trainer.submit(urls[0] as string, job('job-1', { groups: 1 }))).to.equal(202);
+    const cutOff = system.nodes.find(({ name }) => name !== ownerOf('job-1')) as ServiceNodeProcess;
+    await until(
+      'the job is known',
+      async () => (await system.trainer.read(cutOff.url, 'job-1', 0)).status === 200,
+    );
+    cutOff.proxy.set('freeze');
+    await until('it is not ready', async () => (await system.status(cutOff.readyUrl)) === 503);
+    const askedAt = performance.now();
+    expect((await system.trainer.read(cutOff.url, 'job-1', 0)).status).to.equal(503);
+    expect((await system.trainer.read(cutOff.url, 'unknown', 0)).status).to.equal(503);
+    expect(performance.now() - askedAt).to.be.lessThan(AT_ONCE_MS);
+    cutOff.proxy.set('pass');
+    await system.untilReady(cutOff);
+    const submitted = job('job-1', { groups: 1 });
+    expectWhole(await system.trainer.readAll([cutOff.url], 'job-1', 2), submitted, 60);
+  });
+
   it('is handed over by a node that is stopped', async () => {
     await system.addEngine({ events: 200, workMs: 60 });
     await system.addApplication();
--- a/test/support/faulty-platform.ts
+++ b/test/support/faulty-platform.ts
@@ -96,6 +96,10 @@
     return 0;
   }
 
+  isInReach(): boolean {
+    return true;
+  }
+
   nowMs(): number {
     return 0;
   }
