A node that the store does not serve passes calls about jobs on to one that it serves

Change: each node announces its address in the store and remembers those of the eight nodes that follow it by name (one write a minute, one read in 10 s, whatever the size). What was begun here is waited for before anything is promised, so a refusal still means that nothing runs.

--- a/emulator/job-demo.ts
+++ b/emulator/job-demo.ts
@@ -74,8 +74,8 @@
     notFound: (request, response) => ingress.handle(request, response),
     failed: (cause, _request, response) => sendJson(response, 500, { error: String(cause) }),
   });
-  node.start();
   const port = await server.listen(LOOPBACK, 0);
+  node.start(`${LOOPBACK}:${port}`);
   return { node, server, url: `http://${LOOPBACK}:${port}` };
 }
 
--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -45,6 +45,17 @@
   readonly position?: number;
 }
 
+/** A call about a batch job was passed on to another node, because the store does not serve this one. */
+export interface JobCallPassedOn {
+  readonly event: 'job-call-passed-on';
+  readonly call: 'submit' | 'read' | 'item' | 'end';
+  readonly jobId: string;
+  /** `IP:PORT` of the other node. */
+  readonly peer: string;
+  readonly outcome: 'answered' | 'not served';
+  readonly tookMs: number;
+}
+
 /** A job changed its owner or state in the eyes of this node. */
 export interface JobChanged {
   readonly event: 'job-changed';
@@ -105,7 +116,7 @@
 /** The node's belief about configuration or replicas changed. */
 export interface BeliefChanged {
   readonly event: 'belief-changed';
-  readonly subject: 'configuration' | 'replica' | 'weight-version' | 'session' | 'feed';
+  readonly subject: 'configuration' | 'replica' | 'weight-version' | 'session' | 'feed' | 'peers';
   readonly name: string;
   readonly change: string;
   readonly version: number;
@@ -160,6 +171,7 @@
   | RequestAnswered
   | AttemptEnded
   | JobCallAnswered
+  | JobCallPassedOn
   | JobChanged
   | JobPlanned
   | ItemChanged
--- a/src/coordination/job-calls.ts
+++ b/src/coordination/job-calls.ts
@@ -2,9 +2,11 @@
 import { monotonicMs, sleep } from '../common/clock.js';
 import type { DecisionLogger } from '../common/decision-logger.js';
 import type { JobSpecification } from '../protocol/batch-job.js';
+import type { ItemOutcome, JobSubmission, ReadOutcome, SubmissionOutcome } from '../protocol/job-calls.js';
 import type { JobHead } from '../state/job-record.js';
 import type { JobRepository } from '../state/job-repository.js';
 import type { ResultCache } from '../state/result-cache.js';
+import type { JobForwarding } from './job-forwarding.js';
 import type { JobOwnership } from './job-owner.js';
 import type { SubmissionParser } from './job-run.js';
 
@@ -16,35 +18,6 @@
 /** Bytes of one page of results at most. */
 const PAGE_BYTES = 900_000;
 
-/** A job to submit. */
-export interface JobSubmission {
-  readonly jobId: string;
-  readonly host: string;
-  readonly path: string;
-  readonly body: Buffer;
-  readonly specification: JobSpecification;
-}
-
-/** What became of a submission. */
-export type SubmissionOutcome = 'accepted' | 'not-accepted' | 'unknown';
-
-/** What a reader gets. */
-export type ReadOutcome =
-  | {
-      readonly kind: 'page';
-      readonly total: number;
-      readonly next: number;
-      readonly results: readonly string[];
-    }
-  | { readonly kind: 'not-found' }
-  | { readonly kind: 'unavailable' };
-
-/** What someone who asks for an item gets. */
-export type ItemOutcome =
-  | { readonly kind: 'found'; readonly body: Buffer }
-  | { readonly kind: 'not-found' }
-  | { readonly kind: 'unavailable' };
-
 /** What the calls work with. */
 export interface JobCallServices {
   readonly repository: JobRepository;
@@ -52,6 +25,7 @@
   readonly cache: ResultCache;
   readonly parseSubmission: SubmissionParser;
   readonly logger: DecisionLogger;
+  readonly forwarding: JobForwarding;
   /** Whether the store answers this node; when it does not, readers are sent elsewhere at once. */
   readonly isStoreInReach: () => boolean;
 }
@@ -63,37 +37,87 @@
 
   constructor(private readonly services: JobCallServices) {}
 
-  /** Accepts a job once, however often it is submitted. */
-  async submit(submission: JobSubmission): Promise<SubmissionOutcome> {
+  /** Accepts a job once, however often it is submitted. `isForwarded` says that another node passes the call on. */
+  async submit(submission: JobSubmission, isForwarded: boolean): Promise<SubmissionOutcome> {
     const startedAt = monotonicMs();
-    const outcome = await this.accept(submission, startedAt + ACCEPT_EFFORT_MS);
-    this.report('submit', submission.jobId, outcome, startedAt);
+    const { jobId } = submission;
+    const outcome = await this.services.forwarding.run<SubmissionOutcome>({
+      name: 'submit',
+      jobId,
+      isForwarded,
+      here: async () =>
+        this.isHopeless(isForwarded) ? 'not-accepted' : this.accept(submission, startedAt + ACCEPT_EFFORT_MS),
+      there: (peer, address) => peer.submit(address, submission),
+      isFinal: (own) => own === 'accepted',
+      join: (own) => (own.every((each) => each === 'not-accepted') ? 'not-accepted' : 'unknown'),
+    });
+    this.report('submit', jobId, outcome, startedAt);
     return outcome;
   }
 
   /** Results from `position` on; waits up to `waitMs` for the first one. */
-  async read(jobId: string, position: number, waitMs: number, signal: AbortSignal): Promise<ReadOutcome> {
+  async read(
+    jobId: string,
+    position: number,
+    waitMs: number,
+    isForwarded: boolean,
+    signal: AbortSignal,
+  ): Promise<ReadOutcome> {
     const startedAt = monotonicMs();
-    const outcome = await this.readPage(jobId, position, startedAt + waitMs, signal);
+    const outcome = await this.services.forwarding.run<ReadOutcome>({
+      name: 'read',
+      jobId,
+      isForwarded,
+      here: () => this.readPage(jobId, position, startedAt + waitMs, signal),
+      there: (peer, address) => peer.read(address, jobId, position),
+      isFinal: ({ kind }) => kind !== 'unavailable',
+      join: () => ({ kind: 'unavailable' }),
+    });
     const detail = outcome.kind === 'page' ? `${outcome.results.length} results` : outcome.kind;
     this.report('read', jobId, detail, startedAt, position);
     return outcome;
   }
 
   /** The body of an item whose job is open. */
-  async item(jobId: string, itemId: string): Promise<ItemOutcome> {
+  async item(jobId: string, itemId: string, isForwarded: boolean): Promise<ItemOutcome> {
     const startedAt = monotonicMs();
-    const outcome = await this.findItem(jobId, itemId);
+    const outcome = await this.services.forwarding.run<ItemOutcome>({
+      name: 'item',
+      jobId,
+      isForwarded,
+      here: () => this.findItem(jobId, itemId),
+      there: (peer, address) => peer.item(address, jobId, itemId),
+      isFinal: ({ kind }) => kind !== 'unavailable',
+      join: () => ({ kind: 'unavailable' }),
+    });
     this.report('item', `${jobId}/${itemId}`, outcome.kind, startedAt);
     return outcome;
   }
 
   /** Ends a job. Returns false when it is not certain that it is ended. */
-  async end(jobId: string): Promise<boolean> {
+  async end(jobId: string, isForwarded: boolean): Promise<boolean> {
     const startedAt = monotonicMs();
-    const ended = await this.services.repository.end(jobId, startedAt + END_EFFORT_MS);
+    const isEnded = await this.services.forwarding.run<boolean>({
+      name: 'end',
+      jobId,
+      isForwarded,
+      here: async () => !this.isHopeless(isForwarded) && this.endHere(jobId, startedAt + END_EFFORT_MS),
+      there: (peer, address) => peer.end(address, jobId),
+      isFinal: (own) => own,
+      join: () => false,
+    });
+    this.report('end', jobId, isEnded ? 'ended' : 'unavailable', startedAt);
+    return isEnded;
+  }
+
+  /** Whether a call that another node passes on is answered at once, so that the next one is asked. */
+  private isHopeless(isForwarded: boolean): boolean {
+    return isForwarded && !this.services.isStoreInReach();
+  }
+
+  private async endHere(jobId: string, deadlineMs: number): Promise<boolean> {
+    const ended = await this.services.repository.end(jobId, deadlineMs);
     if (ended.isOk()) this.services.ownership.note(ended.value);
-    this.report('end', jobId, ended.isOk() ? 'ended' : ended.error.failure, startedAt);
     return ended.isOk();
   }
 
--- /dev/null
+++ b/src/coordination/peer-addresses.ts
@@ -0,0 +1,127 @@
+/**
+ * Where other nodes serve callers. Each node announces its address in the store and remembers those of a few nodes that
+ * follow it in the order of their names, so that the cost for each node stays the same however many there are.
+ */
+import { type Clock, SYSTEM_CLOCK } from '../common/clock.js';
+import type { DecisionLogger } from '../common/decision-logger.js';
+import type { RecordAddress, RecordStore, StoredRecord } from '../protocol/record-store.js';
+
+const TABLE = 'serving-nodes';
+/** Other nodes that are remembered. */
+const REMEMBERED = 8;
+/** How often a node announces itself, and after what time it is no longer believed, milliseconds. */
+const ANNOUNCE_MS = 60_000;
+const EXPIRY_MS = 200_000;
+/** Time between two looks, milliseconds; the first ones come sooner, while all nodes start. */
+const LOOK_MS = 10_000;
+const FIRST_LOOK_MS = 1_500;
+const LOOK_SPREAD = 0.2;
+
+/** What an announcement says. */
+interface Announcement {
+  readonly address: string;
+  /** On the store's clock, milliseconds. */
+  readonly announcedAtMs: number;
+}
+
+/** The addresses that one node knows. */
+export class PeerAddresses {
+  private known: readonly string[] = [];
+  /** Nodes that carried out the last call that was passed on to them, or failed to. */
+  private readonly hasServed = new Map<string, boolean>();
+
+  constructor(
+    private readonly store: RecordStore,
+    private readonly nodeName: string,
+    private readonly logger: DecisionLogger,
+    private readonly clock: Clock = SYSTEM_CLOCK,
+  ) {}
+
+  /** Up to `count` addresses (`IP:PORT`): nodes that served last time, then untried ones, then the others. */
+  likeliest(count: number): string[] {
+    const rank = (address: string) => Number(this.hasServed.get(address) ?? 0.5);
+    return [...this.known].sort((left, right) => rank(right) - rank(left)).slice(0, count);
+  }
+
+  /** Takes note of whether a node carried out a call that was passed on to it. */
+  note(address: string, hasServed: boolean): void {
+    this.hasServed.set(address, hasServed);
+  }
+
+  /** Announces this node at `address` (`IP:PORT`) and looks for others until stopped. */
+  async run(address: string, signal: AbortSignal): Promise<void> {
+    await Promise.all([this.announceRegularly(address, signal), this.lookRegularly(signal)]);
+  }
+
+  private async announceRegularly(address: string, signal: AbortSignal): Promise<void> {
+    let isAnnounced = false;
+    while (!signal.aborted) {
+      isAnnounced = await this.announce(address);
+      await this.clock.sleep(isAnnounced ? ANNOUNCE_MS : FIRST_LOOK_MS, signal);
+    }
+  }
+
+  private async announce(address: string): Promise<boolean> {
+    const announcement: Announcement = { address, announcedAtMs: Math.round(this.store.nowMs()) };
+    const value = Buffer.from(JSON.stringify(announcement), 'utf8');
+    const write = { ...recordAddress(this.nodeName), value };
+    return (await this.store.transact({ conditions: [], writes: [write], removals: [] })).isOk();
+  }
+
+  private async lookRegularly(signal: AbortSignal): Promise<void> {
+    for (let looks = 0; !signal.aborted; looks += 1) {
+      const distanceMs = looks < 2 ? FIRST_LOOK_MS : LOOK_MS;
+      await this.clock.sleep(distanceMs * (1 + LOOK_SPREAD * (this.clock.random() - 0.5)), signal);
+      if (!signal.aborted) await this.look();
+    }
+  }
+
+  private async look(): Promise<void> {
+    const following = await this.scan(`${this.nodeName}\0`);
+    if (!following) return;
+    const isShort = following.length < REMEMBERED;
+    const records = isShort ? [...following, ...((await this.scan(undefined)) ?? [])] : following;
+    const others = records.filter(({ key }) => key !== this.nodeName).slice(0, REMEMBERED);
+    const expired = others.filter((record) => this.isExpired(record));
+    const addresses = others
+      .filter((record) => !this.isExpired(record))
+      .map((record) => parse(record).address);
+    this.remember([...new Set(addresses)], records);
+    for (const address of this.hasServed.keys())
+      if (!this.known.includes(address)) this.hasServed.delete(address);
+    if (expired.length > 0) await this.remove(expired);
+  }
+
+  private remember(addresses: readonly string[], records: readonly StoredRecord[]): void {
+    const hasChanged = addresses.join() !== this.known.join();
+    this.known = addresses;
+    if (!hasChanged) return;
+    const version = Math.max(0, ...records.map((record) => record.version));
+    const change = `${addresses.length} known`;
+    this.logger.record({ event: 'belief-changed', subject: 'peers', name: TABLE, change, version });
+  }
+
+  private async scan(from: string | undefined): Promise<readonly StoredRecord[] | undefined> {
+    const page = await this.store.scan({ table: TABLE, partition: '', from, limit: REMEMBERED + 1 });
+    return page.isOk() ? page.value.records : undefined;
+  }
+
+  private isExpired(record: StoredRecord): boolean {
+    return this.store.nowMs() - parse(record).announcedAtMs > EXPIRY_MS;
+  }
+
+  /** Nodes that are gone for good leave their announcements behind. */
+  private async remove(records: readonly StoredRecord[]): Promise<void> {
+    const conditions = records.map(({ key, version }) => ({ ...recordAddress(key), version }));
+    const removals = records.map(({ key }) => recordAddress(key));
+    await this.store.transact({ conditions, writes: [], removals });
+  }
+}
+
+function recordAddress(nodeName: string): RecordAddress {
+  return { table: TABLE, partition: '', key: nodeName };
+}
+
+function parse({ value }: StoredRecord): Announcement {
+  return JSON.parse(value.toString('utf8')) as Announcement;
+}
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -13,8 +13,10 @@
 } from '../coordination/announcements.js';
 import { DutyLease } from '../coordination/duty-lease.js';
 import { JobCalls } from '../coordination/job-calls.js';
+import { JobForwarding } from '../coordination/job-forwarding.js';
 import { JobOwnership } from '../coordination/job-owner.js';
 import type { SubmissionParser } from '../coordination/job-run.js';
+import { PeerAddresses } from '../coordination/peer-addresses.js';
 import { Placement } from '../coordination/placement.js';
 import { type FeedObserver, RecordFeed } from '../coordination/record-feed.js';
 import { ReplicaExchange } from '../coordination/replica-exchange.js';
@@ -23,6 +25,7 @@
 import { ServiceRelay } from '../coordination/service-relay.js';
 import { SessionMonitor } from '../coordination/session-monitor.js';
 import { WeightOrders } from '../coordination/weight-orders.js';
+import type { JobPeer } from '../protocol/job-calls.js';
 import type { RecordStore } from '../protocol/record-store.js';
 import type { ReplicaClient } from '../protocol/replica.js';
 import type { ServiceSettings } from '../protocol/service-settings.js';
@@ -52,6 +55,7 @@
   readonly settings: () => ServiceSettings;
   readonly store: RecordStore;
   readonly client: ReplicaClient;
+  readonly peer: JobPeer;
   readonly format: AnnouncementFormat;
   readonly parseSubmission: SubmissionParser;
   readonly metrics: ServiceMetrics;
@@ -77,6 +81,7 @@
   private readonly placement: Placement;
   private readonly ownership: JobOwnership;
   private readonly sessions: SessionMonitor;
+  private readonly peers: PeerAddresses;
   private readonly orderLease: DutyLease;
   private readonly orders: WeightOrders;
   private readonly feeds: readonly RecordFeed<unknown>[];
@@ -121,6 +126,7 @@
       },
       self,
     );
+    this.peers = new PeerAddresses(store, settings.nodeName, logger);
     this.jobs = new JobCalls({
       repository,
       ownership: this.ownership,
@@ -128,6 +134,12 @@
       parseSubmission,
       logger,
       isStoreInReach: () => store.isInReach(),
+      forwarding: new JobForwarding({
+        peer: parts.peer,
+        peers: this.peers,
+        isStoreInReach: () => store.isInReach(),
+        logger,
+      }),
     });
     const apartMs = () => parts.settings().leaseMs;
     this.orderLease = new DutyLease(store, ORDERS_DUTY, self, this.sessions, apartMs, logger);
@@ -153,9 +165,10 @@
     ] as RecordFeed<unknown>[];
   }
 
-  /** Begins to follow the store, to run jobs and to give orders. */
-  start(): void {
+  /** Begins to follow the store, to run jobs and to give orders. Other nodes find this one at `address`, `IP:PORT`. */
+  start(address: string): void {
     const { signal } = this.controller;
+    void this.peers.run(address, signal);
     for (const feed of this.feeds) void feed.run(signal);
     void this.sessions.run(signal);
     void this.orders.run(signal);
--- a/src/node/service-process.ts
+++ b/src/node/service-process.ts
@@ -68,10 +68,10 @@
   async run(detail: string): Promise<void> {
     const { node, logger, metricsPort } = this.parts;
     this.handleSignals();
-    node.start();
     const { ingress, readiness } = this.parts.settings();
     const readinessPort = await this.readiness.listen(readiness.host, readiness.port);
     const ingressPort = await this.callers.listen(ingress.host, ingress.port);
+    node.start(`${ingress.host}:${ingressPort}`);
     const metrics = metricsPort === undefined ? 0 : await this.serveMetrics(ingress.host, metricsPort);
     setInterval(() => this.pulse(), PULSE_MS).unref();
     logger.record({
--- /dev/null
+++ b/test/peer-addresses.test.ts
@@ -0,0 +1,97 @@
+/** Where nodes find each other: a few addresses each, none of nodes that are gone. */
+import { expect } from 'chai';
+import { ok } from 'neverthrow';
+import type { DecisionLogger } from '../src/common/decision-logger.js';
+import { PeerAddresses } from '../src/coordination/peer-addresses.js';
+import type {
+  RecordRange,
+  RecordStore,
+  RecordTransaction,
+  StoredRecord,
+} from '../src/protocol/record-store.js';
+import { ManualClock } from './support/manual-clock.js';
+
+const NODES = 20;
+/** Addresses that one node remembers at most. */
+const REMEMBERED = 8;
+const LONG_MS = 600_000;
+
+/** One table in memory, in the order of its keys. */
+class TableStore {
+  private records: StoredRecord[] = [];
+  private version = 0;
+
+  constructor(private readonly clock: ManualClock) {}
+
+  get keys(): string[] {
+    return this.records.map(({ key }) => key);
+  }
+
+  nowMs(): number {
+    return this.clock.now();
+  }
+
+  async transact({ writes, removals }: RecordTransaction) {
+    this.version += 1;
+    const gone = new Set([...writes, ...removals].map(({ key }) => key));
+    const left = this.records.filter(({ key }) => !gone.has(key));
+    const added = writes.map((write) => ({ ...write, version: this.version }));
+    this.records = [...left, ...added].sort((one, other) => (one.key < other.key ? -1 : 1));
+    return ok(this.version);
+  }
+
+  async scan({ from = '', limit = 500 }: RecordRange) {
+    const records = this.records.filter(({ key }) => key >= from).slice(0, limit);
+    return ok({ records, version: this.version, hasMore: false });
+  }
+}
+
+describe('addresses of other nodes', () => {
+  const name = (index: number) => `node-${String(index).padStart(2, '0')}`;
+  const address = (index: number) => `10.0.0.${index}:80`;
+  let clock: ManualClock;
+  let store: TableStore;
+  let controllers: AbortController[];
+  let peers: PeerAddresses[];
+
+  beforeEach(async () => {
+    clock = new ManualClock(() => 0.5);
+    store = new TableStore(clock);
+    controllers = [];
+    peers = [];
+    for (let index = 0; index < NODES; index += 1) {
+      const controller = new AbortController();
+      const logger = { record: () => {} } as unknown as DecisionLogger;
+      const own = new PeerAddresses(store as unknown as RecordStore, name(index), logger, clock);
+      void own.run(address(index), controller.signal);
+      controllers.push(controller);
+      peers.push(own);
+    }
+    await clock.advance(10_000);
+  });
+
+  afterEach(() => {
+    for (const controller of controllers) controller.abort();
+  });
+
+  it('are those of a few nodes that follow in the order of names, and begin again at its end', () => {
+    const known = (index: number) => peers[index]?.likeliest(NODES);
+    expect(known(0)).to.deep.equal([1, 2, 3, 4, 5, 6, 7, 8].map(address));
+    expect(known(17)).to.deep.equal([18, 19, 0, 1, 2, 3, 4, 5].map(address));
+    expect(known(NODES - 1)).to.have.length(REMEMBERED);
+  });
+
+  it('are offered with those first that have served, and those last that have not', () => {
+    peers[0]?.note(address(1), false);
+    peers[0]?.note(address(3), true);
+    expect(peers[0]?.likeliest(3)).to.deep.equal([3, 2, 4].map(address));
+  });
+
+  it('are forgotten when their nodes are gone, and removed', async () => {
+    controllers[1]?.abort();
+    await clock.advance(LONG_MS);
+    expect(peers[0]?.likeliest(NODES)).to.deep.equal([2, 3, 4, 5, 6, 7, 8, 9].map(address));
+    expect(store.keys).to.not.include(name(1));
+    expect(store.keys).to.have.length(NODES - 1);
+  });
+});
