Items that an earlier owner has begun go before new ones

Only samples that ran in the same process counted as interrupted. Change: a kept text that fits the job counts as well. Test: item-run.test.ts, which fails without it (the rank of a new one).

--- a/src/coordination/item-run.ts
+++ b/src/coordination/item-run.ts
@@ -54,12 +54,14 @@
 const DEFAULT_DEADLINE_MS = 60_000;
 /** Pause after a replica declined an item, milliseconds. */
 const DECLINED_PAUSE_MS = 60;
+
 /** One item under way. */
 export class ItemRun {
   readonly text: SampleText;
   private failures = 0;
   private attempts = 0;
-  private hasRun = false;
+  /** Whether a part of the text is made, here or by an earlier owner, so that the item goes before new ones. */
+  private isBegun: boolean;
   private readonly moves = new SampleMoves();
 
   constructor(
@@ -69,6 +71,7 @@
     kept: PartialText | undefined,
   ) {
     this.text = kept && this.isUsable(kept) ? SampleText.from(kept) : new SampleText();
+    this.isBegun = this.text.eventCount > 0;
   }
 
   /** Resolves to the result, or to `undefined` when the job's signal was aborted before. */
@@ -128,14 +131,14 @@
       accepts: (candidate) => this.fits(candidate) && !this.moves.hasJustLeft(candidate),
       preferredId: () => this.job.groupReplicas.get(this.item.group),
       expectedEvents: this.services.lengths.remaining(this.item, this.text.eventCount),
-      rank: this.hasRun ? RANK_INTERRUPTED : RANK_NEW,
+      rank: this.isBegun ? RANK_INTERRUPTED : RANK_NEW,
       signal: this.job.signal,
     });
     if (!state) return undefined;
     const startedAt = monotonicMs();
     const eventsBefore = this.text.eventCount;
     this.job.groupReplicas.set(this.item.group, state.replica.id);
-    this.hasRun = true;
+    this.isBegun = true;
     this.attempts += 1;
     let wasTaken = false;
     const outcome = await attemptGeneration(client, state, this.item, this.text, {
--- /dev/null
+++ b/test/item-run.test.ts
@@ -0,0 +1,80 @@
+/** One item of a job: how it asks for a replica. */
+import { expect } from 'chai';
+import { type ItemJob, ItemRun, type ItemServices } from '../src/coordination/item-run.js';
+import type { PlacementRequest } from '../src/coordination/placement.js';
+import { SampleLengths } from '../src/coordination/sample-lengths.js';
+import type { JobItem, PartialText } from '../src/protocol/batch-job.js';
+import { RoutingTable, TargetSplitter } from '../src/state/routing-table.js';
+
+const OLDEST_VERSION = 3;
+
+const ITEM: JobItem = {
+  id: 'item-1',
+  path: '/jobs/1',
+  headers: {},
+  body: Buffer.alloc(0),
+  tokens: 10,
+  expectedTokens: undefined,
+  group: 'group-1',
+  scoring: undefined,
+};
+
+/** The rank with which an item asks for a replica, given the text that an earlier owner kept. */
+async function rankOf(kept: PartialText | undefined): Promise<number> {
+  const routing = new RoutingTable();
+  const route = {
+    name: 'jobs',
+    host: 'h',
+    pathPrefix: '/jobs/',
+    kind: 'rollout',
+    targets: [{ service: 's', weight: 1 }],
+    timeoutMs: 1_000,
+    targetLatencyMs: 400,
+    maxAttempts: 3,
+    priority: 1,
+    isResumable: false,
+    resultDeadlineMs: 7_500,
+    maxQueueMs: 30_000,
+    isSingleVersion: false,
+  } as const;
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  routing.install({ version: 1, routes: [route], services: [], limits });
+  const controller = new AbortController();
+  let asked: PlacementRequest | undefined;
+  const placement = {
+    acquire: async (request: PlacementRequest) => {
+      asked = request;
+      controller.abort();
+      return undefined;
+    },
+  };
+  const services = { routing, placement, splitter: new TargetSplitter(), lengths: new SampleLengths() };
+  const job: ItemJob = {
+    jobId: 'job-1',
+    host: 'h',
+    path: '/jobs/',
+    specification: { model: 'm', minVersion: OLDEST_VERSION, desiredGroups: 1, items: [ITEM] },
+    acceptedAtMs: performance.now(),
+    groupReplicas: new Map(),
+    signal: controller.signal,
+  };
+  await new ItemRun(services as unknown as ItemServices, job, ITEM, kept).run();
+  return (asked as PlacementRequest).rank;
+}
+
+describe('an item of a job', () => {
+  const kept = (version: number): PartialText => ({
+    lastEventId: '2',
+    events: ['a', 'b'],
+    versions: [version],
+    isWhole: false,
+  });
+
+  it('goes before new ones when an earlier owner has begun it', async () => {
+    expect(await rankOf(kept(OLDEST_VERSION))).to.be.lessThan(await rankOf(undefined));
+  });
+
+  it('is new when its text was made by a version that the job does not allow', async () => {
+    expect(await rankOf(kept(OLDEST_VERSION - 1))).to.equal(await rankOf(undefined));
+  });
+});
