The store counts as silent when nothing is answered; jobs and items are put together in shorter steps

Change: the belief follows 'in reach' (a second without an answer). JobRun.run and ItemRun.attempt, grown long, are split: the lister, the items, what is asked of a replica, the terms of an attempt. The policy is the same.

--- a/src/coordination/item-run.ts
+++ b/src/coordination/item-run.ts
@@ -8,8 +8,13 @@
 import type { ReplicaDirectory, ReplicaState } from '../state/replica-directory.js';
 import type { RoutingSnapshot, RoutingTable, TargetSplitter } from '../state/routing-table.js';
 import type { WeightVersions } from '../state/weight-versions.js';
-import { type AttemptPace, attemptGeneration, type GenerationOutcome } from './generation-attempt.js';
-import type { Placement } from './placement.js';
+import {
+  type AttemptPace,
+  attemptGeneration,
+  type GenerationOutcome,
+  type GenerationTerms,
+} from './generation-attempt.js';
+import type { Placement, PlacementRequest } from './placement.js';
 import type { SampleLengths } from './sample-lengths.js';
 import { SampleMoves } from './sample-moves.js';
 import type { SampleScorer } from './sample-scorer.js';
@@ -52,6 +57,7 @@
 const ROUTE_GONE_MS = 3_000;
 const ROUTE_POLL_MS = 100;
 const DEFAULT_DEADLINE_MS = 60_000;
+const SHORTEST_DEADLINE_MS = 1_000;
 /** Pause after a replica declined an item, milliseconds. */
 const DECLINED_PAUSE_MS = 60;
 
@@ -118,22 +124,9 @@
 
   /** One attempt; `undefined` when the job was stopped while the item waited. */
   private async attempt(route: Route): Promise<GenerationOutcome | undefined> {
-    const { placement, client } = this.services;
-    const { model, minVersion } = this.job.specification;
+    const { placement } = this.services;
     const queuedAt = monotonicMs();
-    const chosen = this.services.splitter.next(route)?.service;
-    const state = await placement.acquire({
-      service: () =>
-        this.matchRoute()?.route.targets.some((target) => target.service === chosen)
-          ? chosen
-          : this.currentTarget(),
-      slots: (candidate) => this.slotsOf(candidate),
-      accepts: (candidate) => this.fits(candidate) && !this.moves.hasJustLeft(candidate),
-      preferredId: () => this.job.groupReplicas.get(this.item.group),
-      expectedEvents: this.services.lengths.remaining(this.item, this.text.eventCount),
-      rank: this.isBegun ? RANK_INTERRUPTED : RANK_NEW,
-      signal: this.job.signal,
-    });
+    const state = await placement.acquire(this.placementRequest(route));
     if (!state) return undefined;
     const startedAt = monotonicMs();
     const eventsBefore = this.text.eventCount;
@@ -141,25 +134,51 @@
     this.isBegun = true;
     this.attempts += 1;
     let wasTaken = false;
-    const outcome = await attemptGeneration(client, state, this.item, this.text, {
+    const terms = this.termsAt(route, state, () => {
+      wasTaken = true;
+      placement.noteTaken(state);
+    });
+    const outcome = await attemptGeneration(this.services.client, state, this.item, this.text, terms);
+    placement.release(state, wasTaken);
+    const took = { waitedMs: startedAt - queuedAt, tookMs: monotonicMs() - startedAt };
+    this.noteOutcome(state, outcome, took, this.text.eventCount - eventsBefore);
+    return outcome;
+  }
+
+  /** What the item asks of a replica. The service stays while the route leads to it. */
+  private placementRequest(route: Route): PlacementRequest {
+    const chosen = this.services.splitter.next(route)?.service;
+    const leadsToChosen = () =>
+      this.matchRoute()?.route.targets.some((target) => target.service === chosen) ?? false;
+    return {
+      service: () => (leadsToChosen() ? chosen : this.currentTarget()),
+      slots: (candidate) => this.slotsOf(candidate),
+      accepts: (candidate) => this.fits(candidate) && !this.moves.hasJustLeft(candidate),
+      preferredId: () => this.job.groupReplicas.get(this.item.group),
+      expectedEvents: this.services.lengths.remaining(this.item, this.text.eventCount),
+      rank: this.isBegun ? RANK_INTERRUPTED : RANK_NEW,
+      signal: this.job.signal,
+    };
+  }
+
+  /** The terms of an attempt at one replica. */
+  private termsAt(route: Route, state: ReplicaState, onTaken: () => void): GenerationTerms {
+    const { model, minVersion } = this.job.specification;
+    return {
       host: this.job.host,
       model,
       minVersion,
       isSingleVersion: route.isSingleVersion,
-      deadlineMs: Math.min(DEFAULT_DEADLINE_MS, Math.max(1_000, route.maxQueueMs - this.ageMs)),
-      onTaken: () => {
-        wasTaken = true;
-        placement.noteTaken(state);
-      },
+      deadlineMs: Math.min(
+        DEFAULT_DEADLINE_MS,
+        Math.max(SHORTEST_DEADLINE_MS, route.maxQueueMs - this.ageMs),
+      ),
+      onTaken,
       onVersion: (version) => this.noteVersion(state, version),
       reasonToMove: (pace) => this.reasonToMove(route, state, pace),
       stallMs: Math.max(MIN_STALL_MS, route.targetLatencyMs * STALL_FACTOR),
       signal: this.job.signal,
-    });
-    placement.release(state, wasTaken);
-    const took = { waitedMs: startedAt - queuedAt, tookMs: monotonicMs() - startedAt };
-    this.noteOutcome(state, outcome, took, this.text.eventCount - eventsBefore);
-    return outcome;
+    };
   }
 
   /** An event shows which version a replica has, often before it is announced; one that nobody has named is a fault. */
--- a/src/coordination/job-run.ts
+++ b/src/coordination/job-run.ts
@@ -9,7 +9,7 @@
 import type { JobRepository } from '../state/job-repository.js';
 import type { ReplicaState } from '../state/replica-directory.js';
 import { type ItemJob, ItemRun, type ItemServices } from './item-run.js';
-import { type ListerServices, ResultLister } from './result-lister.js';
+import { type ListedJob, type ListerServices, ResultLister } from './result-lister.js';
 import { WantedGroups } from './wanted-groups.js';
 
 /** How often texts of running items are kept, milliseconds. */
@@ -90,43 +90,54 @@
   async run(): Promise<JobRunEnd> {
     const loaded = await this.load();
     if (!loaded) return this.controller.signal.aborted ? 'stopped' : 'unreadable';
-    const { specification, listedIds, texts } = loaded;
     this.loaded = true;
     this.reportPlan(loaded);
     const acceptedAtMs = monotonicMs() - this.storeAgeMs;
-    const { items, desiredGroups } = specification;
-    const wanted = new WantedGroups(items, desiredGroups, (item) => this.services.lengths.isUnfinished(item));
-    for (const item of items) if (listedIds.has(item.id)) wanted.note(item);
-    const listed = {
+    const lister = this.createLister(loaded, acceptedAtMs);
+    this.startItems(loaded, acceptedAtMs, lister);
+    const keeping = this.keepRegularly();
+    const keptOwnership = await lister.run(loaded.specification.items.length);
+    const wasStopped = this.controller.signal.aborted;
+    this.stop();
+    await keeping;
+    if (!keptOwnership) return 'ownership-lost';
+    return wasStopped ? 'stopped' : 'finished';
+  }
+
+  private createLister({ listedIds }: LoadedJob, acceptedAtMs: number): ResultLister {
+    const listed: ListedJob = {
       head: this.head,
       listedCount: listedIds.size,
       acceptedAtMs,
       dueAgeMs: () => this.route?.resultDeadlineMs ?? 0,
-      onListed: (itemId: string) => this.running.delete(itemId),
+      onListed: (itemId) => this.running.delete(itemId),
     };
-    const lister = new ResultLister(this.services, listed, this.controller.signal);
+    return new ResultLister(this.services, listed, this.controller.signal);
+  }
+
+  /** Starts all items that have no listed result, the longest first. */
+  private startItems(loaded: LoadedJob, acceptedAtMs: number, lister: ResultLister): void {
+    const { specification, listedIds, texts } = loaded;
+    const { jobId, record } = this.head;
     const job: ItemJob = {
-      jobId: this.head.jobId,
-      host: this.head.record.host,
-      path: this.head.record.path,
+      jobId,
+      host: record.host,
+      path: record.path,
       specification,
       acceptedAtMs,
       groupReplicas: new Map(),
       signal: this.controller.signal,
     };
+    const { items, desiredGroups } = specification;
+    const { lengths } = this.services;
+    const wanted = new WantedGroups(items, desiredGroups, (item) => lengths.isUnfinished(item));
     const list = (item: JobItem, result: JobResult) => {
       wanted.note(item);
       lister.add(result, wanted.areWhole || result.state === 'dead');
     };
-    for (const item of this.services.lengths.longestFirst(items))
+    for (const item of items) if (listedIds.has(item.id)) wanted.note(item);
+    for (const item of lengths.longestFirst(items))
       if (!listedIds.has(item.id)) void this.runItem(job, item, texts.get(item.id), list);
-    const keeping = this.keepRegularly();
-    const keptOwnership = await lister.run(items.length);
-    const wasStopped = this.controller.signal.aborted;
-    this.stop();
-    await keeping;
-    if (!keptOwnership) return 'ownership-lost';
-    return wasStopped ? 'stopped' : 'finished';
   }
 
   private async runItem(
@@ -139,8 +150,7 @@
     this.running.set(item.id, run);
     const result = await run.run();
     if (!result) this.services.lengths.noteUnfinished(item, run.text.eventCount);
-    if (!result || this.controller.signal.aborted) return;
-    list(item, result);
+    else if (!this.controller.signal.aborted) list(item, result);
   }
 
   private async keepRegularly(): Promise<void> {
--- a/src/state/instrumented-store.ts
+++ b/src/state/instrumented-store.ts
@@ -130,10 +130,11 @@
     return answer;
   }
 
+  /** A call that fails while others are answered says nothing: a part of the store may be down, or one answer lost. */
   private noteHealth(failure: string | undefined): void {
     const usualMs = this.usualAnswerMs();
-    if (failure !== undefined) this.health.sendIfTaken('failed', failure);
-    else
+    if (!this.isInReach()) this.health.sendIfTaken('failed', failure ?? 'no answer');
+    else if (failure === undefined)
       this.health.sendIfTaken(usualMs > LATE_MS ? 'answeredLate' : 'answered', `${Math.round(usualMs)} ms`);
   }
 }
--- /dev/null
+++ b/test/instrumented-store.test.ts
@@ -0,0 +1,57 @@
+/** What a node believes of the store: one line when it is lost, one when it is back. */
+import { expect } from 'chai';
+import { err, ok } from 'neverthrow';
+import { sleep } from '../src/common/clock.js';
+import type { DecisionLogger } from '../src/common/decision-logger.js';
+import { ServiceMetrics } from '../src/common/service-metrics.js';
+import { type RecordRange, type RecordStore, RecordStoreError } from '../src/protocol/record-store.js';
+import { InstrumentedStore } from '../src/state/instrumented-store.js';
+import { until } from './support/wait.js';
+
+const PAUSE_MS = 10;
+const ASKED = 60;
+const UP: RecordRange = { table: 't', partition: 'up' };
+const DOWN: RecordRange = { table: 't', partition: 'down' };
+
+describe('the belief about the store', () => {
+  let lines: string[];
+  let store: InstrumentedStore;
+
+  beforeEach(() => {
+    lines = [];
+    const logger = { record: ({ change }: { change: string }) => lines.push(change) };
+    const inner = {
+      scan: async ({ partition }: RecordRange) =>
+        partition === 'down'
+          ? err(new RecordStoreError('unavailable', 'none', 'down'))
+          : ok({ records: [], version: 1, hasMore: false }),
+    };
+    store = new InstrumentedStore(
+      inner as unknown as RecordStore,
+      new ServiceMetrics(),
+      logger as unknown as DecisionLogger,
+    );
+  });
+
+  it('does not change while a part of the store is down', async () => {
+    for (let asked = 0; asked < ASKED; asked += 1) {
+      await store.scan(asked % 2 === 0 ? DOWN : UP);
+      await sleep(PAUSE_MS);
+    }
+    expect(store.isInReach()).to.equal(true);
+    expect(lines).to.deep.equal([]);
+  });
+
+  it('changes once when nothing is answered any more, and once when it is again', async () => {
+    await store.scan(UP);
+    await until('it is out of reach', async () => {
+      await store.scan(DOWN);
+      return !store.isInReach();
+    });
+    await store.scan(DOWN);
+    await store.scan(UP);
+    await store.scan(UP);
+    expect(store.isInReach()).to.equal(true);
+    expect(lines).to.deep.equal(['store silent', 'store answering']);
+  });
+});
