--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -7,10 +7,11 @@
 import { EMULATOR_TOKENS } from '../emulator/cluster.js';
 import { EMULATOR_APPLICATION, EMULATOR_MODEL } from '../emulator/declarations.js';
 import { sleep } from '../src/common/clock.js';
+import { median } from '../src/common/statistics.js';
 import type { HttpClient, OutgoingRequest } from '../src/transport/http-client.js';
 import { TestSystem } from '../test/support/system.js';
 import { processorMicroseconds } from './processor-time.js';
-import { median, printFigures } from './report.js';
+import { printFigures } from './report.js';
 
 const ROUNDS = 5;
 const REQUESTS = 2_000;
--- a/bench/rollout.ts
+++ b/bench/rollout.ts
@@ -3,7 +3,8 @@
 import { TrainerLoop, type TrainerReport } from '../emulator/clients/trainer-loop.js';
 import { Cluster, EMULATOR_TOKENS } from '../emulator/cluster.js';
 import { EMULATOR_MODEL, EMULATOR_TRAINER } from '../emulator/declarations.js';
-import { median, printFigures } from './report.js';
+import { median } from '../src/common/statistics.js';
+import { printFigures } from './report.js';
 
 const SEEDS = [1, 2, 3];
 const STEPS = 5;
--- a/src/cli/job-timeline.ts
+++ b/src/cli/job-timeline.ts
@@ -3,6 +3,7 @@
  * milliseconds after that unless said. Attempts that are missing from the logs are missing here as well.
  */
 import { groupBy } from '../common/collections.js';
+import { median } from '../common/statistics.js';
 import type { TraceLine } from './trace.js';
 
 /** Parts of a job's items, or of the groups that its submitter waits for, whose completion is told. */
@@ -325,8 +326,8 @@
   return {
     model,
     jobs: jobs.length,
-    medianWantedMs: median(defined(jobs.map((job) => job.groupsWholeMs.at(-1)))),
-    medianIdleMs: median(idle),
+    medianWantedMs: medianOrZero(defined(jobs.map((job) => job.groupsWholeMs.at(-1)))),
+    medianIdleMs: medianOrZero(idle),
     totalIdleMs: idle.reduce((sum, value) => sum + value, 0),
     staleness: mean(jobs.map((job) => job.staleness)),
   };
@@ -337,9 +338,6 @@
   return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
 
-function median(values: readonly number[]): number {
-  const sorted = [...values].sort((left, right) => left - right);
-  const middle = sorted.length >> 1;
-  if (sorted.length % 2 === 1) return sorted[middle] as number;
-  return sorted.length === 0 ? 0 : ((sorted[middle - 1] as number) + (sorted[middle] as number)) / 2;
+function medianOrZero(values: readonly number[]): number {
+  return values.length === 0 ? 0 : median(values);
 }
--- /dev/null
+++ b/src/common/statistics.ts
@@ -0,0 +1,9 @@
+/** Figures of lists of numbers. */
+
+/** The middle of the sorted numbers, the mean of the middle two when their count is even; NaN without any. */
+export function median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  const middle = Math.floor(sorted.length / 2);
+  const upper = sorted[middle] ?? Number.NaN;
+  return sorted.length % 2 === 1 ? upper : ((sorted[middle - 1] ?? upper) + upper) / 2;
+}
