Nodes without work wake, ask and look less the more nodes there are

Cause: every node looked at the beats of all holders each 0.5 s, and each change of a replica, a job or a version ended the waiting question of every node, with work or without. A node woke 20 times a second for orders that one node gives, 10 times for calls that were not late, 4 times for beats that it did not owe. Ruled out: one reader a zone that hands on (a second path for configuration and leaving replicas, with its own losses); longer questions (changes end them anyway). Change: orders, beats and checks of late calls wait until they are due. A node that holds nothing pauses after changes, 5 ms for each node of the fleet, 1 s at most. Looks in proportion to the fleet beyond 16 nodes, at the old distance for holders and for whoever finds an old beat. Beats bear the store's time; a job's acceptance looks first. The fleet is counted by announced addresses. Tests seen failing with the looks of before: "are few for each node", "wait after each answer". Fleets of up to 16 nodes look as often as before.

--- /dev/null
+++ b/src/common/condition-variable.ts
@@ -0,0 +1,36 @@
+import { type Clock, SYSTEM_CLOCK } from './clock.js';
+
+/** A condition variable: tasks wait until another one says that what they wait for may hold now. */
+export class ConditionVariable {
+  private readonly waiting = new Set<() => void>();
+
+  /** Resolves at the next `notifyAll`, or when `signal` is aborted. Never rejects. */
+  wait(signal: AbortSignal): Promise<void> {
+    if (signal.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const wake = () => {
+        this.waiting.delete(wake);
+        signal.removeEventListener('abort', wake);
+        resolve();
+      };
+      this.waiting.add(wake);
+      signal.addEventListener('abort', wake, { once: true });
+    });
+  }
+
+  /** Like `wait`, but resolves after `ms` milliseconds at the latest. */
+  async waitAtMost(ms: number, signal: AbortSignal, clock: Clock = SYSTEM_CLOCK): Promise<void> {
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    if (signal.aborted) return;
+    signal.addEventListener('abort', abort, { once: true });
+    await Promise.race([clock.sleep(ms, controller.signal), this.wait(controller.signal)]);
+    signal.removeEventListener('abort', abort);
+    controller.abort();
+  }
+
+  /** Wakes all tasks that wait. */
+  notifyAll(): void {
+    for (const wake of [...this.waiting]) wake();
+  }
+}
--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -4,6 +4,7 @@
  * only when it has seen no act for longer than two holders must be apart.
  */
 import { monotonicMs } from '../common/clock.js';
+import { ConditionVariable } from '../common/condition-variable.js';
 import type { DecisionLogger } from '../common/decision-logger.js';
 import type { RecordAddress, RecordStore, StoredRecord } from '../protocol/record-store.js';
 import type { JobOwner } from '../state/job-record.js';
@@ -54,6 +55,7 @@
   private actsFromMs = 0;
   private heldEpoch = 0;
   private isTaking = false;
+  private readonly taken = new ConditionVariable();
   /** Acts that begin at the same time share one confirmation. */
   private confirming: Promise<LeaseConfirmation | undefined> | undefined;
 
@@ -72,6 +74,17 @@
     return this.heldEpoch > 0;
   }
 
+  /** Who holds the lease, as far as this node has seen. */
+  get holder(): JobOwner | undefined {
+    const holder = this.known?.content.holder;
+    return holder?.node ? holder : undefined;
+  }
+
+  /** Resolves while the lease is held, or when `signal` is aborted. */
+  async untilHeld(signal: AbortSignal): Promise<void> {
+    while (!this.isHeld && !signal.aborted) await this.taken.wait(signal);
+  }
+
   /** Takes what was read; takes the lease when it is free or its holder is lost. */
   observe(records: readonly StoredRecord[], wantsLease: boolean): void {
     this.note(records.find((record) => record.key === this.address.key));
@@ -148,6 +161,8 @@
     if (!taken) return;
     this.heldEpoch = content.epoch + 1;
     this.actsFromMs = earliestMs;
+    this.sessions.noteHolding();
+    this.taken.notifyAll();
     this.report('taken', `${reason}, acts in ${Math.max(0, Math.round(earliestMs - monotonicMs()))} ms`);
   }
 
--- a/src/coordination/job-calls.ts
+++ b/src/coordination/job-calls.ts
@@ -127,7 +127,7 @@
     const { model, items } = specification;
     const tokens = items.reduce((sum, item) => sum + item.tokens, 0);
     const job = { jobId, host, path, model, tokens, total: items.length, submission: body };
-    const owner = this.services.ownership.ownerForNext(model);
+    const owner = await this.services.ownership.ownerForNext(model);
     const accepted = await this.services.repository.accept(job, owner, deadlineMs);
     if (accepted.isErr()) return accepted.error.effect === 'none' ? 'not-accepted' : 'unknown';
     const { head, isNew } = accepted.value;
--- a/src/coordination/job-owner.ts
+++ b/src/coordination/job-owner.ts
@@ -79,8 +79,9 @@
    * Who should run the next job of a model: the owner of the newest one if it is at work, else this node. `null` leaves
    * the job to whoever claims it first.
    */
-  ownerForNext(model: string): JobOwner | null {
+  async ownerForNext(model: string): Promise<JobOwner | null> {
     const owner = this.newestOf(model)?.record.owner;
+    if (owner) await this.services.sessions.refresh();
     if (owner && this.services.sessions.isFresh(owner)) return owner;
     return this.isLeaving ? null : this.self;
   }
@@ -92,6 +93,14 @@
     return false;
   }
 
+  /** Owners of open jobs. */
+  get owners(): JobOwner[] {
+    const owners: JobOwner[] = [];
+    for (const { record } of this.heads.values())
+      if (record.state === 'open' && record.owner) owners.push(record.owner);
+    return owners;
+  }
+
   /** Tokens of the jobs of a model that were accepted lately. */
   demandOf(model: string): number {
     const sinceMs = this.services.store.nowMs() - DEMAND_MS;
@@ -198,6 +207,7 @@
     const ageMs = Math.max(0, this.services.store.nowMs() - head.record.acceptedAtMs);
     const run = new JobRun(this.services, head, ageMs, specification);
     this.runs.set(head.jobId, run);
+    this.services.sessions.noteHolding();
     this.services.metrics.ownedJobs.set({}, this.runs.size);
     this.report(head, 'running', `age ${Math.round(ageMs)} ms`);
     void run.run().then((end) => this.finished(run, end));
--- a/src/coordination/peer-addresses.ts
+++ b/src/coordination/peer-addresses.ts
@@ -1,12 +1,16 @@
 /**
  * Where other nodes serve callers. Each node announces its address in the store and remembers those of a few nodes that
- * follow it in the order of their names, so that the cost for each node stays the same however many there are.
+ * follow it in the order of their names, so that the cost for each node stays the same however many there are. Now and
+ * then it counts all nodes.
  */
 import { type Clock, SYSTEM_CLOCK } from '../common/clock.js';
 import type { DecisionLogger } from '../common/decision-logger.js';
 import type { RecordAddress, RecordStore, StoredRecord } from '../protocol/record-store.js';
+import { readPartition } from './record-feed.js';
 
 const TABLE = 'serving-nodes';
+/** Looks after which all announcements are counted again; first with the second look. */
+const COUNT_LOOKS = 12;
 /** Other nodes that are remembered. */
 const REMEMBERED = 8;
 /** How often a node announces itself, and after what time it is no longer believed, milliseconds. */
@@ -27,6 +31,7 @@
 /** The addresses that one node knows. */
 export class PeerAddresses {
   private known: readonly string[] = [];
+  private count = 1;
   /** Nodes that carried out the last call that was passed on to them, or failed to. */
   private readonly hasServed = new Map<string, boolean>();
 
@@ -43,6 +48,11 @@
     return [...this.known].sort((left, right) => rank(right) - rank(left)).slice(0, count);
   }
 
+  /** Nodes that are at work, as counted last: 1 before that. */
+  get fleetSize(): number {
+    return this.count;
+  }
+
   /** Takes note of whether a node carried out a call that was passed on to it. */
   note(address: string, hasServed: boolean): void {
     this.hasServed.set(address, hasServed);
@@ -80,9 +90,18 @@
       const distanceMs = looks < 2 ? FIRST_LOOK_MS : LOOK_MS;
       await this.clock.sleep(distanceMs * (1 + LOOK_SPREAD * (this.clock.random() - 0.5)), signal);
       if (!signal.aborted) await this.look();
+      if (!signal.aborted && looks % COUNT_LOOKS === 1) await this.countAll();
     }
   }
 
+  private async countAll(): Promise<void> {
+    const all = await readPartition(this.store, TABLE, '');
+    if (all.isErr()) return;
+    const { content, version } = all.value;
+    this.count = Math.max(1, content.filter((record) => !this.isExpired(record)).length);
+    this.report(`${this.count} nodes`, version);
+  }
+
   private async look(): Promise<void> {
     const following = await this.scan(`${this.nodeName}\0`);
     if (!following) return;
@@ -104,7 +123,10 @@
     this.known = addresses;
     if (!hasChanged) return;
     const version = Math.max(0, ...records.map((record) => record.version));
-    const change = `${addresses.length} known`;
+    this.report(`${addresses.length} known`, version);
+  }
+
+  private report(change: string, version: number): void {
     this.logger.record({ event: 'belief-changed', subject: 'peers', name: TABLE, change, version });
   }
 
--- a/src/coordination/record-feed.ts
+++ b/src/coordination/record-feed.ts
@@ -45,6 +45,8 @@
     private readonly store: RecordStore,
     private readonly handler: FeedHandler<T>,
     private readonly observer: FeedObserver,
+    /** Resolves when changes may be asked for again after some were taken. Default: at once. */
+    private readonly pause: (signal: AbortSignal) => Promise<void> = () => Promise.resolve(),
   ) {}
 
   get table(): string {
@@ -94,6 +96,7 @@
       if (outcome.isOk()) {
         this.take(outcome.value.changes, outcome.value.version);
         pauseMs = FIRST_PAUSE_MS;
+        if (outcome.value.changes.length > 0) await this.pause(signal);
         continue;
       }
       if (outcome.error.failure === 'history-lost' || outcome.error.failure === 'refused') {
--- a/src/coordination/weight-orders.ts
+++ b/src/coordination/weight-orders.ts
@@ -66,8 +66,10 @@
 
   /** Gives orders until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
+    const { lease } = this.services;
     while (!signal.aborted) {
-      if (this.services.lease.isHeld) this.pass(signal);
+      await lease.untilHeld(signal);
+      if (lease.isHeld) this.pass(signal);
       await sleep(PASS_MS, signal);
     }
   }
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -46,6 +46,12 @@
 const MOVE_AWAY_MS = 3_000;
 const DRAIN_POLL_MS = 50;
 const MILLISECONDS_PER_SECOND = 1000;
+/**
+ * A node that holds nothing asks for further changes this much later for each node of the fleet, at most
+ * `LONGEST_CHANGE_PAUSE_MS`, so that several come together, milliseconds.
+ */
+const CHANGE_PAUSE_PER_NODE_MS = 5;
+const LONGEST_CHANGE_PAUSE_MS = 1_000;
 /** Part of the time until the process is killed after which it ends by itself. */
 const END_FRACTION = 0.9;
 
@@ -98,12 +104,12 @@
     const repository = new JobRepository(store);
     const cache = new ResultCache(settings.memoryBytes * RESULT_CACHE_FRACTION);
     this.relay = new ServiceRelay(this.directory, splitter, exchange, settings.zone);
-    this.sessions = new SessionMonitor(
-      store,
-      self,
-      () => this.ownership.isWarm || this.orderLease.isHeld,
-      () => this.ownership.hasForeignJobs || this.hasModels,
-    );
+    this.sessions = new SessionMonitor(store, self, {
+      isHolder: () => this.ownership.isWarm || this.orderLease.isHeld,
+      mustWatch: () => this.ownership.hasForeignJobs || this.hasModels,
+      holders: () => [...this.ownership.owners, ...(this.orderLease.holder ? [this.orderLease.holder] : [])],
+      fleetSize: () => this.peers.fleetSize,
+    });
     this.placement = new Placement(this.directory, settings.zone);
     this.ownership = new JobOwnership(
       {
@@ -158,10 +164,11 @@
     const operators = new OperatorAnnouncements(store, format, this.routing, this.versions, metrics, logger);
     const replicas = new ReplicaAnnouncements(store, format, this.directory, logger);
     const observer = feedObserver(logger);
+    const pause = (signal: AbortSignal) => this.pauseBetweenChanges(signal);
     this.feeds = [
-      new RecordFeed(store, operators, observer),
-      new RecordFeed(store, replicas, observer),
-      new RecordFeed(store, this.ownership, observer),
+      new RecordFeed(store, operators, observer, pause),
+      new RecordFeed(store, replicas, observer, pause),
+      new RecordFeed(store, this.ownership, observer, pause),
     ] as RecordFeed<unknown>[];
   }
 
@@ -233,6 +240,11 @@
     return this.routing.current?.configuration.services.some((service) => service.models.length > 0) ?? false;
   }
 
+  private pauseBetweenChanges(signal: AbortSignal): Promise<void> {
+    const ms = Math.min(LONGEST_CHANGE_PAUSE_MS, this.peers.fleetSize * CHANGE_PAUSE_PER_NODE_MS);
+    return this.sessions.pauseUnlessHolder(ms, signal);
+  }
+
   private async waitUntil(condition: () => boolean, deadlineMs: number): Promise<void> {
     while (!condition() && monotonicMs() < deadlineMs) await sleep(DRAIN_POLL_MS);
   }
--- a/src/state/overdue-calls.ts
+++ b/src/state/overdue-calls.ts
@@ -13,7 +13,7 @@
 const PATIENCE = 8;
 /** Weight of the newest answer in the moving average. */
 const AVERAGE_WEIGHT = 0.25;
-/** How often waiting calls are looked at, milliseconds. */
+/** A call is late after this time, milliseconds; while calls are late they are looked at as often as that. */
 const CHECK_MS = 100;
 /** Time between two questions while calls wait, milliseconds. */
 const PROBE_MS = 200;
@@ -44,6 +44,8 @@
   private failingSinceMs: number | undefined;
   private probedAtMs = Number.NEGATIVE_INFINITY;
   private timer: NodeJS.Timeout | undefined;
+  /** When the timer goes off; infinite while there is none. */
+  private checksAtMs = Number.POSITIVE_INFINITY;
 
   /** `probe` asks the store a small question; its call is opened and closed here like any other. */
   constructor(private readonly probe: () => void) {}
@@ -59,7 +61,7 @@
    */
   get silentMs(): number {
     const now = monotonicMs();
-    const dueSinceMs = [...this.waiting].map((call) => call.startedAtMs + call.heldMs);
+    const dueSinceMs = [...this.waiting].map(dueAtMs);
     const askedAtMs = Math.min(this.failingSinceMs ?? now, ...dueSinceMs, now);
     return Math.min(now - askedAtMs, now - this.answeredAtMs);
   }
@@ -68,7 +70,7 @@
   open(heldMs: number, outer?: AbortSignal): OpenCall {
     const call = { startedAtMs: monotonicMs(), heldMs, controller: new AbortController() };
     this.waiting.add(call);
-    this.arm();
+    this.checkAt(dueAtMs(call) + CHECK_MS);
     const onOuterAbort = () => call.controller.abort();
     if (outer?.aborted) onOuterAbort();
     outer?.addEventListener('abort', onOuterAbort, { once: true });
@@ -83,9 +85,9 @@
     };
   }
 
-  private noteFailure({ startedAtMs, heldMs }: WaitingCall): void {
-    const dueAtMs = Math.min(startedAtMs + heldMs, monotonicMs());
-    this.failingSinceMs = Math.min(this.failingSinceMs ?? dueAtMs, dueAtMs);
+  private noteFailure(call: WaitingCall): void {
+    const sinceMs = Math.min(dueAtMs(call), monotonicMs());
+    this.failingSinceMs = Math.min(this.failingSinceMs ?? sinceMs, sinceMs);
   }
 
   private noteAnswer(call: WaitingCall): void {
@@ -98,32 +100,39 @@
     this.giveUpOverdue();
   }
 
-  private arm(): void {
-    if (this.timer) return;
-    this.timer = setInterval(() => this.check(), CHECK_MS);
+  /** Looks at the waiting calls at `timeMs` or before. */
+  private checkAt(timeMs: number): void {
+    if (timeMs >= this.checksAtMs) return;
+    clearTimeout(this.timer);
+    this.checksAtMs = timeMs;
+    this.timer = setTimeout(() => this.check(), Math.ceil(timeMs - monotonicMs()));
     this.timer.unref();
   }
 
   private check(): void {
-    if (this.waiting.size === 0) {
-      clearInterval(this.timer);
-      this.timer = undefined;
-      return;
-    }
+    this.checksAtMs = Number.POSITIVE_INFINITY;
+    if (this.waiting.size === 0) return;
     this.giveUpOverdue();
     const now = monotonicMs();
-    const hasLate = [...this.waiting].some((call) => now - call.startedAtMs - call.heldMs > CHECK_MS);
-    if (!hasLate || now - this.probedAtMs < PROBE_MS) return;
-    this.probedAtMs = now;
-    this.probe();
+    const lateAtMs = Math.min(...[...this.waiting].map(dueAtMs)) + CHECK_MS;
+    if (lateAtMs <= now && now - this.probedAtMs >= PROBE_MS) {
+      this.probedAtMs = now;
+      this.probe();
+    }
+    this.checkAt(Math.max(lateAtMs, now + CHECK_MS));
   }
 
   private giveUpOverdue(): void {
     const now = monotonicMs();
     const patienceMs = Math.max(SHORTEST_WAIT_MS, this.averageMs * PATIENCE);
     for (const call of this.waiting) {
-      const isOvertaken = call.startedAtMs + call.heldMs < this.answeredCallStartedAtMs;
-      if (isOvertaken && now - call.startedAtMs - call.heldMs > patienceMs) call.controller.abort();
+      const isOvertaken = dueAtMs(call) < this.answeredCallStartedAtMs;
+      if (isOvertaken && now - dueAtMs(call) > patienceMs) call.controller.abort();
     }
   }
 }
+
+/** Time from which on an answer is missing. */
+function dueAtMs({ startedAtMs, heldMs }: WaitingCall): number {
+  return startedAtMs + heldMs;
+}
--- a/test/peer-addresses.test.ts
+++ b/test/peer-addresses.test.ts
@@ -91,6 +91,13 @@
     expect(known(NODES - 1)).to.have.length(REMEMBERED);
   });
 
+  it('are counted, so that each node knows how many there are', async () => {
+    expect(peers.map((own) => own.fleetSize)).to.deep.equal(peers.map(() => NODES));
+    for (const controller of controllers.slice(1, 6)) controller.abort();
+    await clock.advance(LONG_MS);
+    expect(peers[0]?.fleetSize).to.equal(NODES - 5);
+  });
+
   it('are offered with those first that have served, and those last that have not', () => {
     peers[0]?.note(address(1), false);
     peers[0]?.note(address(3), true);
--- /dev/null
+++ b/test/record-feed.test.ts
@@ -0,0 +1,56 @@
+/** How often a follower of a table asks: at once after each change, or when a pause is over. */
+import { expect } from 'chai';
+import { ok } from 'neverthrow';
+import { ConditionVariable } from '../src/common/condition-variable.js';
+import { type FeedHandler, type FeedObserver, RecordFeed } from '../src/coordination/record-feed.js';
+import type { ChangedRecord, RecordStore } from '../src/protocol/record-store.js';
+import { until } from './support/wait.js';
+
+/** A table with one more change at each question. */
+class BusyStore {
+  questions = 0;
+
+  async changes(table: string, after: number) {
+    this.questions += 1;
+    const version = after + 1;
+    const change: ChangedRecord = { table, partition: '', key: 'key', value: Buffer.from(''), version };
+    return ok({ changes: [change], version });
+  }
+}
+
+const OBSERVER: FeedObserver = { answered: () => {}, changed: () => {} };
+
+describe('questions for changes', () => {
+  let store: BusyStore;
+  let taken: number;
+  let controller: AbortController;
+
+  beforeEach(() => {
+    store = new BusyStore();
+    taken = 0;
+    controller = new AbortController();
+  });
+
+  afterEach(() => controller.abort());
+
+  const handler: FeedHandler<undefined> = {
+    table: 'table',
+    readAll: async () => ok({ content: undefined, version: 0 }),
+    replaceAll: () => {},
+    apply: () => {
+      taken += 1;
+    },
+  };
+
+  it('wait after each answer with changes until the pause is over', async () => {
+    const pauseIsOver = new ConditionVariable();
+    const pause = (signal: AbortSignal) => pauseIsOver.wait(signal);
+    const feed = new RecordFeed(store as unknown as RecordStore, handler, OBSERVER, pause);
+    void feed.run(controller.signal);
+    for (let asked = 1; asked <= 3; asked += 1) {
+      await until('a change is taken', () => taken === asked);
+      expect(store.questions).to.equal(asked);
+      pauseIsOver.notifyAll();
+    }
+  });
+});
--- a/test/session-monitor.test.ts
+++ b/test/session-monitor.test.ts
@@ -5,6 +5,7 @@
 import { SessionMonitor } from '../src/coordination/session-monitor.js';
 import type { RecordStore, RecordTransaction } from '../src/protocol/record-store.js';
 import { ManualClock } from './support/manual-clock.js';
+import { until } from './support/wait.js';
 
 const SELF = { node: 'node-1', life: 'life-1' };
 const HOLDER = { node: 'node-2', life: 'life-2' };
@@ -30,8 +31,17 @@
 class BeatStore {
   readonly transactions: RecordTransaction[] = [];
   beats = 1;
+  looks = 0;
+  /** When the newest beat was written, on the store's clock. */
+  private beatAtMs = 0;
 
   usualAnswerMs = () => 0;
+  nowMs = () => 0;
+
+  beat(atMs: number): void {
+    this.beats += 1;
+    this.beatAtMs = atMs;
+  }
 
   transact(transaction: RecordTransaction): Promise<never> {
     this.transactions.push(transaction);
@@ -39,7 +49,9 @@
   }
 
   async scan() {
-    const value = Buffer.from(JSON.stringify({ life: HOLDER.life, count: this.beats, isLeaving: false }));
+    this.looks += 1;
+    const beat = { life: HOLDER.life, count: this.beats, isLeaving: false, atMs: this.beatAtMs };
+    const value = Buffer.from(JSON.stringify(beat));
     const record = { key: `beat/${HOLDER.node}`, value, version: this.beats };
     return ok({ records: [record], version: this.beats, hasMore: false });
   }
@@ -59,8 +71,7 @@
       monitor = new SessionMonitor(
         store as unknown as RecordStore,
         SELF,
-        () => true,
-        () => true,
+        { isHolder: () => true, mustWatch: () => true, holders: () => [HOLDER], fleetSize: () => 1 },
         clock,
       );
       void monitor.run(controller.signal);
@@ -103,3 +114,78 @@
       }
     });
   });
+
+describe('looks at the beats in a large fleet', () => {
+  const FLEET = 200;
+  /** Looks that all nodes together make in a second at most, whatever their number. */
+  const ALL_LOOKS_PER_SECOND = 40;
+  const LONG_MS = 60_000;
+  let clock: ManualClock;
+  let store: BeatStore;
+  let controller: AbortController;
+  let monitor: SessionMonitor;
+  let isHolder: boolean;
+
+  beforeEach(() => {
+    clock = new ManualClock(() => 0.5);
+    store = new BeatStore();
+    store.nowMs = () => clock.now();
+    controller = new AbortController();
+    isHolder = false;
+    const roles = {
+      isHolder: () => isHolder,
+      mustWatch: () => true,
+      holders: () => [HOLDER],
+      fleetSize: () => FLEET,
+    };
+    monitor = new SessionMonitor(store as unknown as RecordStore, SELF, roles, clock);
+    void monitor.run(controller.signal);
+  });
+
+  afterEach(() => controller.abort());
+
+  async function beatFor(ms: number): Promise<void> {
+    for (let passedMs = 0; passedMs < ms; passedMs += BEAT_MS) {
+      await clock.advance(BEAT_MS);
+      store.beat(clock.now());
+    }
+  }
+
+  it('are few for each node while holders are at work', async () => {
+    await beatFor(LONG_MS);
+    expect(store.looks / (LONG_MS / 1000)).to.be.at.most(ALL_LOOKS_PER_SECOND / FLEET);
+    expect(monitor.isLost(HOLDER, 0)).to.equal(false);
+  });
+
+  it('come often once a beat is old, until the loss is certain', async () => {
+    await beatFor(LONG_MS);
+    const looks = store.looks;
+    await until('the old beat is found', async () => {
+      await clock.advance(BEAT_MS);
+      return store.looks > looks;
+    });
+    expect(monitor.isLost(HOLDER, 0)).to.equal(false);
+    await clock.advance(LOSS_MS);
+    expect(monitor.isLost(HOLDER, 0)).to.equal(true);
+  });
+
+  it('come often as soon as this node holds something itself', async () => {
+    await beatFor(LONG_MS);
+    const looks = store.looks;
+    isHolder = true;
+    monitor.noteHolding();
+    await beatFor(LOSS_MS);
+    expect(store.looks - looks).to.be.at.least(2);
+  });
+
+  it('are made when a job is given away, so that its owner is known to be at work', async () => {
+    await beatFor(LONG_MS);
+    await clock.advance(BEAT_MS);
+    store.beat(clock.now());
+    await monitor.refresh();
+    expect(monitor.isFresh(HOLDER)).to.equal(true);
+    await clock.advance(LOSS_MS);
+    await monitor.refresh();
+    expect(monitor.isFresh(HOLDER)).to.equal(false);
+  });
+});
--- a/test/weight-orders.test.ts
+++ b/test/weight-orders.test.ts
@@ -181,7 +181,7 @@
       directory,
       versions,
       client,
-      lease: { isHeld: true, confirm },
+      lease: { isHeld: true, untilHeld: async () => {}, confirm },
       demandOf: () => 1,
       nodeName: 'node-1',
       metrics: { orders: { inc: () => {} } },
