A request whose time is over keeps its connection, and an abort opens none

Cause: at a route's time-out the relay broke the attempt off, which costs its connection, and undici opened another at once for the request that it had dropped. Ruled out: idle connections (replicas keep them 10 s; few gaps are longer), too many replicas for one node (one or two each). Change: after the time-out the replica, which knows how much time is left, has 250 ms to say itself that it is over; an aborted exchange destroys its socket with an error that undici does not take for its own, so nothing is opened in its place. Both tests failed first (3 connections for 1, 3 for 2).

--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -79,6 +79,8 @@
   workMs: number;
   /** Time of a load, milliseconds. */
   loadMs: number;
+  /** Connections that were opened so far. */
+  openedConnections = 0;
   private orderCount = 0;
   private isLoading = false;
   private active = 0;
@@ -95,6 +97,7 @@
     this.server = createServer((request, response) => void this.serve(request, response));
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
+      this.openedConnections += 1;
       socket.on('close', () => this.sockets.delete(socket));
     });
   }
@@ -202,10 +205,12 @@
       return;
     }
     if (this.versions.size > 0) return this.stream(request, response, id);
-    await sleep(this.workMs);
+    const allowedMs = numeric(request, HEADER.deadlineMs) ?? Number.POSITIVE_INFINITY;
+    const isInTime = this.workMs <= allowedMs;
+    await sleep(isInTime ? this.workMs : allowedMs);
     if (response.destroyed) return;
     response
-      .writeHead(200, { [HEADER.requestId]: id, [HEADER.signature]: `signed-${id}` })
+      .writeHead(isInTime ? 200 : 504, { [HEADER.requestId]: id, [HEADER.signature]: `signed-${id}` })
       .end(`answer to ${id}`);
   }
 
--- a/src/coordination/service-relay.ts
+++ b/src/coordination/service-relay.ts
@@ -54,6 +54,11 @@
 /** A silent replica is doubled after this part of the target latency, but not before `MIN_HEDGE_MS`. */
 const HEDGE_FRACTION = 0.5;
 const MIN_HEDGE_MS = 60;
+/**
+ * Replicas are told how much time is left, and say themselves that it is over. For this long after the end they may, so that
+ * their connection stays usable, milliseconds.
+ */
+const REPLICA_END_MS = 250;
 /** Below this remaining time a further attempt makes no sense, milliseconds. */
 const MIN_ATTEMPT_MS = 5;
 
@@ -231,9 +236,14 @@
     return { kind: 'failed', reason: this.lastReason, isTimeout, attempts: this.attempts };
   }
 
-  /** An attempt that is still under way after an answer is left to finish: breaking it off costs its connection. */
+  /**
+   * Breaking an attempt off costs its connection. So one that is still under way after an answer is left to finish, and one
+   * whose time is over to its replica's word for it.
+   */
   private finish(outcome: RelayOutcome): RelayOutcome {
-    if (outcome.kind !== 'answered') this.controller.abort();
+    if (outcome.kind === 'failed' && outcome.isTimeout)
+      setTimeout(() => this.controller.abort(), REPLICA_END_MS).unref();
+    else if (outcome.kind !== 'answered') this.controller.abort();
     return outcome;
   }
 }
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -147,12 +147,31 @@
   };
 }
 
-/** Opens connections whose resets are failures. */
+/** Code that undici gives to errors of its own doing, and the one that is put in its place when an exchange is aborted. */
+const OWN_DOING_CODE = 'UND_ERR_INFO';
+const ABORTED_CODE = 'EXCHANGE_ABORTED';
+
+/**
+ * An aborted exchange ends its connection. undici then keeps the request in its queue until it has connected again, for
+ * nothing; with an error code that it doesn't take for its own it drops the request first.
+ */
+function openNoneAfterAbort(socket: Socket): void {
+  const destroy = socket.destroy.bind(socket);
+  socket.destroy = (error?: NodeJS.ErrnoException) => {
+    const isAbort = error?.code === OWN_DOING_CODE && error.message === 'aborted';
+    return destroy(isAbort ? Object.assign(new Error('aborted'), { code: ABORTED_CODE }) : error);
+  };
+}
+
+/** Opens connections whose resets are failures, and whose aborted exchanges open no others. */
 function createConnector(timeoutMs: number, localAddress: string | undefined): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs, ...(localAddress ? { localAddress } : {}) });
   return (options, callback) =>
     connect(options, (...result: buildConnector.CallbackArgs) => {
-      if (result[1]) failOnReset(result[1]);
+      if (result[1]) {
+        failOnReset(result[1]);
+        openNoneAfterAbort(result[1]);
+      }
       callback(...result);
     });
 }
--- a/test/service-requests.test.ts
+++ b/test/service-requests.test.ts
@@ -129,6 +129,18 @@
     expect(performance.now() - startedAt).to.be.lessThan(2_000);
   });
 
+  it('keeps the connection to a replica that says itself that the time is over', async () => {
+    system.configure(usualConfiguration(2, { lookup: { timeoutMs: 500 } }));
+    const replica = await system.addApplication({ workMs: 60_000 });
+    await startNode();
+    const late = await system.lookup(node, 'request-1', { [HEADER.deadlineMs]: '9000' });
+    expect(late?.status).to.equal(504);
+    await until('the replica has stopped', () => replica.running === 0);
+    replica.workMs = 1;
+    expect((await system.lookup(node, 'request-2'))?.status).to.equal(200);
+    expect(replica.openedConnections).to.equal(1);
+  });
+
   it('refuses at once, with a time to come back, when every replica is full', async () => {
     await system.addApplication({ slots: 1, workMs: 3_000 });
     await startNode();
@@ -164,6 +176,9 @@
     controller.abort();
     await sent;
     await until('the connection to the replica is closed', () => replica.connectionCount() === 0);
+    replica.workMs = 1;
+    expect((await system.lookup(node, 'request-2'))?.status).to.equal(200);
+    expect(replica.openedConnections, 'one for each request').to.equal(2);
   });
 
   it('sends nothing to a replica that is draining or gone', async () => {
