A new order-giver waits only for replicas that another machine has ordered lately

Ruled out: late news of versions at owners; too few loads at a time. Change: the lease record names the targets of the newest acts and when each had begun at the latest, on the store's clock.

--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -1,7 +1,8 @@
 /**
  * A duty that one node holds at a time, such as giving orders to replicas. The lease record is written before each act,
- * conditional on its version: an act is allowed only right after the store has confirmed that write. A successor acts
- * only when it has seen no act for longer than two holders must be apart.
+ * conditional on its version: an act is allowed only right after the store has confirmed that write. The record names the
+ * targets of the newest acts and when each of these began at the latest, so a successor acts at once on all targets but
+ * those on which another machine may have acted a moment ago.
  */
 import { monotonicMs } from '../common/clock.js';
 import { ConditionVariable } from '../common/condition-variable.js';
@@ -14,19 +15,31 @@
 const SHORTEST_VALIDITY_MS = 250;
 const LONGEST_VALIDITY_MS = 3_000;
 const VALIDITY_ANSWERS = 4;
-/** Added to the time that two holders must be apart, milliseconds. */
+/** Added to the time that two holders must be apart at one target, milliseconds. */
 const APART_MARGIN_MS = 250;
+/** Acts that are remembered one by one; when there are more, they count as one on every target. */
+const MAX_RECENT_ACTS = 500;
+const ANY_TARGET = '*';
 /** Owner of a lease that was given back. */
 const NOBODY: JobOwner = { node: '', life: '' };
 
+/** An act that another holder must keep its distance from. */
+interface RecentAct {
+  readonly target: string;
+  /** Node that acts. */
+  readonly node: string;
+  /** When it has begun at the latest, on the store's clock, milliseconds. */
+  readonly begunByMs: number;
+}
+
 interface LeaseContent {
   readonly holder: JobOwner;
   /** Rises with each change of the holder; serves as fencing token. */
   readonly epoch: number;
-  /** Acts of this holder. */
+  /** Confirmations of this holder. */
   readonly acts: number;
-  /** How long after the last act was confirmed it may still begin, milliseconds. */
-  readonly validMs: number;
+  /** Acts of this and earlier holders that are not long past. */
+  readonly recent: readonly RecentAct[];
 }
 
 interface KnownLease {
@@ -42,29 +55,33 @@
   isFresh(): boolean;
 }
 
-const ABSENT: KnownLease = { content: { holder: NOBODY, epoch: 0, acts: 0, validMs: 0 }, version: 0 };
+const ABSENT: KnownLease = { content: { holder: NOBODY, epoch: 0, acts: 0, recent: [] }, version: 0 };
+
+/** Acts that begin at the same time and share one confirmation. */
+interface Batch {
+  readonly targets: Set<string>;
+  readonly confirmation: Promise<LeaseConfirmation | undefined>;
+}
 
 /** One lease in the eyes of one node. It is read together with the beats of the sessions. */
 export class DutyLease {
   private known: KnownLease | undefined;
   /** Observed time at which the holder was learnt, milliseconds. */
   private holderLearntAtMs = 0;
-  /** When an act, or a change of the holder, was last seen. */
-  private lastActSeenMs = 0;
-  /** When acts of this holder may begin. */
-  private actsFromMs = 0;
   private heldEpoch = 0;
   private isTaking = false;
   private readonly taken = new ConditionVariable();
-  /** Acts that begin at the same time share one confirmation. */
-  private confirming: Promise<LeaseConfirmation | undefined> | undefined;
+  /** Acts whose confirmation has not been asked for yet. */
+  private batch: Batch | undefined;
+  /** Resolves when the confirmation that was asked for last is answered. */
+  private lastAnswer: Promise<unknown> = Promise.resolve();
 
   constructor(
     private readonly store: RecordStore,
     private readonly duty: string,
     private readonly self: JobOwner,
     private readonly sessions: SessionMonitor,
-    /** Time that the acts of two holders must be apart, milliseconds. */
+    /** Time that the acts of two holders on one target must be apart, milliseconds. */
     private readonly apartMs: () => number,
     private readonly logger: DecisionLogger,
   ) {}
@@ -100,24 +117,70 @@
     this.report('resigned');
   }
 
-  /** Asks the store to confirm the lease before an act; `undefined` when it is not confirmed. */
-  confirm(): Promise<LeaseConfirmation | undefined> {
-    this.confirming ??= this.askForConfirmation().finally(() => {
-      this.confirming = undefined;
+  /** Whether no other machine can have acted on `target` so lately that this one must wait. */
+  mayActOn(target: string): boolean {
+    const recent = this.known?.content.recent ?? [];
+    return !recent.some(
+      (act) =>
+        act.node !== this.self.node &&
+        (act.target === target || act.target === ANY_TARGET) &&
+        this.isInTheWay(act),
+    );
+  }
+
+  /** Asks the store to confirm the lease before an act on `target`; `undefined` when it is not confirmed. */
+  confirm(target: string): Promise<LeaseConfirmation | undefined> {
+    this.batch ??= this.openBatch();
+    this.batch.targets.add(target);
+    return this.batch.confirmation;
+  }
+
+  /** Takes targets until the answer before has come and this turn of the event loop is over. */
+  private openBatch(): Batch {
+    const targets = new Set<string>();
+    const confirmation = this.lastAnswer.then(() => {
+      this.batch = undefined;
+      return this.askForConfirmation(targets);
     });
-    return this.confirming;
+    this.lastAnswer = confirmation;
+    return { targets, confirmation };
   }
 
-  private async askForConfirmation(): Promise<LeaseConfirmation | undefined> {
-    if (!this.isHeld || !this.known || monotonicMs() < this.actsFromMs) return undefined;
+  private async askForConfirmation(targets: ReadonlySet<string>): Promise<LeaseConfirmation | undefined> {
+    if (!this.isHeld || !this.known) return undefined;
     const { content, version } = this.known;
-    const usualMs = this.store.usualAnswerMs() * VALIDITY_ANSWERS;
-    const validMs = Math.min(LONGEST_VALIDITY_MS, Math.max(SHORTEST_VALIDITY_MS, Math.round(usualMs)));
+    const answerMs = this.store.usualAnswerMs();
+    const usualMs = Math.round(answerMs * VALIDITY_ANSWERS);
+    const validMs = Math.min(LONGEST_VALIDITY_MS, Math.max(SHORTEST_VALIDITY_MS, usualMs));
     const askedAtMs = monotonicMs();
-    if (!(await this.write(version, { ...content, acts: content.acts + 1, validMs }))) return undefined;
+    const begunByMs = Math.round(this.store.nowMs() + answerMs + validMs);
+    const recent = this.withActs(content.recent, targets, begunByMs);
+    if (!(await this.write(version, { ...content, acts: content.acts + 1, recent }))) return undefined;
     return { epoch: content.epoch, isFresh: () => monotonicMs() - askedAtMs < validMs };
   }
 
+  private withActs(
+    before: readonly RecentAct[],
+    targets: ReadonlySet<string>,
+    begunByMs: number,
+  ): RecentAct[] {
+    const { node } = this.self;
+    const isReplaced = (act: RecentAct) => act.node === node && targets.has(act.target);
+    const kept = before.filter((act) => this.isInTheWay(act) && !isReplaced(act));
+    const recent = [...kept, ...[...targets].map((target) => ({ target, node, begunByMs }))];
+    if (recent.length <= MAX_RECENT_ACTS) return recent;
+    const nodes = new Set(recent.map((act) => act.node));
+    return [...nodes].map((each) => {
+      const latestMs = Math.max(...recent.filter((act) => act.node === each).map((act) => act.begunByMs));
+      return { target: ANY_TARGET, node: each, begunByMs: latestMs };
+    });
+  }
+
+  /** Whether an act of another holder on the same target must still wait. */
+  private isInTheWay({ begunByMs }: RecentAct): boolean {
+    return this.store.nowMs() < begunByMs + this.apartMs() + APART_MARGIN_MS;
+  }
+
   private get address(): RecordAddress {
     return { table: SESSION_TABLE, partition: '', key: `duty/${this.duty}` };
   }
@@ -131,7 +194,6 @@
     const content = JSON.parse(record.value.toString('utf8')) as LeaseContent;
     const before = this.known?.content;
     if (before?.epoch !== content.epoch) this.holderLearntAtMs = this.sessions.observedTimeMs;
-    if (before?.epoch !== content.epoch || before.acts !== content.acts) this.lastActSeenMs = monotonicMs();
     this.known = { content, version: record.version };
     if (this.isHeld && (content.holder.life !== this.self.life || content.epoch !== this.heldEpoch))
       this.lose(`taken by ${content.holder.node}`);
@@ -150,27 +212,20 @@
     if (!this.known) return;
     const { content, version } = this.known;
     this.isTaking = true;
-    const earliestMs = this.earliestAct(content);
+    const recent = content.recent.filter((act) => this.isInTheWay(act));
     const taken = await this.write(version, {
       holder: this.self,
       epoch: content.epoch + 1,
       acts: 0,
-      validMs: 0,
+      recent,
     });
     this.isTaking = false;
     if (!taken) return;
     this.heldEpoch = content.epoch + 1;
-    this.actsFromMs = earliestMs;
     this.sessions.noteHolding();
     this.taken.notifyAll();
-    this.report('taken', `${reason}, acts in ${Math.max(0, Math.round(earliestMs - monotonicMs()))} ms`);
-  }
-
-  /** Acts of another machine may lie behind the last act seen; own ones need no distance. */
-  private earliestAct(content: LeaseContent): number {
-    const hasOwnActs = content.holder.node === this.self.node && content.acts > 0;
-    if (content.epoch === 0 || hasOwnActs) return 0;
-    return this.lastActSeenMs + content.validMs + this.apartMs() + APART_MARGIN_MS;
+    const others = recent.filter((act) => act.node !== this.self.node);
+    this.report('taken', `${reason}, ${others.length} targets must wait`);
   }
 
   private async write(version: number, content: LeaseContent): Promise<boolean> {
--- a/src/coordination/weight-orders.ts
+++ b/src/coordination/weight-orders.ts
@@ -149,14 +149,15 @@
 
   private isFree(state: ReplicaState): boolean {
     const { id } = state.replica;
-    return !this.loading.has(id) && monotonicMs() >= (this.notBeforeMs.get(id) ?? 0);
+    const isPaused = monotonicMs() < (this.notBeforeMs.get(id) ?? 0);
+    return !this.loading.has(id) && !isPaused && this.services.lease.mayActOn(id);
   }
 
   /** One order and the wait until the replica has carried it out. */
   private async load(wanted: WantedLoad, signal: AbortSignal): Promise<void> {
     const { state, model, version } = wanted;
     const { client, lease } = this.services;
-    const confirmation = await lease.confirm();
+    const confirmation = await lease.confirm(state.replica.id);
     if (!confirmation) return this.delayAll();
     const report = await client.report(state.replica, CALL_TIMEOUT_MS);
     if (report.isErr() || report.value.isBusy) return this.delay(state);
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -2,6 +2,7 @@
  * A node that serves routes and batch jobs over a record store. It puts the layers together; an adapter brings the store,
  * the replicas' wire format and the operators' records, and translates its callers' requests into the calls below.
  */
+import { setMaxListeners } from 'node:events';
 import { monotonicMs, sleep } from '../common/clock.js';
 import type { DecisionLogger } from '../common/decision-logger.js';
 import { uniqueId } from '../common/identifier.js';
@@ -96,6 +97,7 @@
   private openRequests = 0;
 
   constructor(private readonly parts: ServiceNodeParts) {
+    setMaxListeners(0, this.controller.signal);
     const { store, client, format, parseSubmission, metrics, logger } = parts;
     const settings = parts.settings();
     const self: JobOwner = { node: settings.nodeName, life: uniqueId() };
--- /dev/null
+++ b/test/duty-lease.test.ts
@@ -0,0 +1,153 @@
+/** A lease of a duty: when a successor may act, and on what. */
+import { expect } from 'chai';
+import { err, ok } from 'neverthrow';
+import { silentDecisionLogger } from '../src/common/decision-logger.js';
+import { DutyLease } from '../src/coordination/duty-lease.js';
+import type { SessionMonitor } from '../src/coordination/session-monitor.js';
+import {
+  type RecordStore,
+  RecordStoreError,
+  type RecordTransaction,
+  type StoredRecord,
+} from '../src/protocol/record-store.js';
+
+const DUTY = 'orders';
+/** Time that the acts of two holders on one target are apart, milliseconds. */
+const APART_MS = 3_000;
+/** Time after which no act of an earlier holder is in the way, milliseconds. */
+const LONG_MS = 10_000;
+
+/** A store with one record and a clock that stands still until a test moves it. */
+class LeaseStore {
+  record: StoredRecord | undefined;
+  clockMs = 1_000;
+  transactions = 0;
+  private version = 0;
+
+  usualAnswerMs = () => 0;
+  nowMs = () => this.clockMs;
+
+  async transact({ conditions, writes }: RecordTransaction) {
+    this.transactions += 1;
+    const expected = conditions[0]?.version ?? 0;
+    if (expected !== (this.record?.version ?? 0)) {
+      const current = this.record ? [this.record] : [];
+      return err(new RecordStoreError('conflict', 'none', 'changed', current));
+    }
+    this.version += 1;
+    const [write] = writes;
+    if (write) this.record = { ...write, version: this.version };
+    return ok(this.version);
+  }
+}
+
+describe('a lease of a duty', () => {
+  let store: LeaseStore;
+  let isLost: boolean;
+
+  beforeEach(() => {
+    store = new LeaseStore();
+    isLost = false;
+  });
+
+  function leaseAt(node: string, life: string): DutyLease {
+    const sessions = { isLost: () => isLost, noteHolding: () => {}, observedTimeMs: 0 };
+    return new DutyLease(
+      store as unknown as RecordStore,
+      DUTY,
+      { node, life },
+      sessions as unknown as SessionMonitor,
+      () => APART_MS,
+      silentDecisionLogger,
+    );
+  }
+
+  async function taken(lease: DutyLease): Promise<DutyLease> {
+    lease.observe(store.record ? [store.record] : [], true);
+    await lease.untilHeld(AbortSignal.timeout(LONG_MS));
+    return lease;
+  }
+
+  /** A successor on another machine, which takes the lease when its holder is lost. */
+  async function successor(node: string): Promise<DutyLease> {
+    isLost = true;
+    return taken(leaseAt(node, `${node}-life`));
+  }
+
+  it('lets a successor act at once where the holder before has not acted lately, and later where it has', async () => {
+    const first = await taken(leaseAt('node-1', 'life-1'));
+    expect(await first.confirm('replica-1')).to.not.equal(undefined);
+    const second = await successor('node-2');
+    expect(second.mayActOn('replica-2')).to.equal(true);
+    expect(second.mayActOn('replica-1')).to.equal(false);
+    store.clockMs += APART_MS;
+    expect(second.mayActOn('replica-1')).to.equal(false);
+    store.clockMs += APART_MS;
+    expect(second.mayActOn('replica-1')).to.equal(true);
+  });
+
+  it('keeps the distance from acts of all machines that held it lately, not only of the last one', async () => {
+    const first = await taken(leaseAt('node-1', 'life-1'));
+    await first.confirm('replica-1');
+    const second = await successor('node-2');
+    await second.confirm('replica-2');
+    const third = await successor('node-3');
+    expect(third.mayActOn('replica-1')).to.equal(false);
+    expect(third.mayActOn('replica-2')).to.equal(false);
+    expect(third.mayActOn('replica-3')).to.equal(true);
+  });
+
+  it('needs no distance from acts of an earlier process on the same machine', async () => {
+    const before = await taken(leaseAt('node-1', 'life-1'));
+    await before.confirm('replica-1');
+    const after = await taken(leaseAt('node-1', 'life-2'));
+    expect(after.mayActOn('replica-1')).to.equal(true);
+  });
+
+  it('keeps the distance after it was given back', async () => {
+    const first = await taken(leaseAt('node-1', 'life-1'));
+    await first.confirm('replica-1');
+    await first.resign();
+    const second = await taken(leaseAt('node-2', 'life-2'));
+    expect(second.mayActOn('replica-1')).to.equal(false);
+  });
+
+  it('confirms acts that begin together with one write that names them all', async () => {
+    const first = await taken(leaseAt('node-1', 'life-1'));
+    const before = store.transactions;
+    const together = ['replica-1', 'replica-2', 'replica-3'].map((target) => first.confirm(target));
+    for (const confirmation of await Promise.all(together)) expect(confirmation).to.not.equal(undefined);
+    expect(store.transactions).to.equal(before + 1);
+    const second = await successor('node-2');
+    for (const target of ['replica-1', 'replica-2', 'replica-3'])
+      expect(second.mayActOn(target)).to.equal(false);
+  });
+
+  it('names an act that begins while another confirmation is asked for in a write of its own', async () => {
+    const first = await taken(leaseAt('node-1', 'life-1'));
+    const early = first.confirm('replica-1');
+    await Promise.resolve();
+    await Promise.resolve();
+    const late = first.confirm('replica-2');
+    await Promise.all([early, late]);
+    const second = await successor('node-2');
+    expect(second.mayActOn('replica-2')).to.equal(false);
+  });
+
+  it('confirms nothing once another machine has taken it', async () => {
+    const first = await taken(leaseAt('node-1', 'life-1'));
+    await successor('node-2');
+    expect(await first.confirm('replica-1')).to.equal(undefined);
+    expect(first.isHeld).to.equal(false);
+  });
+
+  it('keeps the distance everywhere after more acts than are remembered one by one', async () => {
+    const first = await taken(leaseAt('node-1', 'life-1'));
+    await Promise.all(Array.from({ length: 2_000 }, (_, index) => first.confirm(`replica-${index}`)));
+    expect(store.record?.value.length).to.be.lessThan(60_000);
+    const second = await successor('node-2');
+    expect(second.mayActOn('replica-9999')).to.equal(false);
+    store.clockMs += LONG_MS;
+    expect(second.mayActOn('replica-9999')).to.equal(true);
+  });
+});
