Loads go in turn to the model that is worst served

Cause: when several models were behind, all loads of a wave went to one of them; the last of four began 3.8 s later, and its job waited with it, though a job lasts as long as its longest samples, which begin first and need few slots. Ruled out: more loads at a time (they share what brings the weights). Change: each load goes to the model of which the smallest part can serve its jobs (load-order.ts).

--- a/src/coordination/weight-orders.ts
+++ b/src/coordination/weight-orders.ts
@@ -10,6 +10,7 @@
 import type { RoutingTable } from '../state/routing-table.js';
 import type { WeightVersions } from '../state/weight-versions.js';
 import type { DutyLease } from './duty-lease.js';
+import { type FollowedModel, orderLoads } from './load-order.js';
 import { type PlannedModel, planReplicas } from './weight-plan.js';
 
 /** Part of a service's replicas that load at once at most. */
@@ -52,10 +53,17 @@
   readonly version: number;
 }
 
+/** A load under way. */
+interface OpenLoad {
+  readonly model: string;
+  /** When its order was decided on, on the monotonic clock. */
+  readonly sinceMs: number;
+}
+
 /** The giver of orders of one node; it acts only while the lease is held. */
 export class WeightOrders {
-  /** Replicas with an order under way, and since when, by identifier. */
-  private readonly loading = new Map<string, number>();
+  /** Loads under way by the replica's identifier. */
+  private readonly loading = new Map<string, OpenLoad>();
   /** Times of the newest loads, milliseconds. */
   private readonly loadTimes: number[] = [];
   private readonly notBeforeMs = new Map<string, number>();
@@ -95,37 +103,40 @@
       if (loadingCount >= room) return;
       loadingCount += 1;
       const { id } = load.state.replica;
-      this.loading.set(id, monotonicMs());
+      this.loading.set(id, { model: load.model, sinceMs: monotonicMs() });
       void this.load(load, signal).finally(() => this.loading.delete(id));
     }
   }
 
-  /** Loads that are missing, the model with the fewest replicas that are up to date first. */
+  /** Loads that are missing, the most urgent first; one for each replica. */
   private wantedLoads(states: readonly ReplicaState[], targets: readonly PlannedModel[]): WantedLoad[] {
-    const taken = new Set<string>();
-    const wanted: WantedLoad[] = [];
-    const byNeed = [...planReplicas(states, targets)]
-      .map(([model, planned]) => this.needOf(model, planned))
-      .sort((left, right) => right.share - left.share);
-    for (const { model, version, behind } of byNeed) {
-      for (const state of behind) {
-        if (taken.has(state.replica.id) || !this.isFree(state)) continue;
-        taken.add(state.replica.id);
-        wanted.push({ state, model, version });
-      }
+    const byId = new Map(states.map((state) => [state.replica.id, state]));
+    const models = [...planReplicas(states, targets)].map(([model, planned]) =>
+      this.toFollowedModel(model, planned),
+    );
+    const isFree = (id: string) => {
+      const state = byId.get(id);
+      return state !== undefined && this.isFree(state);
+    };
+    const wanted = new Map<string, WantedLoad>();
+    for (const { id, model } of orderLoads(models, isFree)) {
+      const state = byId.get(id);
+      if (!state || wanted.has(id)) continue;
+      wanted.set(id, { state, model, version: this.services.versions.newestOf(model) });
     }
-    return wanted;
+    return [...wanted.values()];
   }
 
-  private needOf(model: string, planned: readonly ReplicaState[]) {
-    const version = this.services.versions.newestOf(model);
-    const behind = planned
-      .filter((state) => state.versionOf(model) < version)
-      .sort(
-        (left, right) => left.versionOf(model) - right.versionOf(model) || left.inFlight - right.inFlight,
-      );
-    const lag = behind[0] ? version - behind[0].versionOf(model) : 0;
-    return { model, version, behind, share: lag + behind.length / Math.max(1, planned.length) };
+  /** The replicas of a model, those first that are furthest behind, then those with the least work. */
+  private toFollowedModel(model: string, planned: readonly ReplicaState[]): FollowedModel {
+    const replicas = [...planned]
+      .sort((left, right) => left.versionOf(model) - right.versionOf(model) || left.inFlight - right.inFlight)
+      .map((state) => ({
+        id: state.replica.id,
+        version: state.versionOf(model),
+        isLoading: this.loading.get(state.replica.id)?.model === model,
+      }));
+    return { model, newest: this.services.versions.newestOf(model), replicas };
   }
 
   /** Time that a load takes when nothing holds it up, milliseconds; infinite while none was seen. */
@@ -138,7 +149,7 @@
    * usually over.
    */
   private isProbablyLoading({ id }: ReplicaState): boolean {
-    const sinceMs = this.loading.get(id);
+    const sinceMs = this.loading.get(id)?.sinceMs;
     return sinceMs !== undefined && monotonicMs() - sinceMs < this.usualLoadMs;
   }
 
