--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -38,8 +38,10 @@
   readonly epoch: number;
   /** Confirmations of this holder. */
   readonly acts: number;
-  /** Acts of this and earlier holders that are not long past. */
-  readonly recent: readonly RecentAct[];
+  /** How long after the last act was confirmed it may still begin, milliseconds. */
+  readonly validMs: number;
+  /** Acts of this and earlier holders that are not long past; nodes of version 0.1.0 do not name them. */
+  readonly recent?: readonly RecentAct[];
 }
 
 interface KnownLease {
@@ -55,7 +57,10 @@
   isFresh(): boolean;
 }
 
-const ABSENT: KnownLease = { content: { holder: NOBODY, epoch: 0, acts: 0, recent: [] }, version: 0 };
+const ABSENT: KnownLease = {
+  content: { holder: NOBODY, epoch: 0, acts: 0, validMs: 0, recent: [] },
+  version: 0,
+};
 
 /** Acts that begin at the same time and share one confirmation. */
 interface Batch {
@@ -119,8 +124,7 @@
 
   /** Whether no other machine can have acted on `target` so lately that this one must wait. */
   mayActOn(target: string): boolean {
-    const recent = this.known?.content.recent ?? [];
-    return !recent.some(
+    return !this.recentActs.some(
       (act) =>
         act.node !== this.self.node &&
         (act.target === target || act.target === ANY_TARGET) &&
@@ -154,19 +158,24 @@
     const validMs = Math.min(LONGEST_VALIDITY_MS, Math.max(SHORTEST_VALIDITY_MS, usualMs));
     const askedAtMs = monotonicMs();
     const begunByMs = Math.round(this.store.nowMs() + answerMs + validMs);
-    const recent = this.withActs(content.recent, targets, begunByMs);
-    if (!(await this.write(version, { ...content, acts: content.acts + 1, recent }))) return undefined;
+    const recent = this.withActs(targets, begunByMs);
+    if (!(await this.write(version, { ...content, acts: content.acts + 1, validMs, recent })))
+      return undefined;
     return { epoch: content.epoch, isFresh: () => monotonicMs() - askedAtMs < validMs };
   }
 
-  private withActs(
-    before: readonly RecentAct[],
-    targets: ReadonlySet<string>,
-    begunByMs: number,
-  ): RecentAct[] {
+  /** Acts that the record names, or what must be supposed of a holder that names none. */
+  private get recentActs(): readonly RecentAct[] {
+    if (!this.known) return [];
+    const { recent, holder } = this.known.content;
+    const begunByMs = this.store.nowMs() + LONGEST_VALIDITY_MS;
+    return recent ?? [{ target: ANY_TARGET, node: holder.node, begunByMs }];
+  }
+
+  private withActs(targets: ReadonlySet<string>, begunByMs: number): RecentAct[] {
     const { node } = this.self;
     const isReplaced = (act: RecentAct) => act.node === node && targets.has(act.target);
-    const kept = before.filter((act) => this.isInTheWay(act) && !isReplaced(act));
+    const kept = this.recentActs.filter((act) => this.isInTheWay(act) && !isReplaced(act));
     const recent = [...kept, ...[...targets].map((target) => ({ target, node, begunByMs }))];
     if (recent.length <= MAX_RECENT_ACTS) return recent;
     const nodes = new Set(recent.map((act) => act.node));
@@ -212,16 +221,12 @@
     if (!this.known) return;
     const { content, version } = this.known;
     this.isTaking = true;
-    const recent = content.recent.filter((act) => this.isInTheWay(act));
-    const taken = await this.write(version, {
-      holder: this.self,
-      epoch: content.epoch + 1,
-      acts: 0,
-      recent,
-    });
+    const recent = this.recentActs.filter((act) => this.isInTheWay(act));
+    const epoch = content.epoch + 1;
+    const taken = await this.write(version, { holder: this.self, epoch, acts: 0, validMs: 0, recent });
     this.isTaking = false;
     if (!taken) return;
-    this.heldEpoch = content.epoch + 1;
+    this.heldEpoch = epoch;
     this.sessions.noteHolding();
     this.taken.notifyAll();
     const others = recent.filter((act) => act.node !== this.self.node);
--- a/src/coordination/session-monitor.ts
+++ b/src/coordination/session-monitor.ts
@@ -46,8 +46,8 @@
   readonly count: number;
   /** Whether the process takes no new jobs, because it is on its way out. */
   readonly isLeaving: boolean;
-  /** When it was written, on the store's clock, milliseconds. */
-  readonly atMs: number;
+  /** When it was written, on the store's clock, milliseconds; nodes of version 0.1.0 do not say it. */
+  readonly atMs?: number;
 }
 
 interface ObservedSession {
@@ -226,7 +226,7 @@
     const node = record.key.slice(BEAT_PREFIX.length);
     const known = this.sessions.get(node);
     if (known && known.version >= version) return;
-    const { life, isLeaving, atMs } = JSON.parse(value.toString('utf8')) as Beat;
+    const { life, isLeaving, atMs = 0 } = JSON.parse(value.toString('utf8')) as Beat;
     this.sessions.set(node, { version, life, isLeaving, beatAtMs: atMs, changedAtMs: this.observedMs });
   }
 }
--- a/test/duty-lease.test.ts
+++ b/test/duty-lease.test.ts
@@ -134,6 +134,20 @@
     expect(second.mayActOn('replica-2')).to.equal(false);
   });
 
+  it('keeps the distance everywhere from a holder of an earlier build, which names no acts', async () => {
+    const value = { holder: { node: 'node-1', life: 'life-1' }, epoch: 1, acts: 7, validMs: 250 };
+    const write = { table: 'sessions', partition: '', key: `duty/${DUTY}` };
+    await store.transact({
+      conditions: [{ ...write, version: 0 }],
+      writes: [{ ...write, value: Buffer.from(JSON.stringify(value)) }],
+      removals: [],
+    });
+    const second = await successor('node-2');
+    expect(second.mayActOn('replica-1')).to.equal(false);
+    store.clockMs += LONG_MS;
+    expect(second.mayActOn('replica-1')).to.equal(true);
+  });
+
   it('confirms nothing once another machine has taken it', async () => {
     const first = await taken(leaseAt('node-1', 'life-1'));
     await successor('node-2');
