--- a/test/record-feed.test.ts
+++ b/test/record-feed.test.ts
@@ -1,4 +1,5 @@
 /** How often a follower of a table asks: at once after each change, or when a pause is over. */
+import { setImmediate } from 'node:timers/promises';
 import { expect } from 'chai';
 import { ok } from 'neverthrow';
 import { ConditionVariable } from '../src/common/condition-variable.js';
@@ -12,6 +13,7 @@
 
   async changes(table: string, after: number) {
     this.questions += 1;
+    await setImmediate();
     const version = after + 1;
     const change: ChangedRecord = { table, partition: '', key: 'key', value: Buffer.from(''), version };
     return ok({ changes: [change], version });
