Orders of two givers are kept apart at an address, not at a replica's identifier

Cause: by reading: a replica that starts again has a new identifier; a successor would have ordered it at once, though the rule may count both as one replica. Change: the lease record names addresses.

--- a/src/coordination/weight-orders.ts
+++ b/src/coordination/weight-orders.ts
@@ -161,14 +161,14 @@
   private isFree(state: ReplicaState): boolean {
     const { id } = state.replica;
     const isPaused = monotonicMs() < (this.notBeforeMs.get(id) ?? 0);
-    return !this.loading.has(id) && !isPaused && this.services.lease.mayActOn(id);
+    return !this.loading.has(id) && !isPaused && this.services.lease.mayActOn(targetOf(state));
   }
 
   /** One order and the wait until the replica has carried it out. */
   private async load(wanted: WantedLoad, signal: AbortSignal): Promise<void> {
     const { state, model, version } = wanted;
     const { client, lease } = this.services;
-    const confirmation = await lease.confirm(state.replica.id);
+    const confirmation = await lease.confirm(targetOf(state));
     if (!confirmation) return this.delayAll();
     const report = await client.report(state.replica, CALL_TIMEOUT_MS);
     if (report.isErr() || report.value.isBusy) return this.delay(state);
@@ -250,3 +250,8 @@
     });
   }
 }
+
+/** What orders of two givers are kept apart at: a replica that starts again is a new one, but at the same address. */
+function targetOf({ replica }: ReplicaState): string {
+  return replica.address;
+}
--- a/test/weight-orders.test.ts
+++ b/test/weight-orders.test.ts
@@ -138,36 +138,41 @@
   });
 });
 
-describe('orders that the store does not confirm', () => {
+describe('orders without a store', () => {
   const IDS = ['r1', 'r2', 'r3', 'r4'];
   const REFUSALS = 20;
+  let directory: ReplicaDirectory;
+  let versions: WeightVersions;
+  let routing: RoutingTable;
+  let ordered: string[];
+  let controller: AbortController;
 
-  it('set no replica back: after an outage those furthest behind come first', async () => {
-    const directory = new ReplicaDirectory();
-    const versions = new WeightVersions();
-    const routing = new RoutingTable();
+  beforeEach(() => {
+    directory = new ReplicaDirectory();
+    versions = new WeightVersions();
+    routing = new RoutingTable();
+    ordered = [];
+    controller = new AbortController();
     const service = { name: 's', maxConnections: 9, models: [MODEL], engineSlots: 4 };
     const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
     routing.install({ version: 1, routes: [], services: [service], limits });
-    for (const id of IDS)
+    for (const [index, id] of IDS.entries())
       directory.set({
         id,
         service: 's',
-        address: '127.0.0.1:1',
+        address: addressAt(index),
         zone: 'z',
         slots: 4,
         isDraining: false,
         modelVersions: new Map([[MODEL, id === 'r1' ? 2 : 1]]),
       });
     versions.note(MODEL, 2);
-    const ordered: string[] = [];
-    let refusals = 0;
-    const confirm = async () => {
-      refusals += 1;
-      if (refusals < REFUSALS) return undefined;
-      versions.note(MODEL, 3);
-      return { epoch: 1, isFresh: () => true };
-    };
+  });
+
+  const addressAt = (index: number) => `127.0.0.1:${index + 1}`;
+
+  /** Gives orders under a lease until `enough` replicas were ordered. */
+  async function order(enough: number, lease: object): Promise<void> {
     const report = { modelVersions: new Map(), isBusy: false, orderCount: 0, waiting: 0, running: 0 };
     const client = {
       report: async () => ok(report),
@@ -181,19 +186,40 @@
       directory,
       versions,
       client,
-      lease: { isHeld: true, untilHeld: async () => {}, mayActOn: () => true, confirm },
+      lease: { isHeld: true, untilHeld: async () => {}, ...lease },
       demandOf: () => 1,
       nodeName: 'node-1',
       metrics: { orders: { inc: () => {} } },
       logger: { record: () => {} },
     };
-    const controller = new AbortController();
     const orders = new WeightOrders(services as unknown as WeightOrderServices).run(controller.signal);
-    await until('orders are given', () => ordered.length >= IDS.length - 1);
+    await until('orders are given', () => ordered.length >= enough);
     controller.abort();
     await orders;
+  }
+
+  it('set no replica back: after an outage those furthest behind come first', async () => {
+    let refusals = 0;
+    const confirm = async () => {
+      refusals += 1;
+      if (refusals < REFUSALS) return undefined;
+      versions.note(MODEL, 3);
+      return { epoch: 1, isFresh: () => true };
+    };
+    await order(IDS.length - 1, { confirm, mayActOn: () => true });
     expect(ordered.slice(0, IDS.length - 1).sort()).to.deep.equal(['r2', 'r3', 'r4']);
   });
+
+  it('leave out a replica at an address that another machine has ordered lately', async () => {
+    const confirmed: string[] = [];
+    const confirm = async (target: string) => {
+      confirmed.push(target);
+      return { epoch: 1, isFresh: () => true };
+    };
+    await order(2, { confirm, mayActOn: (target: string) => target !== addressAt(1) });
+    expect(ordered).to.not.include('r2');
+    expect(confirmed).to.include(addressAt(2)).and.to.not.include(addressAt(1));
+  });
 });
 
 describe('the plan of replicas for models', () => {
