Recent acts of a duty have a module of their own

Change: recent-acts.ts says which acts stand in the way and how many are named; the lease filters by time in one place. No behaviour changes. Tests of both unchanged and green (duty-lease, weight-orders).

--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -9,6 +9,7 @@
 import type { DecisionLogger } from '../common/decision-logger.js';
 import type { RecordAddress, RecordStore, StoredRecord } from '../protocol/record-store.js';
 import type { JobOwner } from '../state/job-record.js';
+import { ANY_TARGET, addActs, allowsAct, type RecentAct } from './recent-acts.js';
 import { SESSION_TABLE, type SessionMonitor } from './session-monitor.js';
 
 /** How old a confirmation may be when an act begins, milliseconds: more when the store answers slowly. */
@@ -17,21 +18,9 @@
 const VALIDITY_ANSWERS = 4;
 /** Added to the time that two holders must be apart at one target, milliseconds. */
 const APART_MARGIN_MS = 250;
-/** Acts that are remembered one by one; when there are more, they count as one on every target. */
-const MAX_RECENT_ACTS = 500;
-const ANY_TARGET = '*';
 /** Owner of a lease that was given back. */
 const NOBODY: JobOwner = { node: '', life: '' };
 
-/** An act that another holder must keep its distance from. */
-interface RecentAct {
-  readonly target: string;
-  /** Node that acts. */
-  readonly node: string;
-  /** When it has begun at the latest, on the store's clock, milliseconds. */
-  readonly begunByMs: number;
-}
-
 interface LeaseContent {
   readonly holder: JobOwner;
   /** Rises with each change of the holder; serves as fencing token. */
@@ -124,12 +113,7 @@
 
   /** Whether no other machine can have acted on `target` so lately that this one must wait. */
   mayActOn(target: string): boolean {
-    return !this.recentActs.some(
-      (act) =>
-        act.node !== this.self.node &&
-        (act.target === target || act.target === ANY_TARGET) &&
-        this.isInTheWay(act),
-    );
+    return allowsAct(this.recentActs, target, this.self.node);
   }
 
   /** Asks the store to confirm the lease before an act on `target`; `undefined` when it is not confirmed. */
@@ -158,36 +142,25 @@
     const validMs = Math.min(LONGEST_VALIDITY_MS, Math.max(SHORTEST_VALIDITY_MS, usualMs));
     const askedAtMs = monotonicMs();
     const begunByMs = Math.round(this.store.nowMs() + answerMs + validMs);
-    const recent = this.withActs(targets, begunByMs);
+    const { node } = this.self;
+    const acts = [...targets].map((target) => ({ target, node, begunByMs }));
+    const recent = addActs(this.recentActs, acts);
     if (!(await this.write(version, { ...content, acts: content.acts + 1, validMs, recent })))
       return undefined;
     return { epoch: content.epoch, isFresh: () => monotonicMs() - askedAtMs < validMs };
   }
 
-  /** Acts that the record names, or what must be supposed of a holder that names none. */
+  /**
+   * Acts from which another holder must still keep its distance: those that the record names, or what must be supposed of
+   * a holder that names none.
+   */
   private get recentActs(): readonly RecentAct[] {
     if (!this.known) return [];
     const { recent, holder } = this.known.content;
-    const begunByMs = this.store.nowMs() + LONGEST_VALIDITY_MS;
-    return recent ?? [{ target: ANY_TARGET, node: holder.node, begunByMs }];
-  }
-
-  private withActs(targets: ReadonlySet<string>, begunByMs: number): RecentAct[] {
-    const { node } = this.self;
-    const isReplaced = (act: RecentAct) => act.node === node && targets.has(act.target);
-    const kept = this.recentActs.filter((act) => this.isInTheWay(act) && !isReplaced(act));
-    const recent = [...kept, ...[...targets].map((target) => ({ target, node, begunByMs }))];
-    if (recent.length <= MAX_RECENT_ACTS) return recent;
-    const nodes = new Set(recent.map((act) => act.node));
-    return [...nodes].map((each) => {
-      const latestMs = Math.max(...recent.filter((act) => act.node === each).map((act) => act.begunByMs));
-      return { target: ANY_TARGET, node: each, begunByMs: latestMs };
-    });
-  }
-
-  /** Whether an act of another holder on the same target must still wait. */
-  private isInTheWay({ begunByMs }: RecentAct): boolean {
-    return this.store.nowMs() < begunByMs + this.apartMs() + APART_MARGIN_MS;
+    const nowMs = this.store.nowMs();
+    const supposed = { target: ANY_TARGET, node: holder.node, begunByMs: nowMs + LONGEST_VALIDITY_MS };
+    const sinceMs = nowMs - this.apartMs() - APART_MARGIN_MS;
+    return (recent ?? [supposed]).filter((act) => act.begunByMs > sinceMs);
   }
 
   private get address(): RecordAddress {
@@ -221,7 +194,7 @@
     if (!this.known) return;
     const { content, version } = this.known;
     this.isTaking = true;
-    const recent = this.recentActs.filter((act) => this.isInTheWay(act));
+    const recent = this.recentActs;
     const epoch = content.epoch + 1;
     const taken = await this.write(version, { holder: this.self, epoch, acts: 0, validMs: 0, recent });
     this.isTaking = false;
