--- a/scripts/check-layers.ts
+++ b/scripts/check-layers.ts
@@ -1,10 +1,11 @@
 /**
- * Checks that imports go one way: coordination, state, protocol, transport; `common` is open to all and imports none.
- * `node` and `cli` compose the layers. The product never imports the emulator, the benchmarks or the tests.
+ * Checks the rules of imports (`layer-rules.ts`), that the platform's names stay in the adapter, and its size. The product
+ * never imports the adapter, the emulator, the benchmarks or the tests.
  */
 import { readdirSync, readFileSync, statSync } from 'node:fs';
-import { dirname, join, relative, resolve } from 'node:path';
+import { join, relative, resolve } from 'node:path';
 import { HEADER, JOB_PATH, REPLICA_PATH, SETTINGS_VARIABLE, STORE_PATH } from '../platform/names.js';
+import { importBreaches, importCircle, type Source } from './layer-rules.js';
 
 /** Names that the platform shares with HTTP in general, or with flags of the product's own command line. */
 const COMMON_NAMES = new Set<string>([
@@ -16,20 +17,9 @@
 /** Lines of the adapter for each line of the product, at most. */
 const MAX_ADAPTER_SHARE = 1 / 6;
 
-/** Folders that files of a folder may import, besides their own. */
-const ALLOWED: Readonly<Record<string, readonly string[]>> = {
-  'src/common': [],
-  'src/transport': ['src/common'],
-  'src/protocol': ['src/transport', 'src/common'],
-  'src/state': ['src/protocol', 'src/transport', 'src/common'],
-  'src/coordination': ['src/state', 'src/protocol', 'src/transport', 'src/common'],
-  'src/node': ['src/coordination', 'src/state', 'src/protocol', 'src/transport', 'src/common'],
-  'src/cli': ['src/node', 'src/state', 'src/protocol', 'src/transport', 'src/common'],
-};
-
-/** The one file of the product that may import the adapter: it puts the program together. */
-const COMPOSITION_POINT = 'src/cli/commands/node.ts';
 const ADAPTER = 'platform';
+/** Folders beside the product that enter its rooms through their index; tests look inside. */
+const COMPANIONS = [ADAPTER, 'emulator', 'bench'];
 
 /** Names of the platform's interface that stand nowhere outside the adapter and the tests of it. */
 const PLATFORM_NAMES: readonly string[] = [
@@ -40,7 +30,6 @@
   SETTINGS_VARIABLE,
 ].filter((name: string) => !COMMON_NAMES.has(name));
 
-const IMPORT = /from\s+'(\.[^']+)'|import\s+'(\.[^']+)'/g;
 const root = resolve(import.meta.dirname, '../..');
 
 function sourcesUnder(folder: string): string[] {
@@ -51,22 +40,8 @@
   });
 }
 
-/** The layer that a path stands in, for example `src/state`. */
-function layerOf(path: string): string {
-  const parts = relative(root, path).split('/');
-  return parts[0] === ADAPTER ? ADAPTER : parts.slice(0, 2).join('/');
-}
-
-function violationsIn(file: string): string[] {
-  const layer = layerOf(file);
-  const allowed = ALLOWED[layer];
-  if (!allowed) return [`${relative(root, file)}: stands in no known layer`];
-  const targets = [...readFileSync(file, 'utf8').matchAll(IMPORT)].map((match) => match[1] ?? match[2] ?? '');
-  return targets
-    .map((target) => layerOf(resolve(dirname(file), target)))
-    .filter((target) => target !== layer && !allowed.includes(target))
-    .filter((target) => target !== ADAPTER || relative(root, file) !== COMPOSITION_POINT)
-    .map((target) => `${relative(root, file)}: ${layer} must not import ${target}`);
+function toSource(file: string): Source {
+  return { path: relative(root, file), text: readFileSync(file, 'utf8') };
 }
 
 /** Names of the platform that a file of the product uses. */
@@ -85,7 +60,13 @@
 
 const product = sourcesUnder(join(root, 'src'));
 const adapter = sourcesUnder(join(root, ADAPTER));
-const violations = [...product.flatMap(violationsIn), ...product.flatMap(platformNamesIn)];
+const companions = COMPANIONS.flatMap((folder) => sourcesUnder(join(root, folder)));
+const violations = [
+  ...[...product, ...companions].map(toSource).flatMap(importBreaches),
+  ...product.flatMap(platformNamesIn),
+];
+const circle = importCircle(product.map(toSource));
+if (circle) violations.push(`imports run in a circle: ${circle.join(' -> ')}`);
 const [productLines, adapterLines] = [linesOf(product), linesOf(adapter)];
 if (adapterLines > productLines * MAX_ADAPTER_SHARE)
   violations.push(`${ADAPTER}: larger than a sixth of src`);
--- /dev/null
+++ b/src/cli/command-line.ts
@@ -0,0 +1,55 @@
+/** The command line, for whatever store a program brings. */
+import { runSafely, subcommands } from 'cmd-ts';
+import { configureLogging } from '../common/logging.js';
+import type { StoreFactory } from '../node/node.js';
+import { applyCommand, diffCommand, validateCommand } from './commands/declare.js';
+import {
+  describeCommand,
+  explainCommand,
+  getCommand,
+  statusCommand,
+  watchCommand,
+} from './commands/inspect.js';
+import { createNodeCommand } from './commands/node.js';
+import { approveCommand, drainCommand } from './commands/operate.js';
+import { timelineCommand } from './commands/timeline.js';
+import { traceCommand } from './commands/trace.js';
+import { ExitCode } from './exit-codes.js';
+
+/** Runs the command that the arguments name; `createStore` makes the store of a node started here. */
+export async function runCommandLine(args: readonly string[], createStore: StoreFactory): Promise<void> {
+  configureLogging('stderr');
+  const outcome = await runSafely(commands(createStore), [...args]);
+  if (outcome._tag === 'error') {
+    const { exitCode, message, into } = outcome.error.config;
+    const sink = into === 'stdout' ? process.stdout : process.stderr;
+    sink.write(`${message}\n`);
+    // The library ends usage errors with 1; here they are input errors. Help ends with 0.
+    process.exitCode = exitCode === 0 || into === 'stdout' ? ExitCode.ok : ExitCode.invalidInput;
+  } else {
+    // The value of a command is its own promise.
+    await outcome.value;
+  }
+}
+
+function commands(createStore: StoreFactory) {
+  return subcommands({
+    name: 'thymecove',
+    description: 'Rollout service for reinforcement learning: nodes and their operators.',
+    cmds: {
+      node: createNodeCommand(createStore),
+      validate: validateCommand,
+      diff: diffCommand,
+      apply: applyCommand,
+      get: getCommand,
+      describe: describeCommand,
+      watch: watchCommand,
+      drain: drainCommand,
+      approve: approveCommand,
+      explain: explainCommand,
+      status: statusCommand,
+      timeline: timelineCommand,
+      trace: traceCommand,
+    },
+  });
+}
--- a/src/cli/commands/node.ts
+++ b/src/cli/commands/node.ts
@@ -1,65 +1,65 @@
 /** `thymecove node`: runs a node until it is told to stop. */
 import { command, number, option, optional, string } from 'cmd-ts';
-import { createPlatformStore } from '../../../platform/store-factory.js';
 import { configureLogging } from '../../common/logging.js';
-import { ThymecoveNode } from '../../node/node.js';
+import { type StoreFactory, ThymecoveNode } from '../../node/node.js';
 import { loadSettings } from '../../node/settings.js';
 import { ExitCode } from '../exit-codes.js';
 import { printNote } from '../output.js';
 
 const flag = (long: string, description: string) => option({ type: optional(string), long, description });
 
-/** The command. */
-export const nodeCommand = command({
-  name: 'node',
-  description: 'Run a node. Flags go over the settings file. SIGTERM and SIGINT stop it as planned.',
-  examples: [
-    { description: 'Run with a settings file', command: 'thymecove node --settings node.yaml' },
-    {
-      description: 'The same file on another port',
-      command: 'thymecove node --settings node.yaml --id b --port 7401',
+/** The command; `createStore` makes the client of the store that the settings name. */
+export const createNodeCommand = (createStore: StoreFactory) =>
+  command({
+    name: 'node',
+    description: 'Run a node. Flags go over the settings file. SIGTERM and SIGINT stop it as planned.',
+    examples: [
+      { description: 'Run with a settings file', command: 'thymecove node --settings node.yaml' },
+      {
+        description: 'The same file on another port',
+        command: 'thymecove node --settings node.yaml --id b --port 7401',
+      },
+    ],
+    args: {
+      settings: option({ type: string, long: 'settings', description: 'Settings file (YAML).' }),
+      id: flag('id', 'node.id'),
+      zone: flag('zone', 'node.zone'),
+      machine: flag('machine', 'node.machine'),
+      host: flag('host', 'listen.host'),
+      advertise: flag('advertise', 'listen.advertise'),
+      port: option({ type: optional(number), long: 'port', description: 'listen.port' }),
+      store: flag('store', 'platform.store'),
+      machines: flag('machines', 'platform.machines'),
     },
-  ],
-  args: {
-    settings: option({ type: string, long: 'settings', description: 'Settings file (YAML).' }),
-    id: flag('id', 'node.id'),
-    zone: flag('zone', 'node.zone'),
-    machine: flag('machine', 'node.machine'),
-    host: flag('host', 'listen.host'),
-    advertise: flag('advertise', 'listen.advertise'),
-    port: option({ type: optional(number), long: 'port', description: 'listen.port' }),
-    store: flag('store', 'platform.store'),
-    machines: flag('machines', 'platform.machines'),
-  },
-  handler: async (args) => {
-    const settings = loadSettings(args.settings, {
-      'node.id': args.id,
-      'node.zone': args.zone,
-      'node.machine': args.machine,
-      'listen.host': args.host,
-      'listen.port': args.port,
-      'listen.advertise': args.advertise,
-      'platform.store': args.store,
-      'platform.machines': args.machines,
-    });
-    if (settings.isErr()) {
-      printNote(`error: the settings in ${args.settings} are not valid`);
-      for (const problem of settings.error) printNote(`  ${problem.field}: ${problem.message}`);
-      process.exit(ExitCode.invalidInput);
-    }
-    configureLogging(settings.value.log ?? 'stderr');
-    const node = new ThymecoveNode(settings.value, createPlatformStore);
-    const stop = () => {
-      void node.stop().then(() => process.exit(ExitCode.ok));
-    };
-    process.once('SIGTERM', stop);
-    process.once('SIGINT', stop);
-    try {
-      const listening = await node.start();
-      process.stdout.write(`${JSON.stringify({ ready: true, id: settings.value.node.id, listening })}\n`);
-    } catch (cause) {
-      printNote(`error: cannot listen: ${(cause as Error).message}`);
-      process.exit(ExitCode.failed);
-    }
-  },
-});
+    handler: async (args) => {
+      const settings = loadSettings(args.settings, {
+        'node.id': args.id,
+        'node.zone': args.zone,
+        'node.machine': args.machine,
+        'listen.host': args.host,
+        'listen.port': args.port,
+        'listen.advertise': args.advertise,
+        'platform.store': args.store,
+        'platform.machines': args.machines,
+      });
+      if (settings.isErr()) {
+        printNote(`error: the settings in ${args.settings} are not valid`);
+        for (const problem of settings.error) printNote(`  ${problem.field}: ${problem.message}`);
+        process.exit(ExitCode.invalidInput);
+      }
+      configureLogging(settings.value.log ?? 'stderr');
+      const node = new ThymecoveNode(settings.value, createStore);
+      const stop = () => {
+        void node.stop().then(() => process.exit(ExitCode.ok));
+      };
+      process.once('SIGTERM', stop);
+      process.once('SIGINT', stop);
+      try {
+        const listening = await node.start();
+        process.stdout.write(`${JSON.stringify({ ready: true, id: settings.value.node.id, listening })}\n`);
+      } catch (cause) {
+        printNote(`error: cannot listen: ${(cause as Error).message}`);
+        process.exit(ExitCode.failed);
+      }
+    },
+  });
--- a/src/cli/job-accounts.ts
+++ b/src/cli/job-accounts.ts
@@ -1,7 +1,6 @@
 /** What operators see of batch jobs: one account a job, read from the store, without asking any node. */
 import { ok, type Result } from 'neverthrow';
-import type { JobHead } from '../state/job-record.js';
-import type { JobRepository } from '../state/job-repository.js';
+import type { JobHead, JobRepository } from '../state/jobs/index.js';
 import type { StateError } from '../state/state-error.js';
 import { formatTable } from './output.js';
 
--- a/src/cli/plan.ts
+++ b/src/cli/plan.ts
@@ -5,7 +5,7 @@
 import type { OperatorClient, ShownResource } from '../protocol/operator-client.js';
 import type { ProtocolError } from '../protocol/protocol-error.js';
 import { KINDS, READ_ONLY_KINDS, type Resource, resourceKey } from '../protocol/resource.js';
-import { sameDeclaration } from '../state/config-store.js';
+import { sameDeclaration } from '../state/configuration/index.js';
 import type { Declaration } from './declarations.js';
 
 /** A planned change. */
--- a/src/state/token-bucket.ts
+++ b/src/common/token-bucket.ts
@@ -1,5 +1,5 @@
 /** A token bucket: a rate with a bounded burst. */
-import { monotonicMs } from '../common/clock.js';
+import { monotonicMs } from './clock.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
--- a/src/coordination/config-follower.ts
+++ b/src/coordination/configuration/config-follower.ts
@@ -3,13 +3,11 @@
  * accepted when the store has committed it. Each answer of the store confirms the configuration, counted from the moment
  * of asking, so that a node that was paused or is cut off knows that it may be behind.
  */
-import { monotonicMs, sleep } from '../common/clock.js';
-import type { LifecycleObserver } from '../common/lifecycle.js';
-import type { RecordStore } from '../protocol/record-store.js';
-import type { ConfigStore } from '../state/config-store.js';
-import type { ConfigView } from '../state/config-view.js';
-import type { FreshnessLease } from '../state/freshness-lease.js';
-import { CONFIGURATION_TABLE } from '../state/row-table.js';
+import { monotonicMs, sleep } from '../../common/clock.js';
+import type { LifecycleObserver } from '../../common/lifecycle.js';
+import type { RecordStore } from '../../protocol/record-store.js';
+import type { ConfigStore, ConfigView, FreshnessLease } from '../../state/configuration/index.js';
+import { CONFIGURATION_TABLE } from '../../state/store/index.js';
 
 const RETRY_DELAY_MS = 100;
 
--- /dev/null
+++ b/src/coordination/configuration/index.ts
@@ -0,0 +1,2 @@
+export { ConfigFollower } from './config-follower.js';
+export { type FeedHandler, type FeedObserver, RecordFeed, readPartition } from './record-feed.js';
--- a/src/coordination/record-feed.ts
+++ b/src/coordination/configuration/record-feed.ts
@@ -3,9 +3,9 @@
  * is read whole again. An answer older than what was seen is never taken.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { monotonicMs, sleep } from '../common/clock.js';
-import type { ChangedRecord, RecordStore, StoredRecord } from '../protocol/record-store.js';
-import { StateError } from '../state/state-error.js';
+import { monotonicMs, sleep } from '../../common/clock.js';
+import type { ChangedRecord, RecordStore, StoredRecord } from '../../protocol/record-store.js';
+import { StateError } from '../../state/state-error.js';
 
 /** Longest wait of one question for changes, milliseconds. */
 const WAIT_MS = 1_200;
--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duties/duty-lease.ts
@@ -4,13 +4,13 @@
  * targets of the newest acts and when each of these began at the latest, so a successor acts at once on all targets but
  * those on which another machine may have acted a moment ago.
  */
-import { monotonicMs } from '../common/clock.js';
-import { ConditionVariable } from '../common/condition-variable.js';
-import type { DecisionLogger } from '../common/decision-logger.js';
-import type { RecordAddress, RecordStore, StoredRecord } from '../protocol/record-store.js';
-import type { JobOwner } from '../state/job-record.js';
+import { monotonicMs } from '../../common/clock.js';
+import { ConditionVariable } from '../../common/condition-variable.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { RecordAddress, RecordStore, StoredRecord } from '../../protocol/record-store.js';
+import type { JobOwner } from '../../state/jobs/index.js';
+import { SESSION_TABLE, type SessionMonitor } from '../membership/index.js';
 import { ANY_TARGET, addActs, allowsAct, type RecentAct } from './recent-acts.js';
-import { SESSION_TABLE, type SessionMonitor } from './session-monitor.js';
 
 /** How old a confirmation may be when an act begins, milliseconds: more when the store answers slowly. */
 const SHORTEST_VALIDITY_MS = 250;
--- a/src/coordination/item-run.ts
+++ b/src/coordination/jobs/item-run.ts
@@ -1,24 +1,21 @@
 /** Runs one item of a job from its first event to its score. */
-import { monotonicMs, sleep } from '../common/clock.js';
-import type { DecisionLogger } from '../common/decision-logger.js';
-import type { ServiceMetrics } from '../common/service-metrics.js';
-import type { JobItem, JobResult, JobSpecification, PartialText } from '../protocol/batch-job.js';
-import type { ReplicaClient } from '../protocol/replica.js';
-import type { Route } from '../protocol/routing-configuration.js';
-import type { ReplicaDirectory, ReplicaState } from '../state/replica-directory.js';
-import type { RoutingSnapshot, RoutingTable, TargetSplitter } from '../state/routing-table.js';
-import type { WeightVersions } from '../state/weight-versions.js';
+import { monotonicMs, sleep } from '../../common/clock.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import type { JobItem, JobResult, JobSpecification, PartialText } from '../../protocol/batch-job.js';
+import type { ReplicaClient } from '../../protocol/replica.js';
+import type { Route } from '../../protocol/routing-configuration.js';
+import type { RoutingSnapshot, RoutingTable, TargetSplitter } from '../../state/configuration/index.js';
+import type { ReplicaDirectory, ReplicaState, WeightVersions } from '../../state/replicas/index.js';
+import type { Placement, PlacementRequest, SampleLengths, SampleScorer } from '../samples/index.js';
 import {
   type AttemptPace,
   attemptGeneration,
   type GenerationOutcome,
   type GenerationTerms,
-} from './generation-attempt.js';
-import type { Placement, PlacementRequest } from './placement.js';
-import type { SampleLengths } from './sample-lengths.js';
-import { SampleMoves } from './sample-moves.js';
-import type { SampleScorer } from './sample-scorer.js';
-import { SampleText } from './sample-text.js';
+  SampleMoves,
+  SampleText,
+} from '../samples/index.js';
 
 /** What items of a node's jobs share. */
 export interface ItemServices {
--- a/src/coordination/job-calls.ts
+++ b/src/coordination/jobs/job-calls.ts
@@ -1,11 +1,10 @@
 /** Calls of submitters about batch jobs: submit, read results by position, read an item's body, end. */
-import { monotonicMs, sleep } from '../common/clock.js';
-import type { DecisionLogger } from '../common/decision-logger.js';
-import type { JobSpecification } from '../protocol/batch-job.js';
-import type { ItemOutcome, JobSubmission, ReadOutcome, SubmissionOutcome } from '../protocol/job-calls.js';
-import type { JobHead } from '../state/job-record.js';
-import type { JobRepository } from '../state/job-repository.js';
-import type { ResultCache } from '../state/result-cache.js';
+import { monotonicMs, sleep } from '../../common/clock.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { JobSpecification } from '../../protocol/batch-job.js';
+import type { ItemOutcome, JobSubmission, ReadOutcome, SubmissionOutcome } from '../../protocol/job-calls.js';
+import type { JobHead, JobRepository } from '../../state/jobs/index.js';
+import type { ResultCache } from '../../state/samples/index.js';
 import type { JobForwarding } from './job-forwarding.js';
 import type { JobOwnership } from './job-owner.js';
 import type { SubmissionParser } from './job-run.js';
--- a/src/coordination/job-owner.ts
+++ b/src/coordination/jobs/job-owner.ts
@@ -4,16 +4,21 @@
  * lost, or has handed it back, is claimed in a transaction on its head, so that one node gets it. A new process on the
  * owner's machine knows that its former self is dead and claims at once.
  */
-import { monotonicMs, sleep } from '../common/clock.js';
-import type { DecisionLogger } from '../common/decision-logger.js';
-import type { ServiceMetrics } from '../common/service-metrics.js';
-import type { JobSpecification } from '../protocol/batch-job.js';
-import type { ChangedRecord, RecordStore } from '../protocol/record-store.js';
-import { JOB_TABLE, type JobHead, type JobOwner } from '../state/job-record.js';
-import { type JobRepository, toJobHead } from '../state/job-repository.js';
+import { monotonicMs, sleep } from '../../common/clock.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import type { JobSpecification } from '../../protocol/batch-job.js';
+import type { ChangedRecord, RecordStore } from '../../protocol/record-store.js';
+import {
+  JOB_TABLE,
+  type JobHead,
+  type JobOwner,
+  type JobRepository,
+  toJobHead,
+} from '../../state/jobs/index.js';
+import type { FeedHandler } from '../configuration/index.js';
+import type { SessionMonitor } from '../membership/index.js';
 import { JobRun, type JobRunEnd, type JobRunServices } from './job-run.js';
-import type { FeedHandler } from './record-feed.js';
-import type { SessionMonitor } from './session-monitor.js';
 
 const CLAIM_EFFORT_MS = 3_000;
 /** Nodes claim within this time of each other, so that one mostly comes first, milliseconds. */
--- a/src/coordination/announcements.ts
+++ b/src/coordination/membership/announcements.ts
@@ -2,15 +2,14 @@
  * What operators, trainers and replicas announce through the store: the configuration, the newest weight version of
  * each model, and the replicas. An adapter reads the records; this module keeps what they say.
  */
-import type { DecisionLogger } from '../common/decision-logger.js';
-import type { ServiceMetrics } from '../common/service-metrics.js';
-import type { ChangedRecord, RecordStore, StoredRecord } from '../protocol/record-store.js';
-import type { Replica } from '../protocol/replica.js';
-import type { RoutingConfiguration } from '../protocol/routing-configuration.js';
-import type { ReplicaDirectory } from '../state/replica-directory.js';
-import type { RoutingTable } from '../state/routing-table.js';
-import type { WeightVersions } from '../state/weight-versions.js';
-import { type FeedHandler, readPartition } from './record-feed.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import type { ChangedRecord, RecordStore, StoredRecord } from '../../protocol/record-store.js';
+import type { Replica } from '../../protocol/replica.js';
+import type { RoutingConfiguration } from '../../protocol/routing-configuration.js';
+import type { RoutingTable } from '../../state/configuration/index.js';
+import type { ReplicaDirectory, WeightVersions } from '../../state/replicas/index.js';
+import { type FeedHandler, readPartition } from '../configuration/index.js';
 
 /** How an adapter reads the records of operators and replicas. */
 export interface AnnouncementFormat {
--- /dev/null
+++ b/src/coordination/membership/index.ts
@@ -0,0 +1,5 @@
+export { type AnnouncementFormat, OperatorAnnouncements, ReplicaAnnouncements } from './announcements.js';
+export { MachineWatch } from './machine-watch.js';
+export { NodeRegistry } from './node-registry.js';
+export { PeerAddresses } from './peer-addresses.js';
+export { SESSION_TABLE, SessionMonitor } from './session-monitor.js';
--- a/src/coordination/peer-addresses.ts
+++ b/src/coordination/membership/peer-addresses.ts
@@ -3,10 +3,10 @@
  * follow it in the order of their names, so that the cost for each node stays the same however many there are. Now and
  * then it counts all nodes.
  */
-import { type Clock, SYSTEM_CLOCK } from '../common/clock.js';
-import type { DecisionLogger } from '../common/decision-logger.js';
-import type { RecordAddress, RecordStore, StoredRecord } from '../protocol/record-store.js';
-import { readPartition } from './record-feed.js';
+import { type Clock, SYSTEM_CLOCK } from '../../common/clock.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { RecordAddress, RecordStore, StoredRecord } from '../../protocol/record-store.js';
+import { readPartition } from '../configuration/index.js';
 
 const TABLE = 'serving-nodes';
 /** Looks after which all announcements are counted again; first with the second look. */
--- /dev/null
+++ b/src/coordination/requests/index.ts
@@ -0,0 +1,15 @@
+export {
+  ApplicationRelay,
+  type ApplicationRequest,
+  endToEndHeaders,
+  hasDeclaredEnd,
+  REQUEST_ID_HEADER,
+  type RelayedAnswer,
+  TIMEOUT_HEADER,
+  writeRelayedHead,
+} from './application-relay.js';
+export { defectOf, ReplicaExchange } from './replica-exchange.js';
+export { isPastDeadline, type RequestContext, timeLeftMs } from './request-context.js';
+export { isAllowedZone, type RouteQuery, Router } from './router.js';
+export { type RelayOutcome, ServiceRelay } from './service-relay.js';
+export { NODE_TABLE, type NodeEvent, type NodeState, WorkGate } from './work-gate.js';
--- a/src/coordination/replica-exchange.ts
+++ b/src/coordination/requests/replica-exchange.ts
@@ -1,10 +1,10 @@
 /** One attempt at one replica, and what its outcome allows: whether the request ran, and whether the answer counts. */
-import { monotonicMs } from '../common/clock.js';
-import type { DecisionLogger } from '../common/decision-logger.js';
-import type { ServiceMetrics } from '../common/service-metrics.js';
-import type { ReplicaAnswer, ReplicaClient, ReplicaRequest } from '../protocol/replica.js';
-import type { ReplicaState } from '../state/replica-directory.js';
-import { readWhole } from '../transport/http-client.js';
+import { monotonicMs } from '../../common/clock.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import type { ReplicaAnswer, ReplicaClient, ReplicaRequest } from '../../protocol/replica.js';
+import type { ReplicaState } from '../../state/replicas/index.js';
+import { readWhole } from '../../transport/http-client.js';
 
 /** An answer is held in memory up to this size, bytes. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
--- a/src/coordination/service-relay.ts
+++ b/src/coordination/requests/service-relay.ts
@@ -3,11 +3,11 @@
  * on another replica, also while a silent one may still answer; other requests only when a replica said that it did not
  * run them. The final answer is given at once: at the deadline, at the route's time-out, or when nothing is left to try.
  */
-import { monotonicMs } from '../common/clock.js';
-import type { ReplicaRequest } from '../protocol/replica.js';
-import type { Route } from '../protocol/routing-configuration.js';
-import type { ReplicaDirectory, ReplicaState } from '../state/replica-directory.js';
-import type { RoutingSnapshot, TargetSplitter } from '../state/routing-table.js';
+import { monotonicMs } from '../../common/clock.js';
+import type { ReplicaRequest } from '../../protocol/replica.js';
+import type { Route } from '../../protocol/routing-configuration.js';
+import type { RoutingSnapshot, TargetSplitter } from '../../state/configuration/index.js';
+import type { ReplicaDirectory, ReplicaState } from '../../state/replicas/index.js';
 import type { AttemptOutcome, ReplicaExchange, WholeAnswer } from './replica-exchange.js';
 
 /** A request to relay. */
--- a/src/coordination/delivery.ts
+++ b/src/coordination/samples/delivery.ts
@@ -1,16 +1,15 @@
 /** Delivery of samples to trainers: draws through any node, with a wait for the first sample. */
 import { err, ok, type Result } from 'neverthrow';
-import { monotonicMs, sleep } from '../common/clock.js';
-import type { Metrics } from '../common/metrics.js';
-import type { ResourceOf } from '../protocol/resource.js';
-import type { Batch, DrawRequest } from '../protocol/trainer.js';
-import type { BatchLedger, DrawOutcome } from '../state/batch-ledger.js';
-import type { ConfigView } from '../state/config-view.js';
-import type { DecisionLog } from '../state/decision-log.js';
-import type { DrawTerms } from '../state/draw-rules.js';
-import { isWithinBound } from '../state/ledger-rows.js';
-import { type CoordinationError, fromState } from './coordination-error.js';
-import { newestPublished } from './version-policy.js';
+import { monotonicMs, sleep } from '../../common/clock.js';
+import type { Metrics } from '../../common/metrics.js';
+import type { ResourceOf } from '../../protocol/resource.js';
+import type { Batch, DrawRequest } from '../../protocol/trainer.js';
+import type { ConfigView } from '../../state/configuration/index.js';
+import type { DecisionLog } from '../../state/decision-log.js';
+import type { BatchLedger, DrawOutcome, DrawTerms } from '../../state/samples/index.js';
+import { isWithinBound } from '../../state/samples/index.js';
+import { type CoordinationError, fromState } from '../coordination-error.js';
+import { newestPublished } from '../weights/index.js';
 
 const POLL_MS = 100;
 const DEFAULT_BATCH_SIZE = 64;
--- a/src/coordination/generation-attempt.ts
+++ b/src/coordination/samples/generation-attempt.ts
@@ -1,11 +1,11 @@
 /** One attempt to generate a sample, or the rest of it, at one model replica. */
-import { monotonicMs } from '../common/clock.js';
-import type { JobItem } from '../protocol/batch-job.js';
-import { EventStreamParser, type StreamEvent } from '../protocol/event-stream.js';
-import type { ReplicaAnswer, ReplicaClient } from '../protocol/replica.js';
-import type { ReplicaState } from '../state/replica-directory.js';
-import { readWhole } from '../transport/http-client.js';
-import { defectOf } from './replica-exchange.js';
+import { monotonicMs } from '../../common/clock.js';
+import type { JobItem } from '../../protocol/batch-job.js';
+import { EventStreamParser, type StreamEvent } from '../../protocol/event-stream.js';
+import type { ReplicaAnswer, ReplicaClient } from '../../protocol/replica.js';
+import type { ReplicaState } from '../../state/replicas/index.js';
+import { readWhole } from '../../transport/http-client.js';
+import { defectOf } from '../requests/index.js';
 import type { SampleText } from './sample-text.js';
 
 /** What an attempt must heed. */
--- a/src/coordination/rollout-owner.ts
+++ b/src/coordination/samples/rollout-owner.ts
@@ -3,22 +3,22 @@
  * slots whose sample expired. Whatever it knows it has read from the ledger, so another node goes on where it
  * stopped.
  */
-import { monotonicMs, sleep } from '../common/clock.js';
-import { newRequestId, sha256Hex } from '../common/identifier.js';
-import type { LifecycleObserver } from '../common/lifecycle.js';
-import type { ResourceOf } from '../protocol/resource.js';
-import type { Sample } from '../protocol/trainer.js';
-import type { ConfigView } from '../state/config-view.js';
-import type { DecisionLog } from '../state/decision-log.js';
-import type { HeldLease } from '../state/lease-store.js';
-import { formatSampleId, isWithinBound, oldestVersion } from '../state/ledger-rows.js';
-import type { LoadedRollout, RolloutLedger, SlotTask } from '../state/rollout-ledger.js';
+import { monotonicMs, sleep } from '../../common/clock.js';
+import { newRequestId, sha256Hex } from '../../common/identifier.js';
+import type { LifecycleObserver } from '../../common/lifecycle.js';
+import type { ResourceOf } from '../../protocol/resource.js';
+import type { Sample } from '../../protocol/trainer.js';
+import type { ConfigView } from '../../state/configuration/index.js';
+import type { DecisionLog } from '../../state/decision-log.js';
+import type { HeldLease } from '../../state/leases/index.js';
+import type { LoadedRollout, RolloutLedger, SlotTask } from '../../state/samples/index.js';
+import { formatSampleId, isWithinBound, oldestVersion } from '../../state/samples/index.js';
+import type { DutySignals, DutyTask } from '../duties/index.js';
+import type { RequestContext } from '../requests/index.js';
+import { newestPublished } from '../weights/index.js';
 import type { GeneratedText } from './event-transcript.js';
 import type { Generator } from './generation.js';
-import type { DutySignals, DutyTask } from './lease-duties.js';
-import type { RequestContext } from './request-context.js';
 import { SampleCommitter } from './sample-committer.js';
-import { newestPublished } from './version-policy.js';
 
 /** What an owner needs. */
 export interface RolloutOwnerParts {
--- a/src/coordination/sample-scorer.ts
+++ b/src/coordination/samples/sample-scorer.ts
@@ -1,9 +1,9 @@
 /** Scores finished samples: a request to an application service whose answer's signature is the score. */
-import { monotonicMs, sleep } from '../common/clock.js';
-import type { ScoringCall } from '../protocol/batch-job.js';
-import type { ReplicaDirectory } from '../state/replica-directory.js';
-import type { RoutingTable } from '../state/routing-table.js';
-import type { ServiceRelay } from './service-relay.js';
+import { monotonicMs, sleep } from '../../common/clock.js';
+import type { ScoringCall } from '../../protocol/batch-job.js';
+import type { RoutingTable } from '../../state/configuration/index.js';
+import type { ReplicaDirectory } from '../../state/replicas/index.js';
+import type { ServiceRelay } from '../requests/index.js';
 
 /** How scoring ended. */
 export type ScoringOutcome =
--- a/src/coordination/weight-orders.ts
+++ b/src/coordination/weights/weight-orders.ts
@@ -2,14 +2,13 @@
  * Orders that bring model replicas to the newest named weight version. One node gives them, under a duty lease that the
  * store confirms before each order. Few replicas load at once, so that the others go on working.
  */
-import { monotonicMs, sleep } from '../common/clock.js';
-import type { DecisionLogger } from '../common/decision-logger.js';
-import type { ServiceMetrics } from '../common/service-metrics.js';
-import type { LoadMode, OrderOutcome, ReplicaClient } from '../protocol/replica.js';
-import type { ReplicaDirectory, ReplicaState } from '../state/replica-directory.js';
-import type { RoutingTable } from '../state/routing-table.js';
-import type { WeightVersions } from '../state/weight-versions.js';
-import type { DutyLease } from './duty-lease.js';
+import { monotonicMs, sleep } from '../../common/clock.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import type { LoadMode, OrderOutcome, ReplicaClient } from '../../protocol/replica.js';
+import type { RoutingTable } from '../../state/configuration/index.js';
+import type { ReplicaDirectory, ReplicaState, WeightVersions } from '../../state/replicas/index.js';
+import type { DutyLease } from '../duties/index.js';
 import { type FollowedModel, orderLoads } from './load-order.js';
 import { type PlannedModel, planReplicas } from './weight-plan.js';
 
--- a/src/node/api/api-server.ts
+++ b/src/node/api/api-server.ts
@@ -7,7 +7,7 @@
 import type { Metrics } from '../../common/metrics.js';
 import { CoordinationError } from '../../coordination/coordination-error.js';
 import type { Role } from '../../protocol/resource.js';
-import type { AccessControl, Principal } from '../../state/access-control.js';
+import type { AccessControl, Principal } from '../../state/configuration/index.js';
 import { HttpServer } from '../../transport/http-server.js';
 import { type Exchange, sendProblem } from './exchange.js';
 
--- a/src/node/api/caller-routes.ts
+++ b/src/node/api/caller-routes.ts
@@ -2,6 +2,8 @@
 import { err, ok, type Result } from 'neverthrow';
 import { monotonicMs } from '../../common/clock.js';
 import { sha256Hex } from '../../common/identifier.js';
+import { CoordinationError, fromState } from '../../coordination/coordination-error.js';
+import type { WorkGate } from '../../coordination/requests/index.js';
 import {
   type ApplicationRelay,
   type ApplicationRequest,
@@ -9,17 +11,16 @@
   hasDeclaredEnd,
   REQUEST_ID_HEADER,
   type RelayedAnswer,
+  type RequestContext,
   TIMEOUT_HEADER,
+  timeLeftMs,
   writeRelayedHead,
-} from '../../coordination/application-relay.js';
-import { CoordinationError, fromState } from '../../coordination/coordination-error.js';
-import { type RequestContext, timeLeftMs } from '../../coordination/request-context.js';
-import type { WorkGate } from '../../coordination/work-gate.js';
+} from '../../coordination/requests/index.js';
 import type { ResourceOf } from '../../protocol/resource.js';
-import type { AdmissionLimits } from '../../state/admission-limits.js';
-import type { ClaimStore, HeldClaim, RecordedAnswer } from '../../state/claim-store.js';
-import type { ConfigView } from '../../state/config-view.js';
+import type { ConfigView } from '../../state/configuration/index.js';
 import type { DecisionLog } from '../../state/decision-log.js';
+import type { AdmissionLimits } from '../../state/replicas/index.js';
+import type { ClaimStore, HeldClaim, RecordedAnswer } from '../../state/samples/index.js';
 import { readWhole } from '../../transport/http-client.js';
 import { callerGone } from '../../transport/http-server.js';
 import { copyBody } from '../../transport/stream-write.js';
--- a/src/node/api/change-routes.ts
+++ b/src/node/api/change-routes.ts
@@ -7,7 +7,7 @@
 import { ApprovalRequestSchema, type Changeset, ChangesetSchema } from '../../protocol/operator.js';
 import { READ_ONLY_KINDS, type Resource, type ResourceOf } from '../../protocol/resource.js';
 import { Validator } from '../../protocol/validation.js';
-import type { CommitOutcome, WantedChange } from '../../state/config-store.js';
+import type { CommitOutcome, WantedChange } from '../../state/configuration/index.js';
 import { StateError } from '../../state/state-error.js';
 import { sendJson } from '../../transport/http-server.js';
 import type { ApiHandler, Route } from './api-server.js';
--- a/src/node/api/completion-routes.ts
+++ b/src/node/api/completion-routes.ts
@@ -1,10 +1,9 @@
 /** Routes of callers of model services: `/v1/completions` and `/v1/chat/completions`, streamed or whole. */
 import { err, ok, type Result } from 'neverthrow';
-import { REQUEST_ID_HEADER } from '../../coordination/application-relay.js';
 import { CoordinationError } from '../../coordination/coordination-error.js';
-import type { EventTranscript } from '../../coordination/event-transcript.js';
-import type { GenerationOrder, Generator } from '../../coordination/generation.js';
-import type { RequestContext } from '../../coordination/request-context.js';
+import type { RequestContext } from '../../coordination/requests/index.js';
+import { REQUEST_ID_HEADER } from '../../coordination/requests/index.js';
+import type { EventTranscript, GenerationOrder, Generator } from '../../coordination/samples/index.js';
 import { type CompletionRequest, CompletionRequestSchema } from '../../protocol/engine.js';
 import { Validator } from '../../protocol/validation.js';
 import { sendJson } from '../../transport/http-server.js';
--- a/src/node/api/exchange.ts
+++ b/src/node/api/exchange.ts
@@ -5,7 +5,7 @@
 import { CoordinationError } from '../../coordination/coordination-error.js';
 import { PROBLEM_MEDIA_TYPE, type Problem, STATUS_OF_CODE } from '../../protocol/problem.js';
 import type { FieldProblem, Validator } from '../../protocol/validation.js';
-import type { Principal } from '../../state/access-control.js';
+import type { Principal } from '../../state/configuration/index.js';
 import { readWhole } from '../../transport/http-client.js';
 import { sendJson } from '../../transport/http-server.js';
 
--- a/src/node/api/health-routes.ts
+++ b/src/node/api/health-routes.ts
@@ -1,7 +1,7 @@
 /** Routes for health and metrics; they ask for no token. */
 import { ok } from 'neverthrow';
 import type { Metrics } from '../../common/metrics.js';
-import type { WorkGate } from '../../coordination/work-gate.js';
+import type { WorkGate } from '../../coordination/requests/index.js';
 import { sendJson } from '../../transport/http-server.js';
 import type { Route } from './api-server.js';
 
--- a/src/node/api/peer-routes.ts
+++ b/src/node/api/peer-routes.ts
@@ -4,7 +4,7 @@
 import type { CoordinationError } from '../../coordination/coordination-error.js';
 import { DecisionQuerySchema, RevisionQuerySchema } from '../../protocol/peer.js';
 import { Validator } from '../../protocol/validation.js';
-import type { ConfigView } from '../../state/config-view.js';
+import type { ConfigView } from '../../state/configuration/index.js';
 import type { DecisionLog } from '../../state/decision-log.js';
 import { sendJson } from '../../transport/http-server.js';
 import type { Route } from './api-server.js';
--- a/src/node/api/read-routes.ts
+++ b/src/node/api/read-routes.ts
@@ -4,7 +4,7 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import { CoordinationError, fromState } from '../../coordination/coordination-error.js';
-import { reportRevision } from '../../coordination/revision-report.js';
+import { reportRevision } from '../../coordination/jobs/index.js';
 import { type Resource, ROLLOUT_KIND } from '../../protocol/resource.js';
 import { sendJson } from '../../transport/http-server.js';
 import type { ApiHandler, Route } from './api-server.js';
--- a/src/node/api/resource-status.ts
+++ b/src/node/api/resource-status.ts
@@ -1,10 +1,9 @@
 /** Status of resources, worked out by the node that answers. */
 
-import { isApproved, targetVersion } from '../../coordination/version-policy.js';
-import { isAssigned, shouldDrain } from '../../coordination/weight-rollout.js';
+import { isApproved, isAssigned, shouldDrain, targetVersion } from '../../coordination/weights/index.js';
 import type { Condition, Resource, ResourceOf, ResourceStatus } from '../../protocol/resource.js';
-import type { BackendRegistry } from '../../state/backend-registry.js';
-import type { ConfigView } from '../../state/config-view.js';
+import type { ConfigView } from '../../state/configuration/index.js';
+import type { BackendRegistry } from '../../state/replicas/index.js';
 
 function condition(type: string, isTrue: boolean, reason: string, message: string): Condition {
   return { type, status: isTrue ? 'True' : 'False', reason, message };
--- a/src/node/api/trainer-routes.ts
+++ b/src/node/api/trainer-routes.ts
@@ -1,14 +1,13 @@
 /** Routes of trainers: submit, draw, acknowledge, cancel, progress. */
 import { err, ok, type Result } from 'neverthrow';
 import { CoordinationError, fromState } from '../../coordination/coordination-error.js';
-import type { Delivery } from '../../coordination/delivery.js';
-import type { WorkGate } from '../../coordination/work-gate.js';
+import type { WorkGate } from '../../coordination/requests/index.js';
+import type { Delivery } from '../../coordination/samples/index.js';
 import type { ResourceOf } from '../../protocol/resource.js';
 import { AcknowledgementSchema, DrawRequestSchema, RolloutSubmissionSchema } from '../../protocol/trainer.js';
 import { Validator } from '../../protocol/validation.js';
-import type { BatchLedger } from '../../state/batch-ledger.js';
-import type { ConfigView } from '../../state/config-view.js';
-import type { RolloutLedger } from '../../state/rollout-ledger.js';
+import type { ConfigView } from '../../state/configuration/index.js';
+import type { BatchLedger, RolloutLedger } from '../../state/samples/index.js';
 import { callerGone, sendJson } from '../../transport/http-server.js';
 import type { ApiHandler, Route } from './api-server.js';
 import { type Exchange, InvalidRequestError, readJson } from './exchange.js';
--- a/src/node/api/watch.ts
+++ b/src/node/api/watch.ts
@@ -4,7 +4,7 @@
 import { CoordinationError } from '../../coordination/coordination-error.js';
 import type { ConfigEntry } from '../../protocol/configuration-entry.js';
 import type { Kind } from '../../protocol/resource.js';
-import type { ConfigView } from '../../state/config-view.js';
+import type { ConfigView } from '../../state/configuration/index.js';
 import { callerGone } from '../../transport/http-server.js';
 import { writeChunk } from '../../transport/stream-write.js';
 import { type Exchange, InvalidRequestError } from './exchange.js';
--- a/src/node/coordination-parts.ts
+++ b/src/node/coordination-parts.ts
@@ -2,16 +2,18 @@
 import { uniqueId } from '../common/identifier.js';
 import type { Lifecycle, LifecycleObserver } from '../common/lifecycle.js';
 import { Random } from '../common/random.js';
-import { ApplicationRelay } from '../coordination/application-relay.js';
-import { ConfigFollower } from '../coordination/config-follower.js';
-import { Delivery } from '../coordination/delivery.js';
-import { EngineMonitor } from '../coordination/engine-monitor.js';
-import { Generator } from '../coordination/generation.js';
-import { LeaseDuties } from '../coordination/lease-duties.js';
-import { MachineWatch } from '../coordination/machine-watch.js';
-import { NodeRegistry } from '../coordination/node-registry.js';
-import { Router } from '../coordination/router.js';
-import { type NodeEvent, type NodeState, WorkGate } from '../coordination/work-gate.js';
+import { ConfigFollower } from '../coordination/configuration/index.js';
+import { LeaseDuties } from '../coordination/duties/index.js';
+import { MachineWatch, NodeRegistry } from '../coordination/membership/index.js';
+import {
+  ApplicationRelay,
+  type NodeEvent,
+  type NodeState,
+  Router,
+  WorkGate,
+} from '../coordination/requests/index.js';
+import { Delivery, Generator } from '../coordination/samples/index.js';
+import { EngineMonitor } from '../coordination/weights/index.js';
 import { EngineClient } from '../protocol/engine.js';
 import { MachineListClient } from '../protocol/machine-list.js';
 import { type NodeRecord, PeerClient } from '../protocol/peer.js';
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -3,7 +3,7 @@
 import { Lifecycle } from '../common/lifecycle.js';
 import { createLogger, type Logger } from '../common/logging.js';
 import { Metrics } from '../common/metrics.js';
-import { NODE_TABLE, type NodeEvent, type NodeState } from '../coordination/work-gate.js';
+import { NODE_TABLE, type NodeEvent, type NodeState } from '../coordination/requests/index.js';
 import type { RecordStore } from '../protocol/record-store.js';
 import { HttpClient } from '../transport/http-client.js';
 import { ApiServer } from './api/api-server.js';
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -7,35 +7,29 @@
 import type { DecisionLogger } from '../common/decision-logger.js';
 import { uniqueId } from '../common/identifier.js';
 import type { ServiceMetrics } from '../common/service-metrics.js';
+import { type FeedObserver, RecordFeed } from '../coordination/configuration/index.js';
+import { DutyLease } from '../coordination/duties/index.js';
+import type { SubmissionParser } from '../coordination/jobs/index.js';
+import { JobCalls, JobForwarding, JobOwnership } from '../coordination/jobs/index.js';
 import {
   type AnnouncementFormat,
   OperatorAnnouncements,
+  PeerAddresses,
   ReplicaAnnouncements,
-} from '../coordination/announcements.js';
-import { DutyLease } from '../coordination/duty-lease.js';
-import { JobCalls } from '../coordination/job-calls.js';
-import { JobForwarding } from '../coordination/job-forwarding.js';
-import { JobOwnership } from '../coordination/job-owner.js';
-import type { SubmissionParser } from '../coordination/job-run.js';
-import { PeerAddresses } from '../coordination/peer-addresses.js';
-import { Placement } from '../coordination/placement.js';
-import { type FeedObserver, RecordFeed } from '../coordination/record-feed.js';
-import { ReplicaExchange } from '../coordination/replica-exchange.js';
-import { SampleLengths } from '../coordination/sample-lengths.js';
-import { SampleScorer } from '../coordination/sample-scorer.js';
-import { ServiceRelay } from '../coordination/service-relay.js';
-import { SessionMonitor } from '../coordination/session-monitor.js';
-import { WeightOrders } from '../coordination/weight-orders.js';
+  SessionMonitor,
+} from '../coordination/membership/index.js';
+import { ReplicaExchange, ServiceRelay } from '../coordination/requests/index.js';
+import { Placement, SampleLengths, SampleScorer } from '../coordination/samples/index.js';
+import { WeightOrders } from '../coordination/weights/index.js';
 import type { JobPeer } from '../protocol/job-calls.js';
 import type { RecordStore } from '../protocol/record-store.js';
 import type { ReplicaClient } from '../protocol/replica.js';
 import type { ServiceSettings } from '../protocol/service-settings.js';
-import type { JobOwner } from '../state/job-record.js';
-import { JobRepository } from '../state/job-repository.js';
-import { ReplicaDirectory } from '../state/replica-directory.js';
-import { ResultCache } from '../state/result-cache.js';
-import { RoutingTable, TargetSplitter } from '../state/routing-table.js';
-import { WeightVersions } from '../state/weight-versions.js';
+import { RoutingTable, TargetSplitter } from '../state/configuration/index.js';
+import type { JobOwner } from '../state/jobs/index.js';
+import { JobRepository } from '../state/jobs/index.js';
+import { ReplicaDirectory, WeightVersions } from '../state/replicas/index.js';
+import { ResultCache } from '../state/samples/index.js';
 
 /** Duty of giving orders to model replicas. */
 const ORDERS_DUTY = 'weight-orders';
--- a/src/node/state-parts.ts
+++ b/src/node/state-parts.ts
@@ -2,19 +2,12 @@
 import { uniqueId } from '../common/identifier.js';
 import type { LifecycleObserver } from '../common/lifecycle.js';
 import type { RecordStore } from '../protocol/record-store.js';
-import { AccessControl } from '../state/access-control.js';
-import { AdmissionLimits } from '../state/admission-limits.js';
-import { BackendRegistry } from '../state/backend-registry.js';
-import { BatchLedger } from '../state/batch-ledger.js';
-import { ClaimStore } from '../state/claim-store.js';
-import { ConfigStore } from '../state/config-store.js';
-import { ConfigView } from '../state/config-view.js';
+import { AccessControl, ConfigStore, ConfigView, FreshnessLease } from '../state/configuration/index.js';
 import { DecisionLog } from '../state/decision-log.js';
-import { FreshnessLease } from '../state/freshness-lease.js';
-import { LeaseStore } from '../state/lease-store.js';
-import { RolloutLedger } from '../state/rollout-ledger.js';
-import { RowTable } from '../state/row-table.js';
-import { StoredObjects } from '../state/stored-objects.js';
+import { LeaseStore } from '../state/leases/index.js';
+import { AdmissionLimits, BackendRegistry } from '../state/replicas/index.js';
+import { BatchLedger, ClaimStore, RolloutLedger } from '../state/samples/index.js';
+import { RowTable, StoredObjects } from '../state/store/index.js';
 import { peerGrant, type Settings, type Timing } from './settings.js';
 
 const DEFAULT_CALLS_PER_SECOND = 200;
--- a/src/state/freshness-lease.ts
+++ b/src/state/configuration/freshness-lease.ts
@@ -3,7 +3,7 @@
  * extended only by answers to questions that the node itself asked, counted from the moment of asking, so
  * that a node that was paused finds its lease lapsed when it goes on.
  */
-import { monotonicMs } from '../common/clock.js';
+import { monotonicMs } from '../../common/clock.js';
 
 /** One lease for a node. */
 export class FreshnessLease {
--- a/src/state/routing-table.ts
+++ b/src/state/configuration/routing-table.ts
@@ -1,11 +1,11 @@
 /** The configuration in force, indexed by host and path prefix. It never goes back to an older version. */
-import type { Replica } from '../protocol/replica.js';
+import type { Replica } from '../../protocol/replica.js';
 import type {
   CallerLimits,
   Route,
   RouteTarget,
   RoutingConfiguration,
-} from '../protocol/routing-configuration.js';
+} from '../../protocol/routing-configuration.js';
 
 /** One configuration with its index. A request keeps the one that it began with. */
 export class RoutingSnapshot {
--- a/src/state/decision-log.ts
+++ b/src/state/decision-log.ts
@@ -5,7 +5,7 @@
 import { promisify } from 'node:util';
 import { gunzip, gzip } from 'node:zlib';
 import { sleep, wallTime } from '../common/clock.js';
-import type { Objects } from './stored-objects.js';
+import type { Objects } from './store/index.js';
 
 const compress = promisify(gzip);
 const decompress = promisify(gunzip);
--- a/src/state/job-contents.ts
+++ b/src/state/jobs/job-contents.ts
@@ -3,9 +3,11 @@
  * conditional on the head's version.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { uniqueId } from '../common/identifier.js';
-import type { PartialText } from '../protocol/batch-job.js';
-import type { RecordStore, RecordWrite, StoredRecord } from '../protocol/record-store.js';
+import { uniqueId } from '../../common/identifier.js';
+import type { PartialText } from '../../protocol/batch-job.js';
+import type { RecordStore, RecordWrite, StoredRecord } from '../../protocol/record-store.js';
+import { StateError } from '../state-error.js';
+import { settle } from '../store/index.js';
 import {
   headAddress,
   type JobHead,
@@ -20,9 +22,7 @@
   TEXT_TABLE,
   textAddress,
 } from './job-record.js';
-import type { SubmittedJob } from './job-repository.js';
-import { settle } from './settled-transaction.js';
-import { StateError } from './state-error.js';
+import type { SubmittedJob } from './submitted-job.js';
 
 /** Part of a record that values fill, so that a record with its key stays under the store's limit. */
 const FILL = 0.9;
--- a/src/state/job-record.ts
+++ b/src/state/jobs/job-record.ts
@@ -1,5 +1,5 @@
 /** Records of batch jobs: their shape in the store and where each one lies. */
-import type { RecordAddress } from '../protocol/record-store.js';
+import type { RecordAddress } from '../../protocol/record-store.js';
 
 /** Tables of the product. */
 export const JOB_TABLE = 'jobs';
--- a/src/state/job-repository.ts
+++ b/src/state/jobs/job-repository.ts
@@ -3,8 +3,10 @@
  * conditional on the head, so that only its owner can make it.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { monotonicMs } from '../common/clock.js';
-import type { RecordStore, RecordWrite, StoredRecord } from '../protocol/record-store.js';
+import { monotonicMs } from '../../common/clock.js';
+import type { RecordStore, RecordWrite, StoredRecord } from '../../protocol/record-store.js';
+import { StateError } from '../state-error.js';
+import { ConflictError, settle } from '../store/index.js';
 import { JobContents, readRange } from './job-contents.js';
 import {
   headAddress,
@@ -15,22 +17,10 @@
   type JobRecord,
   parseJobRecord,
 } from './job-record.js';
-import { ConflictError, settle } from './settled-transaction.js';
-import { StateError } from './state-error.js';
+import type { SubmittedJob } from './submitted-job.js';
 
 const FIRST_EPOCH = 1;
 
-/** A submission to accept. */
-export interface SubmittedJob {
-  readonly jobId: string;
-  readonly host: string;
-  readonly path: string;
-  readonly model: string;
-  readonly tokens: number;
-  readonly total: number;
-  readonly submission: Buffer;
-}
-
 /** Whether an acceptance was the first, or found the job there already. */
 export interface Acceptance {
   readonly head: JobHead;
--- /dev/null
+++ b/src/state/leases/index.ts
@@ -0,0 +1,1 @@
+export { type HeldLease, LeaseStore } from './lease-store.js';
--- a/src/state/replica-directory.ts
+++ b/src/state/replicas/replica-directory.ts
@@ -1,6 +1,6 @@
 /** Replicas that are known, with what this node has learnt of them from traffic, and the choice among them. */
-import { monotonicMs } from '../common/clock.js';
-import type { Replica } from '../protocol/replica.js';
+import { monotonicMs } from '../../common/clock.js';
+import type { Replica } from '../../protocol/replica.js';
 
 /** How long a replica is avoided after a first failure, milliseconds; doubles with each further one. */
 const SUSPICION_BASE_MS = 250;
--- a/src/state/batch-ledger.ts
+++ b/src/state/samples/batch-ledger.ts
@@ -6,8 +6,10 @@
  * void: they are generated again, and the cursor gets a new attempt without them.
  */
 import { err, ok, type Result } from 'neverthrow';
-import type { Batch, DrawRequest, Sample } from '../protocol/trainer.js';
-import { publishedKey, publishedVersion } from './config-store.js';
+import type { Batch, DrawRequest, Sample } from '../../protocol/trainer.js';
+import { publishedKey, publishedVersion } from '../configuration/index.js';
+import { StateError } from '../state-error.js';
+import type { Objects, Row, Table } from '../store/index.js';
 import {
   type Candidate,
   cursorClash,
@@ -28,9 +30,6 @@
   type RolloutRow,
   type SlotRow,
 } from './ledger-rows.js';
-import type { Row, Table } from './row-table.js';
-import { StateError } from './state-error.js';
-import type { Objects } from './stored-objects.js';
 
 /** A draw: the batch and what was discarded on the way. */
 export interface DrawOutcome {
--- a/src/state/draw-rules.ts
+++ b/src/state/samples/draw-rules.ts
@@ -1,6 +1,8 @@
 /** The rules of a draw: which cursor may be drawn, and the transaction that hands samples out or discards them. */
-import { sha256Hex } from '../common/identifier.js';
-import type { DrawRequest } from '../protocol/trainer.js';
+import { sha256Hex } from '../../common/identifier.js';
+import type { DrawRequest } from '../../protocol/trainer.js';
+import { StateError } from '../state-error.js';
+import type { Row, Transaction } from '../store/index.js';
 import {
   type CursorRow,
   type DeliveredRow,
@@ -10,8 +12,6 @@
   type RegenerateRow,
   type SlotRow,
 } from './ledger-rows.js';
-import type { Row, Transaction } from './row-table.js';
-import { StateError } from './state-error.js';
 
 /** Who draws, and under which bound. */
 export interface DrawTerms {
--- a/src/state/rollout-ledger.ts
+++ b/src/state/samples/rollout-ledger.ts
@@ -4,9 +4,12 @@
  * the sample was generated is still the newest one.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { sha256Hex, uniqueId } from '../common/identifier.js';
-import type { RolloutProgress, RolloutSubmission, Sample } from '../protocol/trainer.js';
-import type { HeldLease } from './lease-store.js';
+import { sha256Hex, uniqueId } from '../../common/identifier.js';
+import type { RolloutProgress, RolloutSubmission, Sample } from '../../protocol/trainer.js';
+import type { HeldLease } from '../leases/index.js';
+import { StateError } from '../state-error.js';
+import type { Objects, Row } from '../store/index.js';
+import { scanAll, type Table } from '../store/index.js';
 import {
   type ExpiredSample,
   ledgerKeys,
@@ -18,10 +21,6 @@
   type SampleDecision,
   type SlotRow,
 } from './ledger-rows.js';
-import type { Row } from './row-table.js';
-import { scanAll, type Table } from './row-table.js';
-import { StateError } from './state-error.js';
-import type { Objects } from './stored-objects.js';
 
 /** A rollout with its prompts. */
 export interface LoadedRollout {
--- /dev/null
+++ b/src/state/store/index.ts
@@ -0,0 +1,11 @@
+export { InstrumentedStore } from './instrumented-store.js';
+export {
+  CONFIGURATION_TABLE,
+  type Row,
+  RowTable,
+  scanAll,
+  type Table,
+  type Transaction,
+} from './row-table.js';
+export { ConflictError, settle } from './settled-transaction.js';
+export { type Objects, StoredObjects } from './stored-objects.js';
--- a/test/compare.test.ts
+++ b/test/bench/compare.test.ts
@@ -1,6 +1,6 @@
 /** The comparison of two versions: figures read from the bench's table, an interval that tells a change from luck. */
 import { expect } from 'chai';
-import { compare, type Pair, worthOf } from '../bench/compare.js';
+import { compare, type Pair, worthOf } from '../../bench/compare.js';
 
 function pairs(differences: readonly number[]): Pair[] {
   return differences.map((difference, index) => ({
--- a/test/soak-checks.test.ts
+++ b/test/bench/soak-checks.test.ts
@@ -1,8 +1,8 @@
 /** The checks of the soak find what they are meant to find: each breach is made up, and named. */
 import { expect } from 'chai';
-import { breaches, type Evidence, type History, jobHistory, notePage } from '../bench/soak/index.js';
-import type { ReadResult, TrainerJob } from '../emulator/clients/job-trainer.js';
-import type { ReceivedOrder, ReceivedRequest } from '../emulator/replica/replica-server.js';
+import { breaches, type Evidence, type History, jobHistory, notePage } from '../../bench/soak/index.js';
+import type { ReadResult, TrainerJob } from '../../emulator/clients/job-trainer.js';
+import type { ReceivedOrder, ReceivedRequest } from '../../emulator/replica/replica-server.js';
 
 const JOB: TrainerJob = {
   id: 'job-1',
--- a/test/variants.test.ts
+++ b/test/bench/variants.test.ts
@@ -1,6 +1,6 @@
 /** Variants of site files: each changes what it names and nothing else. */
 import { expect } from 'chai';
-import { VARIANTS, vary } from '../bench/variants.js';
+import { VARIANTS, vary } from '../../bench/variants.js';
 
 const SITE = [
   'services = [',
--- a/test/job-accounts.test.ts
+++ b/test/cli/job-accounts.test.ts
@@ -3,9 +3,9 @@
 import { once } from 'node:events';
 import { resolve } from 'node:path';
 import { expect } from 'chai';
-import { HOST, JOB_PATH, MODEL, ServiceSystem } from './support/service-system.js';
+import { HOST, JOB_PATH, MODEL, ServiceSystem } from '../support/service-system.js';
 
-const PROGRAM = resolve(import.meta.dirname, '../platform/jobs.js');
+const PROGRAM = resolve(import.meta.dirname, '../../platform/jobs.js');
 
 describe('the operators view of batch jobs', () => {
   let system: ServiceSystem;
--- a/test/job-timeline.test.ts
+++ b/test/cli/job-timeline.test.ts
@@ -1,8 +1,8 @@
 /** Timelines of jobs from log lines: milestones, where items waited, runs in flight, idle time and staleness. */
 import { expect } from 'chai';
-import { type JobTimeline, timelineOf } from '../src/cli/job-timeline.js';
-import { renderTimeline } from '../src/cli/timeline-table.js';
-import type { TraceLine } from '../src/cli/trace.js';
+import { type JobTimeline, timelineOf } from '../../src/cli/job-timeline.js';
+import { renderTimeline } from '../../src/cli/timeline-table.js';
+import type { TraceLine } from '../../src/cli/trace.js';
 
 const ACCEPTED_MS = 10_000;
 const JOB = 'job-1';
--- a/test/logging.test.ts
+++ b/test/common/logging.test.ts
@@ -1,11 +1,11 @@
 /** Logs stay bounded and never hold a process up; accounts of a request can be drawn from them. */
 import { Writable } from 'node:stream';
 import { expect } from 'chai';
-import { parseLogLine, renderTrace, traceOf } from '../src/cli/trace.js';
-import { StandardOutputLogger } from '../src/common/decision-logger.js';
-import { LineWriter } from '../src/common/line-writer.js';
-import { LOOKUP_PATH, ServiceSystem } from './support/service-system.js';
-import { until } from './support/wait.js';
+import { parseLogLine, renderTrace, traceOf } from '../../src/cli/trace.js';
+import { StandardOutputLogger } from '../../src/common/decision-logger.js';
+import { LineWriter } from '../../src/common/line-writer.js';
+import { LOOKUP_PATH, ServiceSystem } from '../support/service-system.js';
+import { until } from '../support/wait.js';
 
 /** A stream whose reader takes nothing until it is told to. */
 class StuckStream extends Writable {
--- a/test/record-feed.test.ts
+++ b/test/coordination/configuration/record-feed.test.ts
@@ -2,10 +2,14 @@
 import { setImmediate } from 'node:timers/promises';
 import { expect } from 'chai';
 import { ok } from 'neverthrow';
-import { ConditionVariable } from '../src/common/condition-variable.js';
-import { type FeedHandler, type FeedObserver, RecordFeed } from '../src/coordination/record-feed.js';
-import type { ChangedRecord, RecordStore } from '../src/protocol/record-store.js';
-import { until } from './support/wait.js';
+import { ConditionVariable } from '../../../src/common/condition-variable.js';
+import {
+  type FeedHandler,
+  type FeedObserver,
+  RecordFeed,
+} from '../../../src/coordination/configuration/record-feed.js';
+import type { ChangedRecord, RecordStore } from '../../../src/protocol/record-store.js';
+import { until } from '../../support/wait.js';
 
 /** A table with one more change at each question. */
 class BusyStore {
--- a/test/placement.test.ts
+++ b/test/coordination/samples/placement.test.ts
@@ -1,10 +1,10 @@
 /** Placement on replicas that declined: one request asks whether they take requests again, the others wait. */
 import { setImmediate as turn } from 'node:timers/promises';
 import { expect } from 'chai';
-import { Placement } from '../src/coordination/placement.js';
-import type { Replica } from '../src/protocol/replica.js';
-import { ReplicaDirectory, type ReplicaState } from '../src/state/replica-directory.js';
-import { until } from './support/wait.js';
+import { Placement } from '../../../src/coordination/samples/placement.js';
+import type { Replica } from '../../../src/protocol/replica.js';
+import { ReplicaDirectory, type ReplicaState } from '../../../src/state/replicas/replica-directory.js';
+import { until } from '../../support/wait.js';
 
 const SLOTS = 8;
 const PAUSE_MS = 30;
--- a/test/weight-orders.test.ts
+++ b/test/coordination/weights/weight-orders.test.ts
@@ -1,15 +1,15 @@
 /** Orders to load weight versions: one giver at a time, late orders void, every model within reach of its versions. */
 import { expect } from 'chai';
 import { ok } from 'neverthrow';
-import type { ReplicaServer } from '../emulator/replica/replica-server.js';
-import { type WeightOrderServices, WeightOrders } from '../src/coordination/weight-orders.js';
-import { planReplicas, shareReplicas } from '../src/coordination/weight-plan.js';
-import type { Replica } from '../src/protocol/replica.js';
-import { ReplicaDirectory } from '../src/state/replica-directory.js';
-import { RoutingTable } from '../src/state/routing-table.js';
-import { WeightVersions } from '../src/state/weight-versions.js';
-import { kill, MODEL, type ServiceNodeProcess, ServiceSystem } from './support/service-system.js';
-import { until } from './support/wait.js';
+import type { ReplicaServer } from '../../../emulator/replica/replica-server.js';
+import { type WeightOrderServices, WeightOrders } from '../../../src/coordination/weights/weight-orders.js';
+import { planReplicas, shareReplicas } from '../../../src/coordination/weights/weight-plan.js';
+import type { Replica } from '../../../src/protocol/replica.js';
+import { RoutingTable } from '../../../src/state/configuration/routing-table.js';
+import { ReplicaDirectory } from '../../../src/state/replicas/replica-directory.js';
+import { WeightVersions } from '../../../src/state/replicas/weight-versions.js';
+import { kill, MODEL, type ServiceNodeProcess, ServiceSystem } from '../../support/service-system.js';
+import { until } from '../../support/wait.js';
 
 const LEASE_MS = 1_000;
 
--- a/test/platform-parsers.test.ts
+++ b/test/platform/platform-parsers.test.ts
@@ -1,13 +1,13 @@
 /** Bytes from outside, whatever they are: every parser answers or refuses, none throws, none makes something up. */
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { parseSubmission } from '../platform/job-bodies.js';
-import { parseConfiguration, parseNamedVersion, parseReplica } from '../platform/operator-rows.js';
-import { parseReport } from '../platform/replica-wire.js';
-import { parseSettingsFile } from '../platform/settings-file.js';
-import { EventStreamError, EventStreamParser, type StreamEvent } from '../src/protocol/event-stream.js';
-import { RoutingSnapshot } from '../src/state/routing-table.js';
-import { usualConfiguration } from './support/service-system.js';
+import { parseSubmission } from '../../platform/job-bodies.js';
+import { parseConfiguration, parseNamedVersion, parseReplica } from '../../platform/operator-rows.js';
+import { parseReport } from '../../platform/replica-wire.js';
+import { parseSettingsFile } from '../../platform/settings-file.js';
+import { EventStreamError, EventStreamParser, type StreamEvent } from '../../src/protocol/event-stream.js';
+import { RoutingSnapshot } from '../../src/state/configuration/routing-table.js';
+import { usualConfiguration } from '../support/service-system.js';
 
 const RUNS = 400;
 const SEED = 20_261_202;
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -5,7 +5,7 @@
 import { createInterface } from 'node:readline';
 
 const dist = resolve(import.meta.dirname, '../..');
-const CLI = join(dist, 'src/cli/main.js');
+const CLI = join(dist, 'platform/command-line.js');
 const EMULATOR = join(dist, 'emulator/main.js');
 
 /** A process that has said that it is ready. */
--- a/test/http-client.test.ts
+++ b/test/transport/http-client.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { createServer, type Server, type Socket } from 'node:net';
 import { expect } from 'chai';
-import { HttpClient, readWhole } from '../src/transport/http-client.js';
+import { HttpClient, readWhole } from '../../src/transport/http-client.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n';
 const BODY = 'answer';
--- a/test/whole-answers.test.ts
+++ b/test/transport/whole-answers.test.ts
@@ -1,12 +1,12 @@
 /** Every caller receives the whole answer to its own request, or an error that says otherwise. */
 import { expect } from 'chai';
-import { versionsInText } from '../emulator/clients/trainer-loop.js';
-import { EMULATOR_TOKENS } from '../emulator/cluster.js';
-import { EMULATOR_MODEL } from '../emulator/declarations.js';
-import { uniqueId } from '../src/common/identifier.js';
-import { killProcess } from './support/processes.js';
-import { type SystemBackend, type SystemNode, TestSystem } from './support/system.js';
-import { until } from './support/wait.js';
+import { versionsInText } from '../../emulator/clients/trainer-loop.js';
+import { EMULATOR_TOKENS } from '../../emulator/cluster.js';
+import { EMULATOR_MODEL } from '../../emulator/declarations.js';
+import { uniqueId } from '../../src/common/identifier.js';
+import { killProcess } from '../support/processes.js';
+import { type SystemBackend, type SystemNode, TestSystem } from '../support/system.js';
+import { until } from '../support/wait.js';
 
 const LONG = 400;
 
