--- a/emulator/clients/job-trainer.ts
+++ b/emulator/clients/job-trainer.ts
@@ -67,6 +67,9 @@
 export class JobTrainer {
   private readonly http = new HttpClient();
 
+  /** Key that all calls bear, if any. */
+  key: string | undefined;
+
   constructor(private readonly host: string) {}
 
   /** Closes all connections. */
@@ -120,7 +123,11 @@
     const answer = await this.http.exchange({
       method,
       url: `${node}${path}`,
-      headers: { ...headers, host: this.host },
+      headers: {
+        ...headers,
+        ...(this.key === undefined ? {} : { authorization: `Bearer ${this.key}` }),
+        host: this.host,
+      },
       body,
       freshConnection: true,
       totalTimeoutMs: CALL_TIMEOUT_MS,
--- a/emulator/job-demo.ts
+++ b/emulator/job-demo.ts
@@ -59,6 +59,8 @@
     recordBytes: 65_536,
     objectBytes: 8_388_608,
     stopGraceMs: 8_000,
+    peerPort: 0,
+    usage: undefined,
     leaseMs: 3_000,
     resultRetentionMs: 120_000,
     memoryBytes: 256 * 1024 * 1024,
--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -29,7 +29,12 @@
   readonly path: string;
   readonly deadlineMs: number | undefined;
   readonly lastEventId: string | undefined;
+  /** Tenant that it names, and the key that it bears: a node passes none on. */
+  readonly tenant: string | undefined;
+  readonly authorization: string | undefined;
   readonly atMs: number;
+  /** When it began to run, milliseconds since the start of 1970; `undefined` while it has not. */
+  beganAtMs: number | undefined;
 }
 
 /** An order that was received. */
@@ -167,18 +172,23 @@
       return;
     }
     if (request.url === REPLICA_PATH.order) return this.takeOrder(response, body);
-    this.received.push({
+    const received: ReceivedRequest = {
       id,
       path: request.url ?? '',
       deadlineMs: numeric(request, HEADER.deadlineMs),
       lastEventId: request.headers[HEADER.lastEventId] as string | undefined,
+      tenant: request.headers[HEADER.tenant] as string | undefined,
+      authorization: request.headers.authorization,
       atMs: monotonicMs(),
-    });
+      beganAtMs: undefined,
+    };
+    this.received.push(received);
     if (this.active >= (this.options.slots ?? 4)) {
       response.writeHead(503, { ...echo, [HEADER.notExecuted]: '1' }).end();
       return;
     }
     this.active += 1;
+    received.beganAtMs = Date.now();
     await this.work(request, response, id);
     this.active -= 1;
   }
--- a/scripts/check-layers.ts
+++ b/scripts/check-layers.ts
@@ -4,7 +4,14 @@
  */
 import { readdirSync, readFileSync, statSync } from 'node:fs';
 import { join, relative, resolve } from 'node:path';
-import { HEADER, JOB_PATH, REPLICA_PATH, SETTINGS_VARIABLE, STORE_PATH } from '../platform/names.js';
+import {
+  CLOUD_PATH,
+  HEADER,
+  JOB_PATH,
+  REPLICA_PATH,
+  SETTINGS_VARIABLE,
+  STORE_PATH,
+} from '../platform/names.js';
 import { importBreaches, importCircle, type Source } from './layer-rules.js';
 
 /** Names that the platform shares with HTTP in general, or with flags of the product's own command line. */
@@ -13,6 +20,8 @@
   HEADER.lastEventId,
   HEADER.requestId,
   HEADER.waitMs,
+  HEADER.tenant,
+  HEADER.authorization,
 ]);
 /** Lines of the adapter for each line of the product, at most. */
 const MAX_ADAPTER_SHARE = 1 / 6;
@@ -26,6 +35,7 @@
   ...Object.values(HEADER),
   ...Object.values(STORE_PATH),
   ...Object.values(REPLICA_PATH),
+  ...Object.values(CLOUD_PATH),
   ...Object.values(JOB_PATH),
   SETTINGS_VARIABLE,
 ].filter((name: string) => !COMMON_NAMES.has(name));
--- a/scripts/layer-rules.ts
+++ b/scripts/layer-rules.ts
@@ -27,7 +27,16 @@
 /** Rooms of a layer; each may import those before it. */
 const ROOMS: Readonly<Record<string, readonly string[]>> = {
   'src/state': ['store', 'leases', 'configuration', 'replicas', 'jobs', 'samples'],
-  'src/coordination': ['configuration', 'membership', 'duties', 'requests', 'weights', 'samples', 'jobs'],
+  'src/coordination': [
+    'configuration',
+    'membership',
+    'duties',
+    'usage',
+    'requests',
+    'weights',
+    'samples',
+    'jobs',
+  ],
 };
 
 const IMPORT = /from\s+'(\.[^']+)'|import\s+'(\.[^']+)'/g;
--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -16,6 +16,9 @@
   readonly tookMs: number;
   readonly leftMs: number;
   readonly configVersion: number;
+  /** Tenant on whose behalf it was sent. */
+  readonly tenant?: string;
+  readonly detail?: string;
 }
 
 /** A request was sent to a replica and came back. */
@@ -142,6 +145,31 @@
   readonly tookMs: number;
 }
 
+/** It was decided what is reported of a window of usage. */
+export interface UsageDecided {
+  readonly event: 'usage-decided';
+  readonly window: number;
+  readonly requests: number;
+  readonly tenants: number;
+  /** Processes that have counted. */
+  readonly sources: number;
+  /** Nodes that had not closed the window; -1 when the nodes could not be learnt. */
+  readonly missingNodes: number;
+  readonly decidedBy: string;
+  /** Time since the end of the window. */
+  readonly sinceEndMs: number;
+}
+
+/** A report of usage was sent. */
+export interface UsageReported {
+  readonly event: 'usage-reported';
+  readonly window: number;
+  readonly fencingToken: number;
+  readonly outcome: string;
+  readonly sinceEndMs: number;
+  readonly tookMs: number;
+}
+
 /** The process serves. */
 export interface ProcessStarted {
   readonly event: 'process-started';
@@ -179,6 +207,8 @@
   | BeliefChanged
   | DutyChanged
   | OrderGiven
+  | UsageDecided
+  | UsageReported
   | ProcessStarted
   | ProcessChanged
   | LinesLeftOut;
--- a/src/common/service-metrics.ts
+++ b/src/common/service-metrics.ts
@@ -40,6 +40,10 @@
   readonly listedSeconds = this.histogram('thymecove_result_listed_seconds', 'Time to a listed result', []);
   /** Orders to replicas by outcome. */
   readonly orders = this.counter('thymecove_orders_total', 'Orders to replicas', ['outcome']);
+  /** Reports of usage by outcome. */
+  readonly usageReports = this.counter('thymecove_usage_reports_total', 'Reports of usage', ['outcome']);
+  /** Requests whose counts were given up because the store did not take them in time. */
+  readonly usageLost = this.gauge('thymecove_usage_lost_requests', 'Requests that no report counts', []);
   /** Duties held by this node. */
   readonly dutiesHeld = this.gauge('thymecove_duties_held', 'Duties held', []);
   /** Delay of the event loop. */
--- a/src/coordination/duties/duty-lease.ts
+++ b/src/coordination/duties/duty-lease.ts
@@ -85,6 +85,11 @@
     return this.heldEpoch > 0;
   }
 
+  /** Number of this holding; it rises with each change of the holder, and is 0 while the lease is not held. */
+  get epoch(): number {
+    return this.heldEpoch;
+  }
+
   /** Who holds the lease, as far as this node has seen. */
   get holder(): JobOwner | undefined {
     const holder = this.known?.content.holder;
--- a/src/coordination/jobs/item-run.ts
+++ b/src/coordination/jobs/item-run.ts
@@ -36,6 +36,8 @@
   readonly jobId: string;
   readonly host: string;
   readonly path: string;
+  /** Tenant that the job belongs to, if any. */
+  readonly tenant: string | undefined;
   readonly specification: JobSpecification;
   /** Time of acceptance on the monotonic clock, milliseconds. */
   readonly acceptedAtMs: number;
@@ -163,6 +165,7 @@
     const { model, minVersion } = this.job.specification;
     return {
       host: this.job.host,
+      tenant: this.job.tenant,
       model,
       minVersion,
       isSingleVersion: route.isSingleVersion,
--- a/src/coordination/jobs/job-calls.ts
+++ b/src/coordination/jobs/job-calls.ts
@@ -2,8 +2,15 @@
 import { monotonicMs, sleep } from '../../common/clock.js';
 import type { DecisionLogger } from '../../common/decision-logger.js';
 import type { JobSpecification } from '../../protocol/batch-job.js';
-import type { ItemOutcome, JobSubmission, ReadOutcome, SubmissionOutcome } from '../../protocol/job-calls.js';
-import type { JobHead, JobRepository } from '../../state/jobs/index.js';
+import type {
+  EndOutcome,
+  ItemOutcome,
+  JobCaller,
+  JobSubmission,
+  ReadOutcome,
+  SubmissionOutcome,
+} from '../../protocol/job-calls.js';
+import { belongsTo, type JobHead, type JobRepository } from '../../state/jobs/index.js';
 import type { ResultCache } from '../../state/samples/index.js';
 import type { JobForwarding } from './job-forwarding.js';
 import type { JobOwnership } from './job-owner.js';
@@ -36,18 +43,21 @@
 
   constructor(private readonly services: JobCallServices) {}
 
-  /** Accepts a job once, however often it is submitted. `isForwarded` says that another node passes the call on. */
-  async submit(submission: JobSubmission, isForwarded: boolean): Promise<SubmissionOutcome> {
+  /** Accepts a job once, however often it is submitted. */
+  async submit(submission: JobSubmission, caller: JobCaller): Promise<SubmissionOutcome> {
     const startedAt = monotonicMs();
     const { jobId } = submission;
+    const { isForwarded, credential } = caller;
     const outcome = await this.services.forwarding.run<SubmissionOutcome>({
       name: 'submit',
       jobId,
       isForwarded,
       here: async () =>
-        this.isHopeless(isForwarded) ? 'not-accepted' : this.accept(submission, startedAt + ACCEPT_EFFORT_MS),
-      there: (peer, address) => peer.submit(address, submission),
-      isFinal: (own) => own === 'accepted',
+        this.isHopeless(caller)
+          ? 'not-accepted'
+          : this.accept(submission, caller.tenant, startedAt + ACCEPT_EFFORT_MS),
+      there: (peer, address) => peer.submit(address, submission, credential),
+      isFinal: (own) => own === 'accepted' || own === 'foreign',
       join: (own) => (own.every((each) => each === 'not-accepted') ? 'not-accepted' : 'unknown'),
     });
     this.report('submit', jobId, outcome, startedAt);
@@ -59,16 +69,17 @@
     jobId: string,
     position: number,
     waitMs: number,
-    isForwarded: boolean,
+    caller: JobCaller,
     signal: AbortSignal,
   ): Promise<ReadOutcome> {
     const startedAt = monotonicMs();
+    const { isForwarded, credential } = caller;
     const outcome = await this.services.forwarding.run<ReadOutcome>({
       name: 'read',
       jobId,
       isForwarded,
-      here: () => this.readPage(jobId, position, startedAt + waitMs, signal),
-      there: (peer, address) => peer.read(address, jobId, position),
+      here: () => this.readPage(jobId, position, startedAt + waitMs, caller, signal),
+      there: (peer, address) => peer.read(address, jobId, position, credential),
       isFinal: ({ kind }) => kind !== 'unavailable',
       join: () => ({ kind: 'unavailable' }),
     });
@@ -78,14 +89,15 @@
   }
 
   /** The body of an item whose job is open. */
-  async item(jobId: string, itemId: string, isForwarded: boolean): Promise<ItemOutcome> {
+  async item(jobId: string, itemId: string, caller: JobCaller): Promise<ItemOutcome> {
     const startedAt = monotonicMs();
+    const { isForwarded, credential } = caller;
     const outcome = await this.services.forwarding.run<ItemOutcome>({
       name: 'item',
       jobId,
       isForwarded,
-      here: () => this.findItem(jobId, itemId),
-      there: (peer, address) => peer.item(address, jobId, itemId),
+      here: () => this.findItem(jobId, itemId, caller),
+      there: (peer, address) => peer.item(address, jobId, itemId, credential),
       isFinal: ({ kind }) => kind !== 'unavailable',
       join: () => ({ kind: 'unavailable' }),
     });
@@ -93,41 +105,54 @@
     return outcome;
   }
 
-  /** Ends a job. Returns false when it is not certain that it is ended. */
-  async end(jobId: string, isForwarded: boolean): Promise<boolean> {
+  /** Ends a job; `unavailable` when it is not certain that it is ended. */
+  async end(jobId: string, caller: JobCaller): Promise<EndOutcome> {
     const startedAt = monotonicMs();
-    const isEnded = await this.services.forwarding.run<boolean>({
+    const { isForwarded, credential } = caller;
+    const outcome = await this.services.forwarding.run<EndOutcome>({
       name: 'end',
       jobId,
       isForwarded,
-      here: async () => !this.isHopeless(isForwarded) && this.endHere(jobId, startedAt + END_EFFORT_MS),
-      there: (peer, address) => peer.end(address, jobId),
-      isFinal: (own) => own,
-      join: () => false,
+      here: async () =>
+        this.isHopeless(caller)
+          ? 'unavailable'
+          : this.endHere(jobId, caller.tenant, startedAt + END_EFFORT_MS),
+      there: (peer, address) => peer.end(address, jobId, credential),
+      isFinal: (own) => own !== 'unavailable',
+      join: () => 'unavailable',
     });
-    this.report('end', jobId, isEnded ? 'ended' : 'unavailable', startedAt);
-    return isEnded;
+    this.report('end', jobId, outcome, startedAt);
+    return outcome;
   }
 
   /** Whether a call that another node passes on is answered at once, so that the next one is asked. */
-  private isHopeless(isForwarded: boolean): boolean {
+  private isHopeless({ isForwarded }: JobCaller): boolean {
     return isForwarded && !this.services.isStoreInReach();
   }
 
-  private async endHere(jobId: string, deadlineMs: number): Promise<boolean> {
-    const ended = await this.services.repository.end(jobId, deadlineMs);
-    if (ended.isOk()) this.services.ownership.note(ended.value);
-    return ended.isOk();
+  private async endHere(jobId: string, tenant: string | undefined, deadlineMs: number): Promise<EndOutcome> {
+    const ended = await this.services.repository.end(jobId, tenant, deadlineMs);
+    if (ended.isErr()) return 'unavailable';
+    if (ended.value === undefined) return 'not-found';
+    this.services.ownership.note(ended.value);
+    return 'ended';
   }
 
-  private async accept(submission: JobSubmission, deadlineMs: number): Promise<SubmissionOutcome> {
+  private async accept(
+    submission: JobSubmission,
+    tenant: string | undefined,
+    deadlineMs: number,
+  ): Promise<SubmissionOutcome> {
     const { jobId, host, path, body, specification } = submission;
-    if ((this.services.ownership.known(jobId)?.record.total ?? 0) > 0) return 'accepted';
+    const known = this.services.ownership.known(jobId);
+    if (known && !belongsTo(known, tenant)) return 'foreign';
+    if ((known?.record.total ?? 0) > 0) return 'accepted';
     const { model, items } = specification;
     const tokens = items.reduce((sum, item) => sum + item.tokens, 0);
-    const job = { jobId, host, path, model, tokens, total: items.length, submission: body };
+    const job = { jobId, host, path, tenant, model, tokens, total: items.length, submission: body };
     const owner = await this.services.ownership.ownerForNext(model);
     const accepted = await this.services.repository.accept(job, owner, deadlineMs);
+    if (accepted.isErr() && accepted.error.failure === 'invalid') return 'foreign';
     if (accepted.isErr()) return accepted.error.effect === 'none' ? 'not-accepted' : 'unknown';
     const { head, isNew } = accepted.value;
     if (isNew) this.services.ownership.adopt(head, specification);
@@ -135,7 +160,16 @@
     return 'accepted';
   }
 
-  private async findHead(jobId: string): Promise<JobHead | 'not-found' | 'unavailable'> {
+  /** The head of a job of the caller's tenant. */
+  private async findHead(
+    jobId: string,
+    { tenant }: JobCaller,
+  ): Promise<JobHead | 'not-found' | 'unavailable'> {
+    const head = await this.findAnyHead(jobId);
+    return typeof head === 'string' || belongsTo(head, tenant) ? head : 'not-found';
+  }
+
+  private async findAnyHead(jobId: string): Promise<JobHead | 'not-found' | 'unavailable'> {
     const known = this.services.ownership.known(jobId);
     if (known) return known;
     if (!this.services.isStoreInReach()) return 'unavailable';
@@ -148,9 +182,10 @@
     jobId: string,
     position: number,
     untilMs: number,
+    caller: JobCaller,
     signal: AbortSignal,
   ): Promise<ReadOutcome> {
-    const head = await this.findHead(jobId);
+    const head = await this.findHead(jobId, caller);
     if (typeof head === 'string') return { kind: head };
     const { total } = head.record;
     if (total === 0) return { kind: 'not-found' };
@@ -190,17 +225,18 @@
     stopListening();
   }
 
-  private async findItem(jobId: string, itemId: string): Promise<ItemOutcome> {
-    const specification = await this.specificationOf(jobId);
+  private async findItem(jobId: string, itemId: string, caller: JobCaller): Promise<ItemOutcome> {
+    const head = await this.findHead(jobId, caller);
+    if (typeof head === 'string') return { kind: head };
+    const specification = await this.specificationOf(head);
     if (typeof specification === 'string') return { kind: specification };
     const item = specification.items.find((candidate) => candidate.id === itemId);
     return item ? { kind: 'found', body: item.body } : { kind: 'not-found' };
   }
 
-  private async specificationOf(jobId: string): Promise<JobSpecification | 'not-found' | 'unavailable'> {
+  private async specificationOf(head: JobHead): Promise<JobSpecification | 'not-found' | 'unavailable'> {
+    const { jobId } = head;
     if (this.lastSpecification?.jobId === jobId) return this.lastSpecification.specification;
-    const head = await this.findHead(jobId);
-    if (typeof head === 'string') return head;
     if (head.record.total === 0) return 'not-found';
     if (!this.services.isStoreInReach()) return 'unavailable';
     const submission = await this.services.repository.contents.submission(head);
--- a/src/coordination/jobs/job-run.ts
+++ b/src/coordination/jobs/job-run.ts
@@ -122,6 +122,7 @@
       jobId,
       host: record.host,
       path: record.path,
+      tenant: record.tenant,
       specification,
       acceptedAtMs,
       groupReplicas: new Map(),
--- a/src/coordination/membership/announcements.ts
+++ b/src/coordination/membership/announcements.ts
@@ -25,6 +25,8 @@
 
 /** Takes the configuration and the named versions. */
 export class OperatorAnnouncements implements FeedHandler<Content> {
+  private configurationRecord: Buffer | undefined;
+
   constructor(
     private readonly store: RecordStore,
     private readonly format: AnnouncementFormat,
@@ -52,10 +54,17 @@
     else this.takeVersion(change.key, change.value);
   }
 
-  private takeConfiguration(value: Buffer): void {
+  /** The record of the configuration in force, as the operator wrote it. */
+  get configuration(): Buffer | undefined {
+    return this.configurationRecord;
+  }
+
+  /** Takes the operator's record of the configuration, from the store or from another node. */
+  takeConfiguration(value: Buffer): void {
     const configuration = this.format.parseConfiguration(value);
     if (!configuration) return;
     const isInForce = this.routing.install(configuration);
+    if (isInForce) this.configurationRecord = value;
     this.metrics.configVersion.set({}, this.routing.current?.version ?? 0);
     this.logger.record({
       event: 'belief-changed',
--- /dev/null
+++ b/src/coordination/membership/fleet-time.ts
@@ -0,0 +1,34 @@
+/**
+ * Time of day as the whole fleet sees it: the store's steady clock, plus the median of what the nodes' own clocks add to it.
+ * The clock of one machine may be off, or jump by seconds and return; that of the median node is not touched by it.
+ */
+import type { RecordStore } from '../../protocol/record-store.js';
+
+/** One node's view of the fleet's time. */
+export class FleetTime {
+  private agreedOffsetMs: number | undefined;
+
+  constructor(
+    private readonly store: Pick<RecordStore, 'nowMs'>,
+    /** This machine's time of day, milliseconds since the start of 1970. */
+    private readonly timeOfDayMs: () => number = Date.now,
+  ) {}
+
+  /** What this node's own clock adds to the store's, milliseconds. */
+  get ownOffsetMs(): number {
+    return this.timeOfDayMs() - this.store.nowMs();
+  }
+
+  /** Time of day, milliseconds since the start of 1970; by this node's own clock while no other is known. */
+  now(): number {
+    if (this.agreedOffsetMs === undefined) return this.timeOfDayMs();
+    return this.store.nowMs() + this.agreedOffsetMs;
+  }
+
+  /** Takes the offsets of all nodes that are at work. */
+  agree(offsetsMs: readonly number[]): void {
+    const sorted = [...offsetsMs].sort((left, right) => left - right);
+    const median = sorted[Math.floor(sorted.length / 2)];
+    if (median !== undefined) this.agreedOffsetMs = median;
+  }
+}
--- a/src/coordination/membership/index.ts
+++ b/src/coordination/membership/index.ts
@@ -2,4 +2,5 @@
 export { MachineWatch } from './machine-watch.js';
 export { NodeRegistry } from './node-registry.js';
 export { PeerAddresses } from './peer-addresses.js';
+export { PeerConfiguration } from './peer-configuration.js';
 export { SESSION_TABLE, SessionMonitor } from './session-monitor.js';
--- a/src/coordination/membership/peer-addresses.ts
+++ b/src/coordination/membership/peer-addresses.ts
@@ -7,6 +7,7 @@
 import type { DecisionLogger } from '../../common/decision-logger.js';
 import type { RecordAddress, RecordStore, StoredRecord } from '../../protocol/record-store.js';
 import { readPartition } from '../configuration/index.js';
+import { FleetTime } from './fleet-time.js';
 
 const TABLE = 'serving-nodes';
 /** Looks after which all announcements are counted again; first with the second look. */
@@ -23,14 +24,21 @@
 
 /** What an announcement says. */
 interface Announcement {
+  /** Where callers are served. */
   readonly address: string;
+  /** Where other nodes are answered; nodes of the build before do not say it. */
+  readonly peerAddress?: string;
+  /** What the node's time of day adds to the store's clock, milliseconds; nodes of the build before do not say it. */
+  readonly timeOffsetMs?: number;
   /** On the store's clock, milliseconds. */
   readonly announcedAtMs: number;
 }
 
 /** The addresses that one node knows. */
 export class PeerAddresses {
-  private known: readonly string[] = [];
+  /** Time of day as the fleet sees it. */
+  readonly time: FleetTime;
+  private known: readonly Announcement[] = [];
   private count = 1;
   /** Nodes that carried out the last call that was passed on to them, or failed to. */
   private readonly hasServed = new Map<string, boolean>();
@@ -40,12 +48,29 @@
     private readonly nodeName: string,
     private readonly logger: DecisionLogger,
     private readonly clock: Clock = SYSTEM_CLOCK,
-  ) {}
+  ) {
+    this.time = new FleetTime(store);
+  }
 
   /** Up to `count` addresses (`IP:PORT`): nodes that served last time, then untried ones, then the others. */
   likeliest(count: number): string[] {
-    const rank = (address: string) => Number(this.hasServed.get(address) ?? 0.5);
-    return [...this.known].sort((left, right) => rank(right) - rank(left)).slice(0, count);
+    return this.ranked()
+      .slice(0, count)
+      .map(({ address }) => address);
+  }
+
+  /** Like `likeliest`, but the addresses at which nodes answer each other. */
+  likeliestPeers(count: number): string[] {
+    return this.ranked()
+      .flatMap(({ peerAddress }) => peerAddress ?? [])
+      .slice(0, count);
+  }
+
+  /** Names of all nodes that are at work; `undefined` when the store does not answer. */
+  async names(): Promise<readonly string[] | undefined> {
+    const all = await readPartition(this.store, TABLE, '');
+    if (all.isErr()) return undefined;
+    return all.value.content.filter((record) => !this.isExpired(record)).map(({ key }) => key);
   }
 
   /** Nodes that are at work, as counted last: 1 before that. */
@@ -58,10 +83,15 @@
     this.hasServed.set(address, hasServed);
   }
 
-  /** Announces this node at `address` (`IP:PORT`) and looks for others until stopped. */
-  async run(address: string, signal: AbortSignal): Promise<void> {
+  /** Announces this node, which serves callers and other nodes at these addresses (`IP:PORT`), and looks for others. */
+  async run(address: string, signal: AbortSignal, peerAddress?: string): Promise<void> {
     await this.untilAnswered(signal);
-    await Promise.all([this.announceRegularly(address, signal), this.lookRegularly(signal)]);
+    await Promise.all([this.announceRegularly(address, peerAddress, signal), this.lookRegularly(signal)]);
+  }
+
+  /** Takes the announcement back: this node is on its way out. */
+  async withdraw(): Promise<void> {
+    await this.store.transact({ conditions: [], writes: [], removals: [recordAddress(this.nodeName)] });
   }
 
   /** Until the store has answered once its clock is not known, and an announcement would bear a wrong time. */
@@ -70,16 +100,25 @@
       await this.clock.sleep(FIRST_LOOK_MS, signal);
   }
 
-  private async announceRegularly(address: string, signal: AbortSignal): Promise<void> {
+  private async announceRegularly(
+    address: string,
+    peerAddress: string | undefined,
+    signal: AbortSignal,
+  ): Promise<void> {
     let isAnnounced = false;
     while (!signal.aborted) {
-      isAnnounced = await this.announce(address);
+      isAnnounced = await this.announce(address, peerAddress);
       await this.clock.sleep(isAnnounced ? ANNOUNCE_MS : FIRST_LOOK_MS, signal);
     }
   }
 
-  private async announce(address: string): Promise<boolean> {
-    const announcement: Announcement = { address, announcedAtMs: Math.round(this.store.nowMs()) };
+  private async announce(address: string, peerAddress: string | undefined): Promise<boolean> {
+    const announcement: Announcement = {
+      address,
+      peerAddress,
+      timeOffsetMs: Math.round(this.time.ownOffsetMs),
+      announcedAtMs: Math.round(this.store.nowMs()),
+    };
     const value = Buffer.from(JSON.stringify(announcement), 'utf8');
     const write = { ...recordAddress(this.nodeName), value };
     return (await this.store.transact({ conditions: [], writes: [write], removals: [] })).isOk();
@@ -98,7 +137,9 @@
     const all = await readPartition(this.store, TABLE, '');
     if (all.isErr()) return;
     const { content, version } = all.value;
-    this.count = Math.max(1, content.filter((record) => !this.isExpired(record)).length);
+    const present = content.filter((record) => !this.isExpired(record));
+    this.count = Math.max(1, present.length);
+    this.time.agree(present.flatMap((record) => parse(record).timeOffsetMs ?? []));
     this.report(`${this.count} nodes`, version);
   }
 
@@ -109,21 +150,26 @@
     const records = isShort ? [...following, ...((await this.scan(undefined)) ?? [])] : following;
     const others = records.filter(({ key }) => key !== this.nodeName).slice(0, REMEMBERED);
     const expired = others.filter((record) => this.isExpired(record));
-    const addresses = others
-      .filter((record) => !this.isExpired(record))
-      .map((record) => parse(record).address);
-    this.remember([...new Set(addresses)], records);
-    for (const address of this.hasServed.keys())
-      if (!this.known.includes(address)) this.hasServed.delete(address);
+    const present = others.filter((record) => !this.isExpired(record)).map(parse);
+    const byAddress = new Map(present.map((announcement) => [announcement.address, announcement]));
+    this.remember([...byAddress.values()], records);
+    for (const address of this.hasServed.keys()) if (!byAddress.has(address)) this.hasServed.delete(address);
     if (expired.length > 0) await this.remove(expired);
   }
 
-  private remember(addresses: readonly string[], records: readonly StoredRecord[]): void {
-    const hasChanged = addresses.join() !== this.known.join();
-    this.known = addresses;
+  /** Remembered nodes: those that served last time, then untried ones, then the others. */
+  private ranked(): Announcement[] {
+    const rank = ({ address }: Announcement) => Number(this.hasServed.get(address) ?? 0.5);
+    return [...this.known].sort((left, right) => rank(right) - rank(left));
+  }
+
+  private remember(announcements: readonly Announcement[], records: readonly StoredRecord[]): void {
+    const addressesOf = (all: readonly Announcement[]) => all.map(({ address }) => address).join();
+    const hasChanged = addressesOf(announcements) !== addressesOf(this.known);
+    this.known = announcements;
     if (!hasChanged) return;
     const version = Math.max(0, ...records.map((record) => record.version));
-    this.report(`${addresses.length} known`, version);
+    this.report(`${announcements.length} known`, version);
   }
 
   private report(change: string, version: number): void {
--- /dev/null
+++ b/src/coordination/membership/peer-configuration.ts
@@ -0,0 +1,74 @@
+/**
+ * The newest configuration from nodes that the store serves, for a node that it does not: the operator's changes take effect
+ * here too, and a key that was taken away is not taken for longer. Versions only rise, whoever brings them.
+ */
+import { type Clock, SYSTEM_CLOCK } from '../../common/clock.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { PeerConfigurationAnswer } from '../../protocol/configuration-peer.js';
+
+/** How often a node looks whether the store serves it, milliseconds. */
+const LOOK_MS = 400;
+/** Nodes that are asked in one turn, one after the other, until one is served. */
+const ASKED = 4;
+/** How long the word of another node counts, milliseconds: two turns. */
+const CONFIRMED_MS = 2_500;
+
+/** What the task works with. */
+export interface PeerConfigurationServices {
+  readonly isStoreInReach: () => boolean;
+  /** Addresses of other nodes, the likeliest to be served first. */
+  readonly peers: (count: number) => readonly string[];
+  /** Version in force; 0 while none is known. */
+  readonly version: () => number;
+  readonly ask: (address: string, version: number) => Promise<PeerConfigurationAnswer>;
+  /** Takes the operator's record. */
+  readonly take: (value: Buffer) => void;
+  readonly logger: DecisionLogger;
+}
+
+/** The task of one node. */
+export class PeerConfiguration {
+  private confirmedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly services: PeerConfigurationServices,
+    private readonly clock: Clock = SYSTEM_CLOCK,
+  ) {}
+
+  /** Whether a node that the store serves has said a moment ago that the configuration here is the newest. */
+  get isConfirmed(): boolean {
+    return this.clock.now() - this.confirmedAtMs < CONFIRMED_MS;
+  }
+
+  /** Asks while the store is out of reach, until `signal` is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (!this.services.isStoreInReach()) await this.askInTurn();
+      await this.clock.sleep(LOOK_MS, signal);
+    }
+  }
+
+  private async askInTurn(): Promise<void> {
+    for (const address of this.services.peers(ASKED)) {
+      if (this.services.isStoreInReach()) return;
+      const askedAtMs = this.clock.now();
+      const before = this.services.version();
+      const answer = await this.services.ask(address, before);
+      if (answer.kind === 'unavailable') continue;
+      if (answer.kind === 'newer') this.services.take(answer.value);
+      this.confirmedAtMs = askedAtMs;
+      if (answer.kind === 'newer') this.report(address);
+      return;
+    }
+  }
+
+  private report(address: string): void {
+    this.services.logger.record({
+      event: 'belief-changed',
+      subject: 'configuration',
+      name: `from ${address}`,
+      change: 'brought by another node',
+      version: this.services.version(),
+    });
+  }
+}
--- a/src/coordination/requests/service-relay.ts
+++ b/src/coordination/requests/service-relay.ts
@@ -16,6 +16,8 @@
   readonly method: string;
   readonly path: string;
   readonly host: string;
+  /** Tenant on whose behalf it runs, if any. */
+  readonly tenant?: string;
   readonly headers: Readonly<Record<string, string | string[]>>;
   readonly body: Buffer;
   readonly route: Route;
@@ -62,6 +64,9 @@
 /** Below this remaining time a further attempt makes no sense, milliseconds. */
 const MIN_ATTEMPT_MS = 5;
 
+/** Counts a request of a tenant that is sent now; call what it returns if the request turns out not to have run. */
+export type RunCounter = (tenant: string) => () => void;
+
 /** Relays requests. */
 export class ServiceRelay {
   constructor(
@@ -69,6 +74,7 @@
     private readonly splitter: TargetSplitter,
     private readonly exchange: ReplicaExchange,
     private readonly zone: string,
+    private readonly countRun: RunCounter = () => () => {},
   ) {}
 
   /** Runs one request to its end. Never rejects. */
@@ -78,7 +84,15 @@
       const reason = 'the route has no service';
       return Promise.resolve({ kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS, attempts: [] });
     }
-    return new RelayRun(request, target.service, this.directory, this.exchange, this.zone).run();
+    const run = new RelayRun(
+      request,
+      target.service,
+      this.directory,
+      this.exchange,
+      this.zone,
+      this.countRun,
+    );
+    return run.run();
   }
 }
 
@@ -92,6 +106,9 @@
   private mayHaveRun = false;
   private lastFailure: WholeAnswer | undefined;
   private lastReason = 'none available';
+  /** Attempts that run or may have run: the request counts once for its tenant while there is any. */
+  private countedAttempts = 0;
+  private uncount = () => {};
 
   constructor(
     private readonly request: RelayedRequest,
@@ -99,6 +116,7 @@
     private readonly directory: ReplicaDirectory,
     private readonly exchange: ReplicaExchange,
     private readonly zone: string,
+    private readonly countRun: RunCounter,
   ) {
     this.endsAtMs = Math.min(request.deadlineMs, monotonicMs() + request.route.timeoutMs);
   }
@@ -144,14 +162,27 @@
     const attempt = this.exchange.attempt(state, this.toReplicaRequest(), {
       configVersion: this.request.snapshot.version,
     });
+    this.noteSent();
     const tracked: Promise<AttemptOutcome> = attempt.then((outcome) => {
       pending.delete(tracked);
+      if (outcome.kind === 'declined') this.noteNotRun();
       return outcome;
     });
     pending.add(tracked);
     return true;
   }
 
+  private noteSent(): void {
+    const { tenant } = this.request;
+    this.countedAttempts += 1;
+    if (tenant !== undefined && this.countedAttempts === 1) this.uncount = this.countRun(tenant);
+  }
+
+  private noteNotRun(): void {
+    this.countedAttempts -= 1;
+    if (this.countedAttempts === 0) this.uncount();
+  }
+
   private choose(): ReplicaState | undefined {
     const criteria = { service: this.service, zone: this.zone };
     const fresh = this.directory.select({ ...criteria, excluded: this.tried });
@@ -160,9 +191,9 @@
   }
 
   private toReplicaRequest(): ReplicaRequest {
-    const { id, method, path, host, headers, body } = this.request;
+    const { id, method, path, host, tenant, headers, body } = this.request;
     const deadlineMs = this.endsAtMs - monotonicMs();
-    return { id, method, path, host, headers, body, deadlineMs, signal: this.controller.signal };
+    return { id, method, path, host, tenant, headers, body, deadlineMs, signal: this.controller.signal };
   }
 
   /** The next outcome of a pending attempt, the moment to hedge, or the end of the time. */
--- a/src/coordination/samples/generation-attempt.ts
+++ b/src/coordination/samples/generation-attempt.ts
@@ -11,6 +11,8 @@
 /** What an attempt must heed. */
 export interface GenerationTerms {
   readonly host: string;
+  /** Tenant on whose behalf it runs, if any. */
+  readonly tenant?: string;
   readonly model: string;
   /** Oldest weight version that may make an event. */
   readonly minVersion: number;
@@ -162,6 +164,7 @@
     method: 'POST',
     path: item.path,
     host: terms.host,
+    tenant: terms.tenant,
     headers: item.headers,
     body: item.body,
     deadlineMs: terms.deadlineMs,
--- /dev/null
+++ b/src/coordination/usage/index.ts
@@ -0,0 +1,1 @@
+export { UsageAccounting } from './usage-accounting.js';
--- /dev/null
+++ b/src/coordination/usage/usage-accounting.ts
@@ -0,0 +1,74 @@
+/** Usage accounting of one node: counting, keeping the counts, and reporting them while this node holds the duty. */
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import type { RecordStore, StoredRecord } from '../../protocol/record-store.js';
+import type { UsageSettings } from '../../protocol/service-settings.js';
+import type { UsageSink } from '../../protocol/usage.js';
+import type { JobOwner } from '../../state/jobs/index.js';
+import { UsageRepository } from '../../state/usage/index.js';
+import type { DutyLease } from '../duties/index.js';
+import type { PeerAddresses } from '../membership/index.js';
+import { UsageCounter } from './usage-counter.js';
+import { UsageDuty } from './usage-duty.js';
+import { UsageWindows } from './usage-window.js';
+import { UsageWriter } from './usage-writer.js';
+
+/** What accounting works with. */
+export interface UsageAccountingServices {
+  readonly settings: UsageSettings;
+  readonly sink: UsageSink;
+  readonly store: RecordStore;
+  readonly peers: PeerAddresses;
+  readonly lease: DutyLease;
+  readonly self: JobOwner;
+  readonly metrics: ServiceMetrics;
+  readonly logger: DecisionLogger;
+}
+
+/** The accounting of one process. */
+export class UsageAccounting {
+  readonly counter: UsageCounter;
+  readonly lease: DutyLease;
+  private readonly writer: UsageWriter;
+  private readonly duty: UsageDuty;
+
+  constructor(private readonly services: UsageAccountingServices) {
+    const { settings, sink, store, peers, lease, self, metrics, logger } = services;
+    const windows = new UsageWindows(() => peers.time.now(), settings.windowMs);
+    const repository = new UsageRepository(store);
+    this.lease = lease;
+    this.counter = new UsageCounter(windows);
+    this.writer = new UsageWriter(repository, self, this.counter, windows, () => peers.fleetSize);
+    this.duty = new UsageDuty({
+      repository,
+      lease,
+      sink,
+      windows,
+      nodes: () => peers.names(),
+      dueMs: settings.dueMs,
+      nodeName: self.node,
+      metrics,
+      logger,
+    });
+  }
+
+  /** Keeps counts and reports until `signal` is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.writer.run(signal), this.duty.run(signal)]);
+  }
+
+  /** Takes what was read of duties; takes the duty of reporting when it is free and `mayHold`. */
+  observe(records: readonly StoredRecord[], mayHold: boolean): void {
+    this.lease.observe(records, mayHold && this.duty.wantsDuty && this.services.store.isInReach());
+  }
+
+  /** Writes what is counted and not kept yet; gives up at the abort. */
+  flush(signal: AbortSignal): Promise<void> {
+    return this.writer.flush(signal);
+  }
+
+  /** Brings the gauges up to date. */
+  measure(): void {
+    this.services.metrics.usageLost.set({}, this.counter.lostRequests);
+  }
+}
--- /dev/null
+++ b/src/coordination/usage/usage-duty.ts
@@ -0,0 +1,218 @@
+/**
+ * Reports usage as the one holder of a duty. What is reported of a window is written into the store before it is sent, so
+ * that any successor sends the very same; it is decided as soon as every node has closed the window, and else as late as a
+ * report in time allows.
+ */
+import { monotonicMs, sleep } from '../../common/clock.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import type { TenantCounts, UsageSink } from '../../protocol/usage.js';
+import type { StoredCount, StoredReport, UsageRepository } from '../../state/usage/index.js';
+import type { DutyLease } from '../duties/index.js';
+import type { UsageWindows } from './usage-window.js';
+
+/** All reports are acts on one thing: two holders keep apart whatever window they report. */
+const TARGET = 'usage';
+const PASS_MS = 300;
+/** A window is looked at from this time after its end, milliseconds: nodes close it a moment after its end. */
+const FIRST_LOOK_MS = 400;
+/** Left between the decision and the time at which the report is due, for sending it, milliseconds. */
+const SENDING_MS = 2_500;
+const SEND_TIMEOUT_MS = 2_000;
+/** Distance of two reports, so that a backlog does not use up the rate that all duties share, milliseconds. */
+const BETWEEN_REPORTS_MS = 50;
+const RETRY_MS = 250;
+/** Reports without success after which the duty is given back: another node may be reached by the other side. */
+const MAX_FAILURES = 4;
+/** How long a node that has given the duty back does not want it, milliseconds. */
+const REST_MS = 15_000;
+/** Windows that a new holder catches up with at most. */
+const MAX_BACKLOG = 200;
+/** Reported windows whose counts and reports are kept. */
+const KEPT_COUNTS = 2;
+const KEPT_REPORTS = 60;
+
+/** What the duty works with. */
+export interface UsageDutyServices {
+  readonly repository: UsageRepository;
+  readonly lease: DutyLease;
+  readonly sink: UsageSink;
+  readonly windows: UsageWindows;
+  /** Names of the nodes that must close a window before it is complete; `undefined` when they cannot be learnt now. */
+  readonly nodes: () => Promise<readonly string[] | undefined>;
+  /** Time after the end of a window at which its report is due, milliseconds. */
+  readonly dueMs: number;
+  readonly nodeName: string;
+  readonly metrics: ServiceMetrics;
+  readonly logger: DecisionLogger;
+}
+
+/** Where a holder stands. */
+interface Progress {
+  readonly epoch: number;
+  /** Decided, not yet taken; the oldest first. */
+  readonly unreported: StoredReport[];
+  /** The next window to decide on. */
+  nextWindow: number;
+}
+
+/** The reporter of one node; it acts only while the lease is held. */
+export class UsageDuty {
+  private progress: Progress | undefined;
+  private failures = 0;
+  private restsUntilMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly services: UsageDutyServices) {}
+
+  /** Whether this node takes the duty if it is free. */
+  get wantsDuty(): boolean {
+    return monotonicMs() >= this.restsUntilMs;
+  }
+
+  /** Reports until `signal` is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { lease } = this.services;
+    while (!signal.aborted) {
+      await lease.untilHeld(signal);
+      if (lease.isHeld) await this.pass(signal);
+      await sleep(PASS_MS, signal);
+    }
+  }
+
+  private async pass(signal: AbortSignal): Promise<void> {
+    const progress = await this.currentProgress();
+    if (!progress) return;
+    await this.sendAll(progress, signal);
+    const { windows } = this.services;
+    while (!signal.aborted && this.services.lease.isHeld) {
+      if (windows.sinceEndMs(progress.nextWindow) < FIRST_LOOK_MS) return;
+      if (!(await this.decide(progress))) return;
+      if (!(await this.sendAll(progress, signal))) return;
+    }
+  }
+
+  /** Where this holder stands; read anew with each taking of the duty. */
+  private async currentProgress(): Promise<Progress | undefined> {
+    const { lease, repository, windows } = this.services;
+    const { epoch } = lease;
+    if (this.progress?.epoch === epoch) return this.progress;
+    const reports = await repository.reports();
+    if (reports.isErr()) return undefined;
+    const newest = reports.value.at(-1)?.window;
+    const oldestToCatchUp = windows.current - MAX_BACKLOG;
+    const nextWindow = newest === undefined ? windows.current : Math.max(newest + 1, oldestToCatchUp);
+    const unreported = reports.value.filter(({ isReported }) => !isReported);
+    this.progress = { epoch, unreported, nextWindow };
+    return this.progress;
+  }
+
+  /** Decides on the next window if it may be decided on now. Returns whether it is decided. */
+  private async decide(progress: Progress): Promise<boolean> {
+    const { repository, windows, dueMs, nodeName } = this.services;
+    const window = progress.nextWindow;
+    const [counts, nodes] = await Promise.all([repository.countsOf(window), this.services.nodes()]);
+    if (counts.isErr()) return false;
+    const missing = missingNodes(counts.value, nodes);
+    const isLate = windows.sinceEndMs(window) >= dueMs - SENDING_MS;
+    if (missing !== 0 && !isLate) return false;
+    const decided = await repository.decide(window, sum(counts.value), nodeName);
+    if (decided.isErr()) return false;
+    progress.nextWindow = window + 1;
+    if (!decided.value.isReported) progress.unreported.push(decided.value);
+    this.reportDecision(decided.value, counts.value.length, missing);
+    return true;
+  }
+
+  /** Sends what is decided, the oldest first. Returns whether nothing is left. */
+  private async sendAll({ unreported }: Progress, signal: AbortSignal): Promise<boolean> {
+    for (let report = unreported[0]; report !== undefined; report = unreported[0]) {
+      if (signal.aborted || !(await this.send(report))) return false;
+      unreported.shift();
+      await sleep(BETWEEN_REPORTS_MS, signal);
+    }
+    return true;
+  }
+
+  /** Sends one report under a fresh confirmation of the lease. Returns whether it was taken. */
+  private async send(report: StoredReport): Promise<boolean> {
+    const { lease, sink, nodeName, repository } = this.services;
+    if (!lease.mayActOn(TARGET)) return false;
+    const confirmation = await lease.confirm(TARGET);
+    if (!confirmation?.isFresh()) return false;
+    const startedAtMs = monotonicMs();
+    const { window, counts } = report;
+    const sender = { node: nodeName, fencingToken: confirmation.epoch };
+    const answer = await sink.report({ window, counts }, sender, SEND_TIMEOUT_MS);
+    const outcome = answer.isOk() ? answer.value : `unanswered: ${answer.error.failure}`;
+    this.reportSending(report, outcome, confirmation.epoch, monotonicMs() - startedAtMs);
+    if (outcome !== 'taken') {
+      await this.noteFailure();
+      return false;
+    }
+    this.failures = 0;
+    await repository.markReported(report);
+    await repository.removeOld(window - KEPT_COUNTS, window - KEPT_REPORTS);
+    return true;
+  }
+
+  private async noteFailure(): Promise<void> {
+    this.failures += 1;
+    if (this.failures < MAX_FAILURES) {
+      await sleep(RETRY_MS);
+      return;
+    }
+    this.failures = 0;
+    this.restsUntilMs = monotonicMs() + REST_MS;
+    await this.services.lease.resign();
+  }
+
+  private reportDecision(report: StoredReport, sources: number, missing: number | undefined): void {
+    const { windows, logger } = this.services;
+    logger.record({
+      event: 'usage-decided',
+      window: report.window,
+      requests: total(report.counts),
+      tenants: Object.keys(report.counts).length,
+      sources,
+      missingNodes: missing ?? -1,
+      decidedBy: report.decidedBy,
+      sinceEndMs: Math.round(windows.sinceEndMs(report.window)),
+    });
+  }
+
+  private reportSending(report: StoredReport, outcome: string, fencingToken: number, tookMs: number): void {
+    const { windows, logger, metrics } = this.services;
+    const sinceEndMs = Math.round(windows.sinceEndMs(report.window));
+    metrics.usageReports.inc({ outcome: outcome.startsWith('unanswered') ? 'unanswered' : outcome });
+    logger.record({
+      event: 'usage-reported',
+      window: report.window,
+      fencingToken,
+      outcome,
+      sinceEndMs,
+      tookMs: Math.round(tookMs),
+    });
+  }
+}
+
+/** Nodes that have not closed the window; `undefined` when the nodes are not known. */
+function missingNodes(
+  counts: readonly StoredCount[],
+  nodes: readonly string[] | undefined,
+): number | undefined {
+  const closed = new Set(counts.filter(({ isClosed }) => isClosed).map(({ node }) => node));
+  return nodes?.filter((node) => !closed.has(node)).length;
+}
+
+/** Counts of all processes together, tenants in the order of their names. */
+function sum(all: readonly StoredCount[]): TenantCounts {
+  const totals = new Map<string, number>();
+  for (const { counts } of all)
+    for (const [tenant, count] of Object.entries(counts))
+      totals.set(tenant, (totals.get(tenant) ?? 0) + count);
+  return Object.fromEntries([...totals].sort(([left], [right]) => (left < right ? -1 : 1)));
+}
+
+function total(counts: TenantCounts): number {
+  return Object.values(counts).reduce((all, count) => all + count, 0);
+}
--- /dev/null
+++ b/src/coordination/usage/usage-writer.ts
@@ -0,0 +1,128 @@
+/**
+ * Writes what this process counts into the store: at once after a request was sent, but no more often than the store bears
+ * of all nodes together, and once more when a window is over. A node whose counts of a window are closed has nothing to add
+ * to it, so that the report need not wait for longer.
+ */
+import { type Clock, SYSTEM_CLOCK } from '../../common/clock.js';
+import type { UsageRepository, UsageSource } from '../../state/usage/index.js';
+import type { UsageCounter } from './usage-counter.js';
+import type { UsageWindows } from './usage-window.js';
+
+/** Least time between two writes of a node for each node of the fleet: 200 writes a second of all together, milliseconds. */
+const SPACING_PER_NODE_MS = 5;
+/** A window is closed this long after its end, so that requests sent at its end are in, milliseconds. */
+const CLOSE_DELAY_MS = 150;
+/** Windows before the current one that a new process closes for the one that ran here before. */
+const CLOSED_AT_START = 2;
+/** Windows after which what was counted is no longer asked for. */
+const REMEMBERED_WINDOWS = 12;
+
+/** What the store has of a window. */
+interface WrittenWindow {
+  version: number;
+  /** State of the counter that was written. */
+  changes: number;
+  isClosed: boolean;
+}
+
+const UNWRITTEN: WrittenWindow = { version: 0, changes: 0, isClosed: false };
+
+/** The writer of one process. */
+export class UsageWriter {
+  private readonly written = new Map<number, WrittenWindow>();
+  /** The last window that is closed. */
+  private closedUpTo: number;
+  private wroteAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly repository: UsageRepository,
+    private readonly source: UsageSource,
+    private readonly counter: UsageCounter,
+    private readonly windows: UsageWindows,
+    private readonly fleetSize: () => number,
+    private readonly clock: Clock = SYSTEM_CLOCK,
+  ) {
+    this.closedUpTo = windows.current - CLOSED_AT_START - 1;
+  }
+
+  /** Writes until `signal` is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const window = this.nextWindow();
+      if (window === undefined) await this.untilChange(signal);
+      else await this.writeSpaced(window, signal);
+    }
+  }
+
+  /** Writes what is not written yet, without pauses. Resolves when all of it is in the store, or at the abort. */
+  async flush(signal: AbortSignal): Promise<void> {
+    for (let window = this.changedWindow(); window !== undefined; window = this.changedWindow()) {
+      if (signal.aborted) return;
+      await this.write(window, signal);
+    }
+  }
+
+  private get spacingMs(): number {
+    return this.fleetSize() * SPACING_PER_NODE_MS;
+  }
+
+  /** A window that must be written: one whose counts have changed, or one that must be closed. */
+  private nextWindow(): number | undefined {
+    const changed = this.changedWindow();
+    if (changed !== undefined) return changed;
+    const next = this.closedUpTo + 1;
+    return this.isOver(next) ? next : undefined;
+  }
+
+  private changedWindow(): number | undefined {
+    return this.counter.counted.find(
+      (window) => this.counter.snapshot(window).changes !== (this.written.get(window) ?? UNWRITTEN).changes,
+    );
+  }
+
+  private isOver(window: number): boolean {
+    return this.windows.sinceEndMs(window) >= CLOSE_DELAY_MS;
+  }
+
+  private async untilChange(signal: AbortSignal): Promise<void> {
+    const toCloseMs = CLOSE_DELAY_MS - this.windows.sinceEndMs(this.closedUpTo + 1);
+    const spreadMs = this.clock.random() * this.spacingMs;
+    await this.counter.changed.waitAtMost(Math.max(1, toCloseMs) + spreadMs, signal, this.clock);
+  }
+
+  private async writeSpaced(window: number, signal: AbortSignal): Promise<void> {
+    const pauseMs = this.wroteAtMs + this.spacingMs - this.clock.now();
+    if (pauseMs > 0) await this.clock.sleep(pauseMs, signal);
+    if (!signal.aborted) await this.write(window, signal);
+  }
+
+  private async write(window: number, signal: AbortSignal): Promise<void> {
+    const before = this.written.get(window) ?? UNWRITTEN;
+    const { counts, changes } = this.counter.snapshot(window);
+    const isClosed = before.isClosed || this.isOver(window);
+    const saved = await this.repository.saveCounts(
+      window,
+      this.source,
+      { counts, isClosed },
+      before.version,
+      signal,
+    );
+    this.wroteAtMs = this.clock.now();
+    if (saved.isErr() && saved.error.failure !== 'conflict') return;
+    // A conflict means that the window is reported and cleared: nothing can be added to it.
+    const version = saved.isOk() ? saved.value : before.version;
+    this.written.set(window, { version, changes, isClosed });
+    this.forgetOld();
+    while (this.written.get(this.closedUpTo + 1)?.isClosed) this.closedUpTo += 1;
+  }
+
+  private forgetOld(): void {
+    const oldest = this.windows.current - REMEMBERED_WINDOWS;
+    this.closedUpTo = Math.max(this.closedUpTo, oldest);
+    for (const window of this.written.keys()) {
+      if (window >= oldest) continue;
+      this.written.delete(window);
+      this.counter.forget(window);
+    }
+  }
+}
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -15,16 +15,20 @@
   type AnnouncementFormat,
   OperatorAnnouncements,
   PeerAddresses,
+  PeerConfiguration,
   ReplicaAnnouncements,
   SessionMonitor,
 } from '../coordination/membership/index.js';
 import { ReplicaExchange, ServiceRelay } from '../coordination/requests/index.js';
 import { Placement, SampleLengths, SampleScorer } from '../coordination/samples/index.js';
+import { UsageAccounting } from '../coordination/usage/index.js';
 import { WeightOrders } from '../coordination/weights/index.js';
+import type { PeerConfigurationAnswer } from '../protocol/configuration-peer.js';
 import type { JobPeer } from '../protocol/job-calls.js';
 import type { RecordStore } from '../protocol/record-store.js';
 import type { ReplicaClient } from '../protocol/replica.js';
-import type { ServiceSettings } from '../protocol/service-settings.js';
+import type { ServiceSettings, UsageSettings } from '../protocol/service-settings.js';
+import type { UsageSink } from '../protocol/usage.js';
 import { RoutingTable, TargetSplitter } from '../state/configuration/index.js';
 import type { JobOwner } from '../state/jobs/index.js';
 import { JobRepository } from '../state/jobs/index.js';
@@ -33,6 +37,10 @@
 
 /** Duty of giving orders to model replicas. */
 const ORDERS_DUTY = 'weight-orders';
+/** Duty of reporting usage. */
+const USAGE_DUTY = 'usage';
+/** Longest effort at the end to keep what was counted, milliseconds. */
+const FLUSH_MS = 1_500;
 /** Part of the memory that listed results may take. */
 const RESULT_CACHE_FRACTION = 0.05;
 /** Part of the time until the process is killed in which owned jobs may still finish here. */
@@ -59,6 +67,10 @@
   readonly peer: JobPeer;
   readonly format: AnnouncementFormat;
   readonly parseSubmission: SubmissionParser;
+  /** Makes the client of whoever takes reports of usage, where there is one. */
+  readonly createUsageSink: (settings: UsageSettings) => UsageSink;
+  /** Asks another node for a configuration newer than a version. */
+  readonly askForConfiguration: (address: string, version: number) => Promise<PeerConfigurationAnswer>;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
@@ -85,6 +97,10 @@
   private readonly peers: PeerAddresses;
   private readonly orderLease: DutyLease;
   private readonly orders: WeightOrders;
+  private readonly operators: OperatorAnnouncements;
+  private readonly peerConfiguration: PeerConfiguration;
+  /** `undefined` where no usage is reported. */
+  private readonly usage: UsageAccounting | undefined;
   private readonly feeds: readonly RecordFeed<unknown>[];
   private readonly controller = new AbortController();
   private isDraining = false;
@@ -99,11 +115,17 @@
     const exchange = new ReplicaExchange(client, metrics, logger);
     const repository = new JobRepository(store);
     const cache = new ResultCache(settings.memoryBytes * RESULT_CACHE_FRACTION);
-    this.relay = new ServiceRelay(this.directory, splitter, exchange, settings.zone);
+    this.relay = new ServiceRelay(
+      this.directory,
+      splitter,
+      exchange,
+      settings.zone,
+      (tenant) => this.usage?.counter.begin(tenant) ?? (() => {}),
+    );
     this.sessions = new SessionMonitor(store, self, {
-      isHolder: () => this.ownership.isWarm || this.orderLease.isHeld,
-      mustWatch: () => this.ownership.hasForeignJobs || this.hasModels,
-      holders: () => [...this.ownership.owners, ...(this.orderLease.holder ? [this.orderLease.holder] : [])],
+      isHolder: () => this.ownership.isWarm || this.leases.some((lease) => lease.isHeld),
+      mustWatch: () => this.ownership.hasForeignJobs || this.hasModels || this.usage !== undefined,
+      holders: () => [...this.ownership.owners, ...this.leases.flatMap((lease) => lease.holder ?? [])],
       fleetSize: () => this.peers.fleetSize,
     });
     this.placement = new Placement(this.directory, settings.zone);
@@ -146,6 +168,8 @@
     const apartMs = () => parts.settings().leaseMs;
     this.orderLease = new DutyLease(store, ORDERS_DUTY, self, this.sessions, apartMs, logger);
     this.sessions.onPoll((records) => this.orderLease.observe(records, this.hasModels && !this.isDraining));
+    this.usage = settings.usage && this.createUsage(settings.usage, self, apartMs);
+    this.sessions.onPoll((records) => this.usage?.observe(records, !this.isDraining));
     this.orders = new WeightOrders({
       routing: this.routing,
       directory: this.directory,
@@ -157,21 +181,34 @@
       metrics,
       logger,
     });
-    const operators = new OperatorAnnouncements(store, format, this.routing, this.versions, metrics, logger);
+    this.operators = new OperatorAnnouncements(store, format, this.routing, this.versions, metrics, logger);
+    this.peerConfiguration = new PeerConfiguration({
+      isStoreInReach: () => store.isInReach(),
+      peers: (count) => this.peers.likeliestPeers(count),
+      version: () => this.routing.current?.version ?? 0,
+      ask: parts.askForConfiguration,
+      take: (value) => this.operators.takeConfiguration(value),
+      logger,
+    });
     const replicas = new ReplicaAnnouncements(store, format, this.directory, logger);
     const observer = feedObserver(logger);
     const pause = (signal: AbortSignal) => this.pauseBetweenChanges(signal);
     this.feeds = [
-      new RecordFeed(store, operators, observer, pause),
+      new RecordFeed(store, this.operators, observer, pause),
       new RecordFeed(store, replicas, observer, pause),
       new RecordFeed(store, this.ownership, observer, pause),
     ] as RecordFeed<unknown>[];
   }
 
-  /** Begins to follow the store, to run jobs and to give orders. Other nodes find this one at `address`, `IP:PORT`. */
-  start(address: string): void {
+  /**
+   * Begins to follow the store, to run jobs and to do duties. Others find this node at these addresses (`IP:PORT`): callers
+   * at the first one, nodes at `peerAddress`, if it answers them.
+   */
+  start(address: string, peerAddress?: string): void {
     const { signal } = this.controller;
-    void this.peers.run(address, signal);
+    void this.peers.run(address, signal, peerAddress);
+    void this.peerConfiguration.run(signal);
+    void this.usage?.run(signal);
     for (const feed of this.feeds) void feed.run(signal);
     void this.sessions.run(signal);
     void this.orders.run(signal);
@@ -186,6 +223,22 @@
     return !this.isDraining && isInformed && this.parts.store.isInReach();
   }
 
+  /**
+   * Whether a change of the configuration would be known here: a node that the store does not serve cannot tell a key or a
+   * route that is not there from one that it has not heard of.
+   */
+  get isConfigurationCertain(): boolean {
+    return this.parts.store.isInReach() || this.peerConfiguration.isConfirmed;
+  }
+
+  /** What another node is told that asks for a configuration newer than `version`. */
+  configurationFor(version: number): PeerConfigurationAnswer {
+    const { configuration } = this.operators;
+    if (!configuration || !this.parts.store.isInReach()) return { kind: 'unavailable' };
+    const isNewer = (this.routing.current?.version ?? 0) > version;
+    return isNewer ? { kind: 'newer', value: configuration } : { kind: 'same' };
+  }
+
   /** Whether the node is on its way out. */
   get isLeaving(): boolean {
     return this.isDraining;
@@ -207,7 +260,8 @@
     metrics.items.set({ state: 'open' }, this.ownership.openItems);
     metrics.items.set({ state: 'waiting' }, this.placement.waitingCount);
     metrics.oldestJobSeconds.set({}, this.ownership.oldestAgeMs / MILLISECONDS_PER_SECOND);
-    metrics.dutiesHeld.set({}, this.orderLease.isHeld ? 1 : 0);
+    metrics.dutiesHeld.set({}, this.leases.filter((lease) => lease.isHeld).length);
+    this.usage?.measure();
     for (const feed of this.feeds)
       metrics.feedAge.set({ table: feed.table }, feed.ageMs / MILLISECONDS_PER_SECOND);
   }
@@ -224,14 +278,43 @@
     const startedAt = monotonicMs();
     const { stopGraceMs } = this.parts.settings();
     this.ownership.stopClaiming();
-    await Promise.all([this.sessions.announceLeaving(), this.orderLease.resign()]);
+    await Promise.all([this.sessions.announceLeaving(), ...this.leases.map((lease) => lease.resign())]);
     await this.waitUntil(() => this.ownership.ownedCount === 0, startedAt + stopGraceMs * FINISH_FRACTION);
     await this.ownership.handOver();
     await this.waitUntil(() => monotonicMs() > startedAt + MOVE_AWAY_MS, startedAt + MOVE_AWAY_MS + 1);
     await this.waitUntil(() => this.openRequests === 0, startedAt + stopGraceMs * END_FRACTION);
+    await this.leaveRecords();
     this.controller.abort();
   }
 
+  /** What must not be lost with this process is written; the fleet no longer counts on this node. */
+  private async leaveRecords(): Promise<void> {
+    const signal = AbortSignal.timeout(FLUSH_MS);
+    await Promise.race([
+      Promise.all([this.usage?.flush(signal), this.peers.withdraw()]),
+      sleep(FLUSH_MS, this.controller.signal),
+    ]);
+  }
+
+  private createUsage(usageSettings: UsageSettings, self: JobOwner, apartMs: () => number): UsageAccounting {
+    const { store, metrics, logger, createUsageSink } = this.parts;
+    return new UsageAccounting({
+      settings: usageSettings,
+      sink: createUsageSink(usageSettings),
+      store,
+      peers: this.peers,
+      lease: new DutyLease(store, USAGE_DUTY, self, this.sessions, apartMs, logger),
+      self,
+      metrics,
+      logger,
+    });
+  }
+
+  /** Leases of all duties that this node may hold. */
+  private get leases(): DutyLease[] {
+    return [this.orderLease, ...(this.usage ? [this.usage.lease] : [])];
+  }
+
   private get hasModels(): boolean {
     return this.routing.current?.configuration.services.some((service) => service.models.length > 0) ?? false;
   }
--- a/src/node/service-process.ts
+++ b/src/node/service-process.ts
@@ -3,6 +3,7 @@
 import { monotonicMs } from '../common/clock.js';
 import type { StandardOutputLogger } from '../common/decision-logger.js';
 import type { ServiceMetrics } from '../common/service-metrics.js';
+import { CONFIGURATION_PATH, NEWER_THAN } from '../protocol/configuration-peer.js';
 import type { ServiceSettings } from '../protocol/service-settings.js';
 import { HttpServer, sendJson } from '../transport/http-server.js';
 import type { ServiceNode } from './service-node.js';
@@ -45,6 +46,8 @@
 export class ServiceProcess {
   private readonly callers: HttpServer;
   private readonly readiness: HttpServer;
+  /** Answers other nodes. */
+  private readonly peers: HttpServer;
   private lastPulseMs = monotonicMs();
 
   constructor(private readonly parts: ServiceProcessParts) {
@@ -62,6 +65,13 @@
       notFound: async (_, response) => sendJson(response, 404, {}),
     });
     this.readiness.route('GET', parts.readyPath, async (_, response) => this.answerReady(response));
+    this.peers = new HttpServer({
+      ...fallbacks,
+      notFound: async (_, response) => sendJson(response, 404, {}),
+    });
+    this.peers.route('GET', CONFIGURATION_PATH, async (request, response) =>
+      this.answerPeer(request, response),
+    );
   }
 
   /** Listens and serves until a signal ends the process. */
@@ -71,7 +81,8 @@
     const { ingress, readiness } = this.parts.settings();
     const readinessPort = await this.readiness.listen(readiness.host, readiness.port);
     const ingressPort = await this.callers.listen(ingress.host, ingress.port);
-    node.start(`${ingress.host}:${ingressPort}`);
+    const peerPort = await this.peers.listen(ingress.host, this.parts.settings().peerPort);
+    node.start(`${ingress.host}:${ingressPort}`, `${ingress.host}:${peerPort}`);
     const metrics = metricsPort === undefined ? 0 : await this.serveMetrics(ingress.host, metricsPort);
     setInterval(() => this.pulse(), PULSE_MS).unref();
     logger.record({
@@ -88,6 +99,18 @@
     return node.track(() => serve(request, response));
   }
 
+  /** Another node asks for a newer configuration. */
+  private answerPeer(request: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(
+      (request as { originalUrl?: string }).originalUrl ?? request.url ?? '/',
+      'http://peer',
+    );
+    const version = Number(url.searchParams.get(NEWER_THAN) ?? 0);
+    const answer = this.parts.node.configurationFor(Number.isFinite(version) ? version : 0);
+    if (answer.kind === 'newer') response.writeHead(200).end(answer.value);
+    else response.writeHead(answer.kind === 'same' ? 204 : 503).end();
+  }
+
   private answerReady(response: ServerResponse): void {
     const { isReady } = this.parts.node;
     sendJson(response, isReady ? 200 : 503, { ready: isReady });
--- a/src/protocol/job-calls.ts
+++ b/src/protocol/job-calls.ts
@@ -1,6 +1,16 @@
 /** Calls of submitters about batch jobs and their outcomes, as nodes take them and pass them on to each other. */
 import type { JobSpecification } from './batch-job.js';
 
+/** Who makes a call about jobs. */
+export interface JobCaller {
+  /** Tenant of the key that the caller shows; `undefined` without one, or where callers are not told apart. */
+  readonly tenant: string | undefined;
+  /** What the caller shows as proof, for another node to check by itself. */
+  readonly credential: string | undefined;
+  /** Whether another node passes the call on: then it is carried out here or not at all. */
+  readonly isForwarded: boolean;
+}
+
 /** A job to submit. */
 export interface JobSubmission {
   readonly jobId: string;
@@ -10,8 +20,14 @@
   readonly specification: JobSpecification;
 }
 
-/** What became of a submission: `not-accepted` promises that nothing of it runs. */
-export type SubmissionOutcome = 'accepted' | 'not-accepted' | 'unknown';
+/**
+ * What became of a submission: `not-accepted` promises that nothing of it runs; so does `foreign`, where the identifier is
+ * another tenant's.
+ */
+export type SubmissionOutcome = 'accepted' | 'not-accepted' | 'foreign' | 'unknown';
+
+/** What became of the end of a job. */
+export type EndOutcome = 'ended' | 'not-found' | 'unavailable';
 
 /** What a reader gets. */
 export type ReadOutcome =
@@ -33,10 +49,18 @@
 
 /** Asks another node, at `IP:PORT`, in the place of a caller. That node answers by itself and passes nothing on. */
 export interface JobPeer {
-  submit(address: string, submission: JobSubmission): Promise<SubmissionOutcome>;
+  submit(
+    address: string,
+    submission: JobSubmission,
+    credential: string | undefined,
+  ): Promise<SubmissionOutcome>;
   /** Does not wait for results. */
-  read(address: string, jobId: string, position: number): Promise<ReadOutcome>;
-  item(address: string, jobId: string, itemId: string): Promise<ItemOutcome>;
-  /** Resolves to whether the job is certainly ended. */
-  end(address: string, jobId: string): Promise<boolean>;
+  read(
+    address: string,
+    jobId: string,
+    position: number,
+    credential: string | undefined,
+  ): Promise<ReadOutcome>;
+  item(address: string, jobId: string, itemId: string, credential: string | undefined): Promise<ItemOutcome>;
+  end(address: string, jobId: string, credential: string | undefined): Promise<EndOutcome>;
 }
--- a/src/protocol/replica.ts
+++ b/src/protocol/replica.ts
@@ -28,6 +28,8 @@
   readonly body: Buffer;
   /** Time that the replica may work on it, milliseconds. */
   readonly deadlineMs: number;
+  /** Tenant on whose behalf it runs; none where callers are not told apart. */
+  readonly tenant?: string;
   /** Number of the last event that the caller has; the replica goes on after it. */
   readonly lastEventId?: string;
   /** Weight version that the replica must have. */
--- a/src/protocol/routing-configuration.ts
+++ b/src/protocol/routing-configuration.ts
@@ -42,6 +42,17 @@
   readonly maxQueueMs: number;
   /** Whether all events of a sample must come from one weight version. */
   readonly isSingleVersion: boolean;
+  /** Whether callers need no key, also where the configuration has tenants. */
+  readonly isPublic: boolean;
+}
+
+/** Someone on whose behalf callers send requests. */
+export interface Tenant {
+  readonly name: string;
+  /** Keys by which callers prove that they belong to the tenant; each configuration may add and take away keys. */
+  readonly apiKeys: readonly string[];
+  /** Rank of the tenant's requests, 0 is the highest; `undefined` leaves it to the route. */
+  readonly priority: number | undefined;
 }
 
 /** A service: replicas that are alike. */
@@ -69,4 +80,6 @@
   readonly routes: readonly Route[];
   readonly services: readonly ServiceDefinition[];
   readonly limits: CallerLimits;
+  /** Tenants; `undefined` where callers are not told apart. */
+  readonly tenants: readonly Tenant[] | undefined;
 }
--- a/src/protocol/service-settings.ts
+++ b/src/protocol/service-settings.ts
@@ -6,6 +6,16 @@
   readonly port: number;
 }
 
+/** How usage of tenants is reported. */
+export interface UsageSettings {
+  /** `IP:PORT` of whoever takes the reports. */
+  readonly address: string;
+  /** Length of a window. */
+  readonly windowMs: number;
+  /** Time after the end of a window at which its report is due. */
+  readonly dueMs: number;
+}
+
 /** Checked settings. */
 export interface ServiceSettings {
   readonly nodeName: string;
@@ -14,6 +24,8 @@
   readonly zoneRegions: ReadonlyMap<string, string>;
   readonly ingress: ListenAddress;
   readonly readiness: ListenAddress;
+  /** Port at which other nodes of the fleet are answered, at the host of `ingress`; 0 takes a free one. */
+  readonly peerPort: number;
   /** `IP:PORT` of the store. */
   readonly storeAddress: string;
   readonly recordBytes: number;
@@ -24,6 +36,8 @@
   readonly leaseMs: number;
   /** How long results stay readable after a job was submitted. */
   readonly resultRetentionMs: number;
+  /** `undefined` where no usage is reported. */
+  readonly usage: UsageSettings | undefined;
   /** Memory that the process may use, bytes. */
   readonly memoryBytes: number;
 }
--- a/src/state/configuration/routing-table.ts
+++ b/src/state/configuration/routing-table.ts
@@ -5,16 +5,33 @@
   Route,
   RouteTarget,
   RoutingConfiguration,
+  Tenant,
 } from '../../protocol/routing-configuration.js';
+import { TenantDirectory } from './tenant-directory.js';
+
+/** Whether a caller may send a request. */
+export type Access =
+  /** `tenant` is `undefined` where callers are not told apart. */
+  | { readonly kind: 'granted'; readonly tenant: Tenant | undefined }
+  | { readonly kind: 'denied'; readonly reason: string };
+
+const DENIED_NO_KEY: Access = { kind: 'denied', reason: 'a key is needed' };
+const DENIED_UNKNOWN_KEY: Access = { kind: 'denied', reason: 'the key is not known' };
 
 /** One configuration with its index. A request keeps the one that it began with. */
 export class RoutingSnapshot {
   private readonly routesByHost = new Map<string, Map<string, Route>>();
   private readonly modelServices = new Map<string, string[]>();
   private readonly engineSlots = new Map<string, number>();
+  private readonly tenants: TenantDirectory | undefined;
+  private readonly publicJobHosts = new Set<string>();
 
   constructor(readonly configuration: RoutingConfiguration) {
-    for (const route of configuration.routes) this.prefixesOf(route.host).set(route.pathPrefix, route);
+    for (const route of configuration.routes) {
+      this.prefixesOf(route.host).set(route.pathPrefix, route);
+      if (route.kind === 'rollout' && route.isPublic) this.publicJobHosts.add(route.host);
+    }
+    this.tenants = configuration.tenants && new TenantDirectory(configuration.tenants);
     for (const service of configuration.services) {
       this.engineSlots.set(service.name, service.engineSlots);
       for (const model of service.models)
@@ -44,6 +61,21 @@
     return undefined;
   }
 
+  /** Whether callers are told apart by keys. */
+  get hasTenants(): boolean {
+    return this.tenants !== undefined;
+  }
+
+  /** Whether a caller that shows this `Authorization` header may send requests of `route`, and for whom. */
+  accessTo(route: Route, authorization: string | undefined): Access {
+    return this.access(route.isPublic, authorization);
+  }
+
+  /** Whether a caller may ask about jobs submitted under `host`; whether one job is the caller's is another question. */
+  accessToJobs(host: string, authorization: string | undefined): Access {
+    return this.access(this.publicJobHosts.has(hostName(host)), authorization);
+  }
+
   /** Services whose engines run `model`. */
   servicesOfModel(model: string): readonly string[] {
     return this.modelServices.get(model) ?? [];
@@ -54,6 +86,14 @@
     return this.engineSlots.get(replica.service) || replica.slots;
   }
 
+  private access(isPublic: boolean, authorization: string | undefined): Access {
+    if (!this.tenants) return { kind: 'granted', tenant: undefined };
+    const identity = this.tenants.identify(authorization);
+    if (identity.kind === 'tenant') return { kind: 'granted', tenant: identity.tenant };
+    if (isPublic) return { kind: 'granted', tenant: undefined };
+    return identity.kind === 'anonymous' ? DENIED_NO_KEY : DENIED_UNKNOWN_KEY;
+  }
+
   private prefixesOf(host: string): Map<string, Route> {
     const existing = this.routesByHost.get(host);
     if (existing) return existing;
--- /dev/null
+++ b/src/state/configuration/tenant-directory.ts
@@ -0,0 +1,48 @@
+/** Tenants by their API keys, as one configuration has them. */
+import { createHash } from 'node:crypto';
+import type { Tenant } from '../../protocol/routing-configuration.js';
+
+/** Who a caller is, by what it shows. */
+export type CallerIdentity =
+  | { readonly kind: 'tenant'; readonly tenant: Tenant }
+  /** Shows nothing. */
+  | { readonly kind: 'anonymous' }
+  /** Shows a key that no tenant has, or something that is no key. */
+  | { readonly kind: 'unknown' };
+
+const ANONYMOUS: CallerIdentity = { kind: 'anonymous' };
+const UNKNOWN: CallerIdentity = { kind: 'unknown' };
+/** RFC 6750: the scheme in any case, blanks, and the token. */
+const BEARER = /^bearer +(\S+)$/i;
+/** Hexadecimal digits of a key's hash that stand for it in logs. */
+const FINGERPRINT_DIGITS = 8;
+
+/** The key in an `Authorization` header; `undefined` when it holds none. */
+function keyOf(authorization: string): string | undefined {
+  return BEARER.exec(authorization.trim())?.[1];
+}
+
+/** Stands for what a caller shows in log lines, where no key may appear; `none` when it shows nothing. */
+export function fingerprintOf(authorization: string | undefined): string {
+  if (authorization === undefined) return 'none';
+  const shown = keyOf(authorization) ?? authorization;
+  return createHash('sha256').update(shown).digest('hex').slice(0, FINGERPRINT_DIGITS);
+}
+
+/** The tenants of one configuration. A key that stands with several tenants belongs to the first. */
+export class TenantDirectory {
+  private readonly byKey = new Map<string, Tenant>();
+
+  constructor(tenants: readonly Tenant[]) {
+    for (const tenant of tenants)
+      for (const key of tenant.apiKeys) if (!this.byKey.has(key)) this.byKey.set(key, tenant);
+  }
+
+  /** Who shows this `Authorization` header. */
+  identify(authorization: string | undefined): CallerIdentity {
+    if (authorization === undefined) return ANONYMOUS;
+    const key = keyOf(authorization);
+    const tenant = key === undefined ? undefined : this.byKey.get(key);
+    return tenant ? { kind: 'tenant', tenant } : UNKNOWN;
+  }
+}
--- a/src/state/jobs/index.ts
+++ b/src/state/jobs/index.ts
@@ -1,2 +1,2 @@
-export { JOB_TABLE, type JobHead, type JobOwner } from './job-record.js';
+export { belongsTo, JOB_TABLE, type JobHead, type JobOwner } from './job-record.js';
 export { JobRepository, toJobHead } from './job-repository.js';
--- a/src/state/jobs/job-contents.ts
+++ b/src/state/jobs/job-contents.ts
@@ -7,7 +7,7 @@
 import type { PartialText } from '../../protocol/batch-job.js';
 import type { RecordStore, RecordWrite, StoredRecord } from '../../protocol/record-store.js';
 import { StateError } from '../state-error.js';
-import { settle } from '../store/index.js';
+import { readRange, settle } from '../store/index.js';
 import {
   headAddress,
   type JobHead,
@@ -220,28 +220,6 @@
   }
 }
 
-/** Records of a range, read page by page; the version is that of the first page. */
-export async function readRange(
-  store: RecordStore,
-  table: string,
-  partition: string,
-  from?: string,
-  until?: string,
-): Promise<Result<{ records: StoredRecord[]; version: number }, StateError>> {
-  const records: StoredRecord[] = [];
-  let version = Number.POSITIVE_INFINITY;
-  let next = from;
-  for (;;) {
-    const page = await store.scan({ table, partition, from: next, until });
-    if (page.isErr()) return err(new StateError('unavailable', 'none', page.error.message));
-    records.push(...page.value.records);
-    version = Math.min(version, page.value.version);
-    const last = records.at(-1);
-    if (!page.value.hasMore || !last) return ok({ records, version });
-    next = `${last.key}\0`;
-  }
-}
-
 /** Joins the chunks of results; stops before the first position that is not whole. */
 function assembleResults(records: readonly StoredRecord[], firstPosition: number): string[] {
   const results: string[] = [];
--- a/src/state/jobs/job-record.ts
+++ b/src/state/jobs/job-record.ts
@@ -28,6 +28,8 @@
   readonly epoch: number;
   readonly host: string;
   readonly path: string;
+  /** Tenant that the job belongs to; absent where callers are not told apart. */
+  readonly tenant?: string;
   readonly model: string;
   /** Tokens that all items may take, prompts and outputs. */
   readonly tokens: number;
@@ -48,6 +50,11 @@
   readonly version: number;
 }
 
+/** Whether a caller of `tenant` may know of the job: others never learn that it exists. */
+export function belongsTo({ record }: JobHead, tenant: string | undefined): boolean {
+  return record.tenant === undefined || record.tenant === tenant;
+}
+
 /** All partitions that jobs lie in. */
 export const JOB_PARTITIONS: readonly string[] = Array.from(
   { length: PARTITION_COUNT },
--- a/src/state/jobs/job-repository.ts
+++ b/src/state/jobs/job-repository.ts
@@ -6,9 +6,10 @@
 import { monotonicMs } from '../../common/clock.js';
 import type { RecordStore, RecordWrite, StoredRecord } from '../../protocol/record-store.js';
 import { StateError } from '../state-error.js';
-import { ConflictError, settle } from '../store/index.js';
-import { JobContents, readRange } from './job-contents.js';
+import { ConflictError, readRange, settle } from '../store/index.js';
+import { JobContents } from './job-contents.js';
 import {
+  belongsTo,
   headAddress,
   JOB_PARTITIONS,
   JOB_TABLE,
@@ -62,6 +63,7 @@
       epoch: FIRST_EPOCH,
       host: job.host,
       path: job.path,
+      tenant: job.tenant,
       model: job.model,
       tokens: job.tokens,
       total: job.total,
@@ -107,20 +109,25 @@
   }
 
   /**
-   * Ends a job. One that is not known is marked as ended all the same: a submission of it may still be under way
-   * without an answer.
+   * Ends a job of `tenant`; `undefined` when it is another's. One that is not known is marked as ended all the same: a
+   * submission of it may still be under way without an answer.
    */
-  async end(jobId: string, deadlineMs: number): Promise<Result<JobHead, StateError>> {
+  async end(
+    jobId: string,
+    tenant: string | undefined,
+    deadlineMs: number,
+  ): Promise<Result<JobHead | undefined, StateError>> {
     for (;;) {
       const found = await this.read(jobId);
       if (found.isErr()) {
         if (monotonicMs() > deadlineMs) return err(found.error);
         continue;
       }
+      if (found.value && !belongsTo(found.value, tenant)) return ok(undefined);
       if (found.value?.record.state === 'ended') return ok(found.value);
       const ended = found.value
         ? await this.replaceHead(found.value, { ...found.value.record, state: 'ended' }, deadlineMs)
-        : await this.insertEnded(jobId, deadlineMs);
+        : await this.insertEnded(jobId, tenant, deadlineMs);
       if (ended.isOk() || ended.error.failure !== 'conflict') return ended;
     }
   }
@@ -154,6 +161,8 @@
     const existing = outcome.error.current.find((row) => row.key === jobId);
     const head = existing && toJobHead(existing);
     if (!head) return err(new StateError('unavailable', 'unknown', 'the job changed while it was accepted'));
+    if (!belongsTo(head, record.tenant))
+      return err(new StateError('invalid', 'none', 'the identifier is that of another tenant'));
     if (head.record.total > 0 || record.total === 0) return ok({ head, isNew: false });
     return this.completeEnded(head, record, writes, deadlineMs);
   }
@@ -180,13 +189,18 @@
     return outcome.map((version) => ({ head: { jobId: head.jobId, record: ended, version }, isNew: false }));
   }
 
-  private async insertEnded(jobId: string, deadlineMs: number): Promise<Result<JobHead, StateError>> {
+  private async insertEnded(
+    jobId: string,
+    tenant: string | undefined,
+    deadlineMs: number,
+  ): Promise<Result<JobHead, StateError>> {
     const record: JobRecord = {
       state: 'ended',
       owner: null,
       epoch: 0,
       host: '',
       path: '',
+      tenant,
       model: '',
       tokens: 0,
       total: 0,
--- a/src/state/store/index.ts
+++ b/src/state/store/index.ts
@@ -1,4 +1,5 @@
 export { InstrumentedStore } from './instrumented-store.js';
+export { readRange } from './read-range.js';
 export {
   CONFIGURATION_TABLE,
   type Row,
--- /dev/null
+++ b/src/state/usage/index.ts
@@ -0,0 +1,2 @@
+export type { StoredCount, StoredReport, UsageSource } from './usage-record.js';
+export { UsageRepository } from './usage-repository.js';
--- /dev/null
+++ b/src/state/usage/usage-record.ts
@@ -0,0 +1,65 @@
+/** Records of usage: what each process has counted in a window, and what was decided to report of it. */
+import type { RecordAddress } from '../../protocol/record-store.js';
+import type { TenantCounts } from '../../protocol/usage.js';
+
+export const COUNT_TABLE = 'usage-counts';
+export const REPORT_TABLE = 'usage-reports';
+
+/** Digits of a window in a key, so that keys sort by window. */
+const WINDOW_DIGITS = 12;
+
+/** Who has counted: one life of one node's process. */
+export interface UsageSource {
+  readonly node: string;
+  readonly life: string;
+}
+
+/** What one process has counted in a window so far. Only that process writes it. */
+export interface CountRecord {
+  readonly counts: TenantCounts;
+  /** Whether the window was over for the process when it wrote this. */
+  readonly isClosed: boolean;
+}
+
+/** What is reported of a window. The counts never change once they are written. */
+export interface ReportRecord {
+  readonly counts: TenantCounts;
+  /** Whether the report was taken. */
+  readonly isReported: boolean;
+  /** Node that decided. */
+  readonly decidedBy: string;
+}
+
+/** A count as read. */
+export interface StoredCount extends CountRecord {
+  readonly node: string;
+}
+
+/** A report as read or written. */
+export interface StoredReport extends ReportRecord {
+  readonly window: number;
+  readonly version: number;
+}
+
+export function countAddress(window: number, { node, life }: UsageSource): RecordAddress {
+  return { table: COUNT_TABLE, partition: '', key: `${windowKey(window)}/${node}/${life}` };
+}
+
+export function reportAddress(window: number): RecordAddress {
+  return { table: REPORT_TABLE, partition: '', key: windowKey(window) };
+}
+
+/** Node in the key of a count. */
+export function nodeOfKey(key: string): string {
+  return key.split('/')[1] ?? '';
+}
+
+/** Window in a key. */
+export function windowOfKey(key: string): number {
+  return Number(key.split('/')[0]);
+}
+
+/** First key of a window, and the end of all keys before it. */
+export function windowKey(window: number): string {
+  return String(window).padStart(WINDOW_DIGITS, '0');
+}
--- /dev/null
+++ b/src/state/usage/usage-repository.ts
@@ -0,0 +1,133 @@
+/**
+ * Usage in the record store. A process overwrites its own counts of a window under the condition that they are as it last
+ * wrote them, so that a write that is carried out late never undoes a newer one. A report is written once and for all before
+ * it is sent, so that every holder of the duty sends the same.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { monotonicMs } from '../../common/clock.js';
+import type { RecordAddress, RecordStore, StoredRecord } from '../../protocol/record-store.js';
+import type { TenantCounts } from '../../protocol/usage.js';
+import type { StateError } from '../state-error.js';
+import { ConflictError, readRange, settle } from '../store/index.js';
+import {
+  COUNT_TABLE,
+  type CountRecord,
+  countAddress,
+  nodeOfKey,
+  REPORT_TABLE,
+  type ReportRecord,
+  reportAddress,
+  type StoredCount,
+  type StoredReport,
+  type UsageSource,
+  windowKey,
+  windowOfKey,
+} from './usage-record.js';
+
+/** Records that one transaction removes at most. */
+const REMOVED_TOGETHER = 90;
+/** Longest effort for one change of a report, milliseconds. */
+const REPORT_EFFORT_MS = 2_000;
+
+/** Access to usage. */
+export class UsageRepository {
+  constructor(private readonly store: RecordStore) {}
+
+  /**
+   * Overwrites what `source` has counted in a window; `version` is that of its last write, 0 before the first. Repeats the
+   * write until its outcome is certain. Resolves to the new version; a conflict means that the window is cleared already.
+   */
+  async saveCounts(
+    window: number,
+    source: UsageSource,
+    record: CountRecord,
+    version: number,
+    signal: AbortSignal,
+  ): Promise<Result<number, StateError>> {
+    return this.replace(countAddress(window, source), record, version, Number.POSITIVE_INFINITY, signal);
+  }
+
+  /** What all processes have counted in a window so far. */
+  async countsOf(window: number): Promise<Result<StoredCount[], StateError>> {
+    const found = await readRange(this.store, COUNT_TABLE, '', windowKey(window), windowKey(window + 1));
+    return found.map(({ records }) =>
+      records.map(({ key, value }) => ({ node: nodeOfKey(key), ...parse<CountRecord>(value) })),
+    );
+  }
+
+  /** All reports that are kept, in the order of their windows. */
+  async reports(): Promise<Result<StoredReport[], StateError>> {
+    const found = await readRange(this.store, REPORT_TABLE, '');
+    return found.map(({ records }) => records.map(toReport));
+  }
+
+  /** Decides what is reported of a window. Resolves to what another node has decided, if one was first. */
+  async decide(
+    window: number,
+    counts: TenantCounts,
+    decidedBy: string,
+  ): Promise<Result<StoredReport, StateError>> {
+    const record: ReportRecord = { counts, isReported: false, decidedBy };
+    const deadlineMs = monotonicMs() + REPORT_EFFORT_MS;
+    const written = await this.replace(reportAddress(window), record, 0, deadlineMs);
+    if (written.isOk()) return ok({ ...record, window, version: written.value });
+    const { error } = written;
+    const [existing] = error instanceof ConflictError ? error.current : [];
+    return existing ? ok(toReport(existing)) : err(error);
+  }
+
+  /** Notes that a report was taken. */
+  async markReported({ window, version, ...record }: StoredReport): Promise<Result<number, StateError>> {
+    const deadlineMs = monotonicMs() + REPORT_EFFORT_MS;
+    return this.replace(reportAddress(window), { ...record, isReported: true }, version, deadlineMs);
+  }
+
+  /** Removes counts of windows before `countsBefore` and reports of windows before `reportsBefore`. */
+  async removeOld(countsBefore: number, reportsBefore: number): Promise<void> {
+    await this.removeRange(COUNT_TABLE, windowKey(countsBefore));
+    await this.removeRange(REPORT_TABLE, windowKey(reportsBefore));
+  }
+
+  private async replace(
+    address: RecordAddress,
+    record: CountRecord | ReportRecord,
+    version: number,
+    deadlineMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<number, StateError>> {
+    const value = Buffer.from(JSON.stringify(record), 'utf8');
+    let appliedVersion = 0;
+    const settled = await settle(
+      this.store,
+      { conditions: [{ ...address, version }], writes: [{ ...address, value }], removals: [] },
+      {
+        deadlineMs,
+        signal,
+        isApplied: (current) => {
+          const own = current.find((row) => row.key === address.key && row.value.equals(value));
+          appliedVersion = own?.version ?? 0;
+          return own !== undefined;
+        },
+      },
+    );
+    return settled.map((written) => written || appliedVersion);
+  }
+
+  private async removeRange(table: string, until: string): Promise<void> {
+    for (let isMore = true; isMore; ) {
+      const page = await this.store.scan({ table, partition: '', until, limit: REMOVED_TOGETHER });
+      if (page.isErr() || page.value.records.length === 0) return;
+      const removals = page.value.records.map(({ key }) => ({ table, partition: '', key }));
+      const removed = await this.store.transact({ conditions: [], writes: [], removals });
+      isMore = page.value.hasMore && removed.isOk();
+    }
+  }
+}
+
+function parse<T>(value: Buffer): T {
+  return JSON.parse(value.toString('utf8')) as T;
+}
+
+function toReport({ key, value, version }: StoredRecord): StoredReport {
+  return { ...parse<ReportRecord>(value), window: windowOfKey(key), version };
+}
--- a/test/bench/soak-checks.test.ts
+++ b/test/bench/soak-checks.test.ts
@@ -27,7 +27,16 @@
 }
 
 function request(id: string, atMs: number): ReceivedRequest {
-  return { id, path: '/', deadlineMs: undefined, lastEventId: undefined, atMs };
+  return {
+    id,
+    path: '/',
+    deadlineMs: undefined,
+    lastEventId: undefined,
+    tenant: undefined,
+    authorization: undefined,
+    beganAtMs: undefined,
+    atMs,
+  };
 }
 
 function order(holder: string, fence: number, atMs: number): ReceivedOrder {
--- a/test/coordination/jobs/item-run.test.ts
+++ b/test/coordination/jobs/item-run.test.ts
@@ -36,9 +36,10 @@
     resultDeadlineMs: 7_500,
     maxQueueMs: 30_000,
     isSingleVersion: false,
+    isPublic: false,
   } as const;
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-  routing.install({ version: 1, routes: [route], services: [], limits });
+  routing.install({ version: 1, routes: [route], services: [], limits, tenants: undefined });
   const controller = new AbortController();
   let asked: PlacementRequest | undefined;
   const placement = {
@@ -53,6 +54,7 @@
     jobId: 'job-1',
     host: 'h',
     path: '/jobs/',
+    tenant: undefined,
     specification: { model: 'm', minVersion: OLDEST_VERSION, desiredGroups: 1, items: [ITEM] },
     acceptedAtMs: performance.now(),
     groupReplicas: new Map(),
--- /dev/null
+++ b/test/coordination/requests/tenants.test.ts
@@ -0,0 +1,174 @@
+/** Tenants and their keys: who may send what, on whose behalf it runs, and that changes of keys reach every node in time. */
+import { expect } from 'chai';
+import type { ReplicaServer } from '../../../emulator/replica/replica-server.js';
+import { HEADER } from '../../../platform/names.js';
+import {
+  HOST,
+  JOB_PATH,
+  MODEL,
+  SCORING_PATH,
+  type ServiceNodeProcess,
+  ServiceSystem,
+  usualConfiguration,
+} from '../../support/service-system.js';
+import { bearing, LARGE, SMALL, tenantConfiguration } from '../../support/tenants.js';
+import { until } from '../../support/wait.js';
+
+const UNAUTHORIZED = 401;
+/** Time within which a change of keys must be in force at every node that other nodes reach, milliseconds. */
+const BOUND_MS = 3_000;
+const JOB = { host: HOST, path: JOB_PATH, model: MODEL, minVersion: 1, groups: 1, groupSize: 2 };
+
+describe('tenants', () => {
+  let system: ServiceSystem;
+  let application: ReplicaServer;
+
+  beforeEach(async () => {
+    system = await ServiceSystem.start();
+    system.configure(tenantConfiguration(2));
+    application = await system.addApplication();
+  });
+
+  afterEach(() => system.stop());
+
+  async function startNode(name: string): Promise<ServiceNodeProcess> {
+    const node = await system.addNode(name);
+    await system.untilReady(node);
+    return node;
+  }
+
+  it('are named to the replica by their key alone, and the key is kept from it and from the log', async () => {
+    const node = await startNode('node-1');
+    const headers = { ...bearing('large-key-2'), [HEADER.tenant]: 'small' };
+    expect((await system.lookup(node, 'request-1', headers))?.status).to.equal(200);
+    expect(application.received).to.have.length(1);
+    expect(application.received[0]?.tenant).to.equal(LARGE.name);
+    expect(application.received[0]?.authorization).to.equal(undefined);
+    expect(JSON.stringify(node.log)).to.not.contain('large-key-2');
+  });
+
+  it('are asked for a key that is known before any replica is chosen, but not on public routes', async () => {
+    const node = await startNode('node-1');
+    expect((await system.lookup(node, 'request-1'))?.status).to.equal(UNAUTHORIZED);
+    const unknown = await system.lookup(node, 'request-2', bearing('nobody-has-this'));
+    expect(unknown?.status).to.equal(UNAUTHORIZED);
+    expect(unknown?.headers['www-authenticate']).to.equal('Bearer');
+    expect((await system.lookup(node, 'request-3', { authorization: 'Basic bGFyZ2U=' }))?.status).to.equal(
+      UNAUTHORIZED,
+    );
+    expect(application.received).to.have.length(0);
+    const open = { authorization: 'Bearer nobody-has-this', [HEADER.tenant]: 'large' };
+    expect((await system.lookup(node, 'request-4', open, `${SCORING_PATH}x`))?.status).to.equal(200);
+    expect(application.received[0]?.tenant).to.equal(undefined);
+    expect(application.received[0]?.authorization).to.equal(undefined);
+    expect(JSON.stringify(node.log)).to.not.contain('nobody-has-this');
+  });
+
+  it('are not asked for where the configuration has none, and headers pass as they are', async () => {
+    system.configure(usualConfiguration(3));
+    const node = await startNode('node-1');
+    expect((await system.lookup(node, 'request-1', bearing('own')))?.status).to.equal(200);
+    expect(application.received[0]?.authorization).to.equal('Bearer own');
+  });
+
+  it('get 503, never 401, from a node that knows no configuration', async () => {
+    system.store.mode = 'silent';
+    const node = await system.addNode('node-1');
+    expect((await system.lookup(node, 'request-1', bearing('large-key-1')))?.status).to.equal(503);
+    expect((await system.lookup(node, 'request-2', bearing('unknown')))?.status).to.equal(503);
+  });
+
+  it('lose and gain keys with each configuration, also the last key', async () => {
+    const node = await startNode('node-1');
+    expect((await system.lookup(node, 'request-1', bearing('small-key-1')))?.status).to.equal(200);
+    system.configure(tenantConfiguration(3, [LARGE, { ...SMALL, apiKeys: [] }]));
+    await until('the last key is taken away', async () => {
+      const answer = await system.lookup(node, 'request-2', bearing('small-key-1'));
+      return answer?.status === UNAUTHORIZED;
+    });
+    system.configure(tenantConfiguration(4, [LARGE, { ...SMALL, apiKeys: ['small-key-2'] }]));
+    await until('the new key is known', async () => {
+      const answer = await system.lookup(node, 'request-3', bearing('small-key-2'));
+      return answer?.status === 200;
+    });
+    expect((await system.lookup(node, 'request-4', bearing('small-key-1')))?.status).to.equal(UNAUTHORIZED);
+  });
+
+  it('lose a key also at a node that the store turns away, by the word of another node, and never get it back', async () => {
+    const served = await startNode('node-1');
+    const turnedAway = await startNode('node-2');
+    await until('the nodes know each other', () =>
+      turnedAway.log.some(({ context }) => context.subject === 'peers' && context.change === '1 known'),
+    );
+    turnedAway.proxy.set('cut');
+    system.configure(tenantConfiguration(3, [{ ...LARGE, apiKeys: ['large-key-2'] }, SMALL]));
+    const changedAt = performance.now();
+    await until('the key is no longer taken', async () => {
+      const answer = await system.lookup(turnedAway, 'request-1', bearing('large-key-1'));
+      return answer?.status === UNAUTHORIZED;
+    });
+    expect(performance.now() - changedAt).to.be.lessThan(BOUND_MS);
+    expect((await system.lookup(turnedAway, 'request-2', bearing('large-key-2')))?.status).to.equal(200);
+    expect((await system.lookup(served, 'request-3', bearing('large-key-1')))?.status).to.equal(UNAUTHORIZED);
+    turnedAway.proxy.set('pass');
+    await system.untilReady(turnedAway);
+    expect((await system.lookup(turnedAway, 'request-4', bearing('large-key-1')))?.status).to.equal(
+      UNAUTHORIZED,
+    );
+  });
+
+  it('get 503 for a key that a node cannot judge, since neither the store nor another node serves it', async () => {
+    const node = await startNode('node-1');
+    node.proxy.set('cut');
+    await until('the store is out of reach', async () => {
+      const answer = await system.lookup(node, 'request-1', bearing('added-meanwhile'));
+      return answer?.status === 503 && Number(answer.headers['retry-after']) > 0;
+    });
+    expect((await system.lookup(node, 'request-2', bearing('large-key-1')))?.status).to.equal(200);
+  });
+
+  describe('own their jobs', () => {
+    let nodes: string[];
+    let engine: ReplicaServer;
+
+    beforeEach(async () => {
+      engine = await system.addEngine();
+      const started = await Promise.all([startNode('node-1'), startNode('node-2')]);
+      nodes = started.map(({ url }) => url);
+      system.trainer.key = 'large-key-1';
+    });
+
+    it('also by another of their keys, and after the first one was taken away', async () => {
+      const job = { ...JOB, id: 'job-1', scoringPath: `${SCORING_PATH}x` };
+      expect(await system.trainer.submit(nodes[0] as string, job)).to.equal(202);
+      system.configure(tenantConfiguration(3, [{ ...LARGE, apiKeys: ['large-key-2'] }, SMALL]));
+      system.trainer.key = 'large-key-2';
+      const results = await system.trainer.readAll(nodes, job.id, 2);
+      expect(results.map(({ state }) => state)).to.deep.equal(['completed', 'completed']);
+      expect(engine.received.map(({ tenant }) => tenant)).to.deep.equal([LARGE.name, LARGE.name]);
+      expect(application.received.every(({ tenant }) => tenant === undefined)).to.equal(true);
+      expect(await system.trainer.end(nodes[1] as string, job.id)).to.equal(200);
+      expect(await system.trainer.end(nodes[0] as string, job.id)).to.equal(200);
+    });
+
+    it('and no other tenant learns that a job exists', async () => {
+      engine.workMs = 300;
+      const job = { ...JOB, id: 'job-1' };
+      expect(await system.trainer.submit(nodes[0] as string, job)).to.equal(202);
+      system.trainer.key = 'small-key-1';
+      for (const node of nodes) {
+        expect((await system.trainer.read(node, job.id, 0)).status).to.equal(404);
+        expect((await system.trainer.item(node, job.id, 'job-1-item-0')).status).to.equal(404);
+        expect(await system.trainer.end(node, job.id)).to.equal(404);
+        expect(await system.trainer.submit(node, job)).to.equal(409);
+      }
+      system.trainer.key = 'unknown';
+      for (const node of nodes) {
+        expect((await system.trainer.read(node, job.id, 0)).status).to.equal(UNAUTHORIZED);
+        expect(await system.trainer.submit(node, { ...job, id: 'job-2' })).to.equal(UNAUTHORIZED);
+      }
+      system.trainer.key = 'large-key-2';
+      expect(await system.trainer.readAll(nodes, job.id, 2)).to.have.length(2);
+    });
+  });
+});
--- /dev/null
+++ b/test/coordination/usage/usage.test.ts
@@ -0,0 +1,179 @@
+/** Usage of tenants: one report for each window, and never a second one that differs, whatever happens to nodes. */
+import { expect } from 'chai';
+import type { ReplicaServer } from '../../../emulator/replica/replica-server.js';
+import { kill, type ServiceNodeProcess, ServiceSystem } from '../../support/service-system.js';
+import { bearing, begunByWindow, reportBreaches, tenantConfiguration } from '../../support/tenants.js';
+import { until } from '../../support/wait.js';
+
+const WINDOW_MS = 1_000;
+const DUE_MS = 5_000;
+/** Time that the tests' nodes keep between two holders, milliseconds. */
+const APART_MS = 1_000;
+const KEYS = ['large-key-1', 'large-key-2', 'small-key-1'];
+
+describe('usage of tenants', () => {
+  let system: ServiceSystem;
+  let application: ReplicaServer;
+  let nodes: ServiceNodeProcess[];
+  let sent = 0;
+
+  beforeEach(async () => {
+    system = await ServiceSystem.start();
+    system.configure(tenantConfiguration(2));
+    await system.reportUsage(WINDOW_MS, DUE_MS);
+    application = await system.addApplication({ slots: 8 });
+    nodes = await Promise.all(['node-1', 'node-2', 'node-3'].map((name) => system.addNode(name)));
+    await Promise.all(nodes.map((node) => system.untilReady(node)));
+  });
+
+  afterEach(() => system.stop());
+
+  async function send(to: readonly ServiceNodeProcess[], count: number): Promise<void> {
+    for (let index = 0; index < count; index += 1) {
+      sent += 1;
+      const node = to[index % to.length] as ServiceNodeProcess;
+      await system.lookup(node, `request-${sent}`, bearing(KEYS[sent % KEYS.length] as string));
+    }
+  }
+
+  /** Waits until all windows up to now are reported. */
+  async function untilReported(): Promise<void> {
+    const last = Math.floor(Date.now() / WINDOW_MS);
+    await until('all windows are reported', () => system.usage.reports.some(({ window }) => window > last));
+  }
+
+  /** Requests by window and tenant that a report leaves out or adds, in all. */
+  function errors(): number {
+    const reported = new Map(system.usage.reports.map(({ window, counts }) => [window, counts]));
+    const begun = begunByWindow([application], WINDOW_MS);
+    let wrong = 0;
+    for (const window of new Set([...reported.keys(), ...begun.keys()]))
+      for (const tenant of ['large', 'small'])
+        wrong += Math.abs((reported.get(window)?.[tenant] ?? 0) - (begun.get(window)?.[tenant] ?? 0));
+    return wrong;
+  }
+
+  /** No window is left out between the first and the last report. */
+  function expectNoGaps(): void {
+    const windows = [...new Set(system.usage.reports.map(({ window }) => window))].sort((a, b) => a - b);
+    const [first = 0] = windows;
+    expect(windows).to.deep.equal(windows.map((_, at) => first + at));
+  }
+
+  function holder(): ServiceNodeProcess {
+    const name = system.usage.reports.at(-1)?.holder;
+    return nodes.find((node) => node.name === name) as ServiceNodeProcess;
+  }
+
+  /** A request at the edge of a window may be counted on either side of it, a moment before it begins to run. */
+  const AT_EDGES = 4;
+
+  it('is reported for each window by one node, as the replicas began the requests', async () => {
+    await untilReported();
+    await send(nodes, 60);
+    await untilReported();
+    expectNoGaps();
+    expect(reportBreaches(system.usage.reports, APART_MS)).to.deep.equal([]);
+    expect(errors()).to.be.at.most(AT_EDGES);
+    const total = system.usage.reports.reduce(
+      (sum, { counts }) => sum + (counts.large ?? 0) + (counts.small ?? 0),
+      0,
+    );
+    expect(total).to.equal(60);
+  });
+
+  it('leaves out what a replica did not run, and calls that need no key', async () => {
+    await untilReported();
+    const busy = await system.addApplication({ slots: 0 });
+    await send(nodes, 30);
+    await untilReported();
+    busy.crash();
+    const total = system.usage.reports.reduce(
+      (sum, { counts }) => sum + (counts.large ?? 0) + (counts.small ?? 0),
+      0,
+    );
+    expect(total).to.equal(30);
+  });
+
+  it('goes on when the holder is killed, with the lease time between the two', async () => {
+    await untilReported();
+    await send(nodes, 20);
+    const killed = holder();
+    await kill(killed);
+    await send(
+      nodes.filter((node) => node !== killed),
+      20,
+    );
+    await untilReported();
+    expectNoGaps();
+    expect(reportBreaches(system.usage.reports, APART_MS)).to.deep.equal([]);
+    expect(errors()).to.be.at.most(AT_EDGES);
+  });
+
+  it('is reported as decided when all nodes are killed in the middle of a window', async () => {
+    await untilReported();
+    await send(nodes, 20);
+    await Promise.all(nodes.map((node) => kill(node)));
+    nodes = await Promise.all(nodes.map(({ name }) => system.addNode(name)));
+    await Promise.all(nodes.map((node) => system.untilReady(node)));
+    await send(nodes, 20);
+    await untilReported();
+    expectNoGaps();
+    expect(reportBreaches(system.usage.reports, APART_MS)).to.deep.equal([]);
+    expect(errors()).to.be.at.most(AT_EDGES);
+  });
+
+  it('is the same report again when its answer was lost', async () => {
+    await untilReported();
+    system.usage.answersToLose = 1;
+    const before = system.usage.reports.length;
+    await until('a report was sent twice', () => {
+      const windows = system.usage.reports.slice(before).map(({ window }) => window);
+      return windows.some((window, at) => windows.indexOf(window) !== at);
+    });
+    expect(reportBreaches(system.usage.reports, APART_MS)).to.deep.equal([]);
+  });
+
+  it('waits for the counts of a node that the store turned away for a while', async () => {
+    await untilReported();
+    const away = nodes.find((node) => node !== holder()) as ServiceNodeProcess;
+    away.proxy.set('cut');
+    await send([away], 10);
+    await until('a window is over', () => Date.now() % WINDOW_MS > WINDOW_MS / 2);
+    away.proxy.set('pass');
+    await system.untilReady(away);
+    await untilReported();
+    expectNoGaps();
+    expect(errors()).to.be.at.most(AT_EDGES);
+  });
+
+  it('is not reported by a holder that was frozen between its decision and its report', async () => {
+    await untilReported();
+    const frozen = holder();
+    system.usage.delayMs = 0;
+    frozen.child.kill('SIGSTOP');
+    const before = system.usage.reports.length;
+    await until('another node reports', () =>
+      system.usage.reports.slice(before).some((report) => report.holder !== frozen.name),
+    );
+    frozen.child.kill('SIGCONT');
+    await send(nodes, 10);
+    await untilReported();
+    expectNoGaps();
+    expect(reportBreaches(system.usage.reports, APART_MS)).to.deep.equal([]);
+    expect(errors()).to.be.at.most(AT_EDGES);
+  });
+
+  it('is given to another node by one that the other side does not answer', async () => {
+    await untilReported();
+    const first = holder();
+    system.usage.mode = 'busy';
+    await until('the duty was given back', () =>
+      first.log.some(({ context }) => context.duty === 'usage' && context.change === 'resigned'),
+    );
+    system.usage.mode = 'answering';
+    await untilReported();
+    expectNoGaps();
+    expect(reportBreaches(system.usage.reports, APART_MS)).to.deep.equal([]);
+  });
+});
--- a/test/coordination/weights/weight-orders.test.ts
+++ b/test/coordination/weights/weight-orders.test.ts
@@ -155,7 +155,7 @@
     controller = new AbortController();
     const service = { name: 's', maxConnections: 9, models: [MODEL], engineSlots: 4 };
     const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    routing.install({ version: 1, routes: [], services: [service], limits });
+    routing.install({ version: 1, routes: [], services: [service], limits, tenants: undefined });
     for (const [index, id] of IDS.entries())
       directory.set({
         id,
--- a/test/support/service-system.ts
+++ b/test/support/service-system.ts
@@ -11,6 +11,7 @@
 import { JobTrainer } from '../../emulator/clients/job-trainer.js';
 import { type ReplicaOptions, ReplicaServer } from '../../emulator/replica/replica-server.js';
 import { StoreServer } from '../../emulator/store/store-server.js';
+import { UsageServer } from '../../emulator/usage/usage-server.js';
 import { HEADER, OPERATOR_KEY, SETTINGS_VARIABLE, TABLE } from '../../platform/names.js';
 import type { WholeResponse } from '../../src/transport/http-client.js';
 import { HttpClient } from '../../src/transport/http-client.js';
@@ -91,12 +92,14 @@
 /** The system. Call `stop` at the end. */
 export class ServiceSystem {
   readonly store = new StoreServer();
+  readonly usage = new UsageServer();
   readonly replicas: ReplicaServer[] = [];
   readonly nodes: ServiceNodeProcess[] = [];
   readonly trainer = new JobTrainer(HOST);
   readonly http = new HttpClient();
   private readonly folder = mkdtempSync(join(tmpdir(), 'service-system-'));
   private storeAddress = '';
+  private usageSettings: Readonly<Record<string, string>> = {};
 
   /** Starts the store with the usual configuration. */
   static async start(): Promise<ServiceSystem> {
@@ -106,6 +109,16 @@
     return system;
   }
 
+  /** Starts the interface that takes reports of usage; nodes that start later report to it. Times are in milliseconds. */
+  async reportUsage(windowMs: number, dueMs: number): Promise<void> {
+    this.usageSettings = {
+      'cloud.addr': await this.usage.start(),
+      'cloud.duties': 'usage,autoscale',
+      'bounds.reportWindowS': String(windowMs / 1_000),
+      'bounds.usageLateS': String(dueMs / 1_000),
+    };
+  }
+
   /** `IP:PORT` of the store. */
   get address(): string {
     return this.storeAddress;
@@ -196,6 +209,7 @@
     }
     for (const replica of this.replicas) replica.crash();
     this.store.stop();
+    this.usage.stop();
     await Promise.all([this.http.close(), this.trainer.close()]);
     rmSync(this.folder, { recursive: true, force: true });
   }
@@ -220,6 +234,7 @@
       'bounds.leaseMs': '1000',
       'limits.memoryMb': '256',
       'field.added.later': 'ignored',
+      ...this.usageSettings,
       ...settings,
     };
     return Object.entries(fields)
