--- a/src/coordination/announcements.ts
+++ b/src/coordination/membership/announcements.ts
@@ -2,15 +2,14 @@
  * What operators, trainers and replicas announce through the store: the configuration, the newest weight version of
  * each model, and the replicas. An adapter reads the records; this module keeps what they say.
  */
-import type { DecisionLogger } from '../common/decision-logger.js';
-import type { ServiceMetrics } from '../common/service-metrics.js';
-import type { ChangedRecord, RecordStore, StoredRecord } from '../protocol/record-store.js';
-import type { Replica } from '../protocol/replica.js';
-import type { RoutingConfiguration } from '../protocol/routing-configuration.js';
-import type { ReplicaDirectory } from '../state/replica-directory.js';
-import type { RoutingTable } from '../state/routing-table.js';
-import type { WeightVersions } from '../state/weight-versions.js';
-import { type FeedHandler, readPartition } from './record-feed.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import type { ChangedRecord, RecordStore, StoredRecord } from '../../protocol/record-store.js';
+import type { Replica } from '../../protocol/replica.js';
+import type { RoutingConfiguration } from '../../protocol/routing-configuration.js';
+import type { RoutingTable } from '../../state/configuration/index.js';
+import type { ReplicaDirectory, WeightVersions } from '../../state/replicas/index.js';
+import { type FeedHandler, readPartition } from '../configuration/index.js';
 
 /** How an adapter reads the records of operators and replicas. */
 export interface AnnouncementFormat {
@@ -26,6 +25,8 @@
 
 /** Takes the configuration and the named versions. */
 export class OperatorAnnouncements implements FeedHandler<Content> {
+  private configurationRecord: Buffer | undefined;
+
   constructor(
     private readonly store: RecordStore,
     private readonly format: AnnouncementFormat,
@@ -53,10 +54,17 @@
     else this.takeVersion(change.key, change.value);
   }
 
-  private takeConfiguration(value: Buffer): void {
+  /** The record of the configuration in force, as the operator wrote it. */
+  get configuration(): Buffer | undefined {
+    return this.configurationRecord;
+  }
+
+  /** Takes the operator's record of the configuration, from the store or from another node. */
+  takeConfiguration(value: Buffer): void {
     const configuration = this.format.parseConfiguration(value);
     if (!configuration) return;
     const isInForce = this.routing.install(configuration);
+    if (isInForce) this.configurationRecord = value;
     this.metrics.configVersion.set({}, this.routing.current?.version ?? 0);
     this.logger.record({
       event: 'belief-changed',
--- a/src/coordination/generation-attempt.ts
+++ b/src/coordination/samples/generation-attempt.ts
@@ -1,16 +1,18 @@
 /** One attempt to generate a sample, or the rest of it, at one model replica. */
-import { monotonicMs } from '../common/clock.js';
-import type { JobItem } from '../protocol/batch-job.js';
-import { EventStreamParser, type StreamEvent } from '../protocol/event-stream.js';
-import type { ReplicaAnswer, ReplicaClient } from '../protocol/replica.js';
-import type { ReplicaState } from '../state/replica-directory.js';
-import { readWhole } from '../transport/http-client.js';
-import { defectOf } from './replica-exchange.js';
+import { monotonicMs } from '../../common/clock.js';
+import type { JobItem } from '../../protocol/batch-job.js';
+import { EventStreamParser, type StreamEvent } from '../../protocol/event-stream.js';
+import type { ReplicaAnswer, ReplicaClient } from '../../protocol/replica.js';
+import type { ReplicaState } from '../../state/replicas/index.js';
+import { readWhole } from '../../transport/http-client.js';
+import { defectOf } from '../requests/index.js';
 import type { SampleText } from './sample-text.js';
 
 /** What an attempt must heed. */
 export interface GenerationTerms {
   readonly host: string;
+  /** Tenant on whose behalf it runs, if any. */
+  readonly tenant?: string;
   readonly model: string;
   /** Oldest weight version that may make an event. */
   readonly minVersion: number;
@@ -162,6 +164,7 @@
     method: 'POST',
     path: item.path,
     host: terms.host,
+    tenant: terms.tenant,
     headers: item.headers,
     body: item.body,
     deadlineMs: terms.deadlineMs,
--- a/src/state/job-contents.ts
+++ b/src/state/jobs/job-contents.ts
@@ -3,9 +3,11 @@
  * conditional on the head's version.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { uniqueId } from '../common/identifier.js';
-import type { PartialText } from '../protocol/batch-job.js';
-import type { RecordStore, RecordWrite, StoredRecord } from '../protocol/record-store.js';
+import { uniqueId } from '../../common/identifier.js';
+import type { PartialText } from '../../protocol/batch-job.js';
+import type { RecordStore, RecordWrite, StoredRecord } from '../../protocol/record-store.js';
+import { StateError } from '../state-error.js';
+import { readRange, settle } from '../store/index.js';
 import {
   headAddress,
   type JobHead,
@@ -20,9 +22,7 @@
   TEXT_TABLE,
   textAddress,
 } from './job-record.js';
-import type { SubmittedJob } from './job-repository.js';
-import { settle } from './settled-transaction.js';
-import { StateError } from './state-error.js';
+import type { SubmittedJob } from './submitted-job.js';
 
 /** Part of a record that values fill, so that a record with its key stays under the store's limit. */
 const FILL = 0.9;
@@ -220,28 +220,6 @@
   }
 }
 
-/** Records of a range, read page by page; the version is that of the first page. */
-export async function readRange(
-  store: RecordStore,
-  table: string,
-  partition: string,
-  from?: string,
-  until?: string,
-): Promise<Result<{ records: StoredRecord[]; version: number }, StateError>> {
-  const records: StoredRecord[] = [];
-  let version = Number.POSITIVE_INFINITY;
-  let next = from;
-  for (;;) {
-    const page = await store.scan({ table, partition, from: next, until });
-    if (page.isErr()) return err(new StateError('unavailable', 'none', page.error.message));
-    records.push(...page.value.records);
-    version = Math.min(version, page.value.version);
-    const last = records.at(-1);
-    if (!page.value.hasMore || !last) return ok({ records, version });
-    next = `${last.key}\0`;
-  }
-}
-
 /** Joins the chunks of results; stops before the first position that is not whole. */
 function assembleResults(records: readonly StoredRecord[], firstPosition: number): string[] {
   const results: string[] = [];
--- a/test/item-run.test.ts
+++ b/test/coordination/jobs/item-run.test.ts
@@ -1,10 +1,10 @@
 /** One item of a job: how it asks for a replica. */
 import { expect } from 'chai';
-import { type ItemJob, ItemRun, type ItemServices } from '../src/coordination/item-run.js';
-import type { PlacementRequest } from '../src/coordination/placement.js';
-import { SampleLengths } from '../src/coordination/sample-lengths.js';
-import type { JobItem, PartialText } from '../src/protocol/batch-job.js';
-import { RoutingTable, TargetSplitter } from '../src/state/routing-table.js';
+import { type ItemJob, ItemRun, type ItemServices } from '../../../src/coordination/jobs/item-run.js';
+import type { PlacementRequest } from '../../../src/coordination/samples/placement.js';
+import { SampleLengths } from '../../../src/coordination/samples/sample-lengths.js';
+import type { JobItem, PartialText } from '../../../src/protocol/batch-job.js';
+import { RoutingTable, TargetSplitter } from '../../../src/state/configuration/routing-table.js';
 
 const OLDEST_VERSION = 3;
 
@@ -36,9 +36,10 @@
     resultDeadlineMs: 7_500,
     maxQueueMs: 30_000,
     isSingleVersion: false,
+    isPublic: false,
   } as const;
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-  routing.install({ version: 1, routes: [route], services: [], limits });
+  routing.install({ version: 1, routes: [route], services: [], limits, tenants: undefined });
   const controller = new AbortController();
   let asked: PlacementRequest | undefined;
   const placement = {
@@ -53,6 +54,7 @@
     jobId: 'job-1',
     host: 'h',
     path: '/jobs/',
+    tenant: undefined,
     specification: { model: 'm', minVersion: OLDEST_VERSION, desiredGroups: 1, items: [ITEM] },
     acceptedAtMs: performance.now(),
     groupReplicas: new Map(),
