Replicas follow a model only as far as its work can use them; the soak has tenants, keys and usage

Change: a model is followed by as many replicas as the requests of its largest recent job fill, half as many again, and two; by all while no job is known. The soak sends lookups with keys that come and go, reports usage, and checks both.

Ruled out: a share by tokens and step time; the requests of a job begin together, so their number decides.

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -1,6 +1,8 @@
 /** The promises, checked on what clients and stand-ins have recorded. Each check returns one line for each breach. */
 import { itemIds } from '../../emulator/clients/job-trainer.js';
 import type { ReceivedOrder, ReceivedRequest } from '../../emulator/replica/replica-server.js';
+import type { ReceivedReport } from '../../emulator/usage/usage-server.js';
+import { reportBreaches } from '../../test/support/tenants.js';
 import type { FaultSpan, History, JobHistory, LookupHistory } from './records.js';
 
 /** Statuses that promise that nothing ran and nothing will. */
@@ -17,6 +19,7 @@
 export interface Evidence {
   readonly received: readonly ReceivedRequest[];
   readonly orders: readonly ReceivedOrder[];
+  readonly reports: readonly ReceivedReport[];
   readonly wholeText: WholeText;
   /** Least time between the orders of two holders, milliseconds. */
   readonly apartMs: number;
@@ -33,6 +36,9 @@
       ...endBreaches(job, evidence.received, history.faults),
     ]),
     ...history.lookups.flatMap((lookup) => lookupBreaches(lookup, reached)),
+    ...tenantBreaches(history.lookups, evidence.received),
+    ...reportBreaches(evidence.reports, evidence.apartMs),
+    ...missingReports(evidence.reports),
     ...orderBreaches(evidence.orders, evidence.apartMs),
   ];
 }
@@ -95,6 +101,41 @@
   return [];
 }
 
+/** A replica runs a lookup for the tenant of its key alone, never with a key, and never for a key that nobody has. */
+function tenantBreaches(lookups: readonly LookupHistory[], received: readonly ReceivedRequest[]): string[] {
+  const tenants = new Map(lookups.map(({ id, tenant }) => [id, tenant]));
+  return received.flatMap(({ id, tenant, authorization }) => {
+    if (authorization !== undefined) return [`${id}: reached a replica with its key`];
+    if (!tenants.has(id) || tenants.get(id) === tenant) return [];
+    return [`${id}: ran for ${tenant}, not for ${tenants.get(id) ?? 'nobody'}`];
+  });
+}
+
+/** Every window between the first and the last report is reported. */
+function missingReports(reports: readonly ReceivedReport[]): string[] {
+  const windows = new Set(reports.map(({ window }) => window));
+  const first = Math.min(...windows);
+  const missing: string[] = [];
+  for (let window = first; window < Math.max(...windows); window += 1)
+    if (!windows.has(window)) missing.push(`window ${window} was never reported`);
+  return missing;
+}
+
+/** Requests by which reports differ from what replicas began to run, all windows and tenants together. */
+export function usageErrors(
+  reports: readonly ReceivedReport[],
+  begun: ReadonlyMap<number, Readonly<Record<string, number>>>,
+): number {
+  const reported = new Map(reports.map(({ window, counts }) => [window, counts]));
+  let wrong = 0;
+  for (const [window, counts] of reported) {
+    const truth = begun.get(window) ?? {};
+    for (const tenant of new Set([...Object.keys(counts), ...Object.keys(truth)]))
+      wrong += Math.abs((counts[tenant] ?? 0) - (truth[tenant] ?? 0));
+  }
+  return wrong;
+}
+
 /** Two holders are apart by the lease time, and fencing tokens never fall. */
 function orderBreaches(orders: readonly ReceivedOrder[], apartMs: number): string[] {
   const inOrder = [...orders].sort((left, right) => left.atMs - right.atMs);
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -9,6 +9,7 @@
   type ServiceSystem,
   usualConfiguration,
 } from '../../test/support/service-system.js';
+import { LARGE, SMALL, type TenantRow } from '../../test/support/tenants.js';
 
 /** What troubles act on. */
 export interface Stage {
@@ -36,12 +37,24 @@
 /** Models that the engines serve. */
 export const MODELS: readonly string[] = [MODEL, 'model-b'];
 
-/** The usual configuration with all models; the lookups' time-out follows from the version. */
+/** A key that comes and goes: what a caller that bears it is told depends on the moment. */
+export const CHANGING_KEY = 'changing-key';
+
+/** Tenants: with an even version, the large one has the changing key. */
+function tenantsOf(version: number): TenantRow[] {
+  const apiKeys = version % 2 === 0 ? [...LARGE.apiKeys, CHANGING_KEY] : LARGE.apiKeys;
+  return [{ ...LARGE, apiKeys }, SMALL];
+}
+
+/** The usual configuration with all models and tenants; the lookups' time-out follows from the version. */
 export function soakConfiguration(version: number): object {
-  const usual = usualConfiguration(version, { lookup: { timeoutMs: 1_500 + version } });
+  const usual = usualConfiguration(version, {
+    lookup: { timeoutMs: 1_500 + version },
+    score: { public: true },
+  });
   const engine = { slots: 4, models: MODELS.map((name) => ({ name })) };
   const services = usual.services.map((service) => ('engine' in service ? { ...service, engine } : service));
-  return { ...usual, services };
+  return { ...usual, services, tenants: tenantsOf(version) };
 }
 
 function anyNode({ nodes, random }: Stage): ServiceNodeProcess {
@@ -190,6 +203,22 @@
   system.configure(soakConfiguration(configurationVersion));
 }
 
+async function slowUsage({ system }: Stage, forMs: number): Promise<void> {
+  system.usage.delayMs = 600;
+  await sleep(forMs);
+  system.usage.delayMs = 0;
+}
+
+async function silentUsage({ system }: Stage, forMs: number): Promise<void> {
+  system.usage.mode = 'silent';
+  await sleep(forMs);
+  system.usage.mode = 'answering';
+}
+
+async function lostReports({ system }: Stage): Promise<void> {
+  system.usage.answersToLose = 2;
+}
+
 /** All troubles, by name. */
 export const FAULTS: Readonly<Record<string, Fault>> = {
   'node-kill': killOne,
@@ -218,6 +247,9 @@
   'application-unframed-answers': unframedAnswers,
   'orders-late': lateOrders,
   'configuration-change': changeConfiguration,
+  'usage-slow': slowUsage,
+  'usage-silent': silentUsage,
+  'usage-answers-lost': lostReports,
 };
 
 /** Troubles that end or freeze node processes: one at a time, so that a process is not ended twice. */
--- a/bench/soak/index.ts
+++ b/bench/soak/index.ts
@@ -1,5 +1,5 @@
 /** The randomized soak. */
-export { breaches, type Evidence } from './checks.js';
+export { breaches, type Evidence, usageErrors } from './checks.js';
 export { FAULTS } from './faults.js';
 export { type History, jobHistory, notePage } from './records.js';
 export { runSoak, type Summary, soak } from './soak.js';
--- a/bench/soak/load.ts
+++ b/bench/soak/load.ts
@@ -3,6 +3,8 @@
 import { monotonicMs, sleep } from '../../src/common/clock.js';
 import type { Random } from '../../src/common/random.js';
 import { HOST, JOB_PATH, SCORING_PATH, type ServiceSystem } from '../../test/support/service-system.js';
+import { bearing, LARGE, SMALL } from '../../test/support/tenants.js';
+import { CHANGING_KEY } from './faults.js';
 import { type History, type JobHistory, jobHistory, notePage } from './records.js';
 
 const STEP_LIMIT_MS = 8_000;
@@ -92,13 +94,22 @@
   }
 }
 
+/** Keys that lookups bear in turn, and whose they are; nobody has the last one. */
+const KEYS: readonly { readonly key: string; readonly tenant: string | undefined }[] = [
+  ...LARGE.apiKeys.map((key) => ({ key, tenant: LARGE.name })),
+  ...SMALL.apiKeys.map((key) => ({ key, tenant: SMALL.name })),
+  { key: CHANGING_KEY, tenant: LARGE.name },
+  { key: 'key-of-nobody', tenant: undefined },
+];
+
 /** Sends lookups until the signal. */
 export async function lookUp(load: Load, caller: string): Promise<void> {
   for (let count = 1; !load.signal.aborted; count += 1) {
     const id = `${caller}-${count}`;
-    const answer = await load.system.lookup({ url: anyNode(load) }, id);
+    const { key, tenant } = load.random.pick(KEYS);
+    const answer = await load.system.lookup({ url: anyNode(load) }, id, bearing(key));
     const body = answer?.body.toString('utf8') ?? '';
-    load.history.lookups.push({ id, status: answer?.status ?? 0, body });
+    load.history.lookups.push({ id, tenant, status: answer?.status ?? 0, body });
     await sleep(LOOKUP_PAUSE_MS);
   }
 }
--- a/bench/soak/records.ts
+++ b/bench/soak/records.ts
@@ -19,6 +19,8 @@
 /** A lookup as its caller saw it. */
 export interface LookupHistory {
   readonly id: string;
+  /** Tenant whose key it bore; `undefined` for a key that no tenant has any more. */
+  readonly tenant: string | undefined;
   /** 0 stands for no answer. */
   readonly status: number;
   readonly body: string;
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -9,7 +9,8 @@
 import { monotonicMs, sleep } from '../../src/common/clock.js';
 import { Random } from '../../src/common/random.js';
 import { ServiceSystem } from '../../test/support/service-system.js';
-import { acceptedJobs, breaches } from './checks.js';
+import { begunByWindow, LARGE } from '../../test/support/tenants.js';
+import { acceptedJobs, breaches, usageErrors } from './checks.js';
 import { FAULTS, MODELS, ON_NODES, type Stage, soakConfiguration } from './faults.js';
 import { type Load, lookUp, readAgain, trainSteps } from './load.js';
 import type { History } from './records.js';
@@ -28,6 +29,9 @@
 /** Time without trouble at the end, in which steps must become whole again, milliseconds. */
 const CALM_MS = 12_000;
 const MS_PER_MINUTE = 60_000;
+/** Length of a window of usage, and when its report is due, milliseconds. */
+const WINDOW_MS = 2_000;
+const USAGE_DUE_MS = 10_000;
 
 /** What a soak counted. */
 export interface Summary {
@@ -37,6 +41,9 @@
   readonly wholeSteps: number;
   readonly results: number;
   readonly lookups: number;
+  /** Windows of usage that were reported, and requests by which the reports are off in all. */
+  readonly windows: number;
+  readonly usageErrors: number;
   readonly violations: number;
 }
 
@@ -92,13 +99,17 @@
     wholeSteps: wholeSteps.reduce((sum, count) => sum + count, 0),
     results: accepted.reduce((sum, { positions }) => sum + positions.size, 0),
     lookups: history.lookups.length,
+    windows: new Set(system.usage.reports.map(({ window }) => window)).size,
+    usageErrors: usageErrors(system.usage.reports, begunByWindow(system.replicas, WINDOW_MS)),
     violations: found.length,
   };
   return { summary, found };
 }
 
 async function prepare(system: ServiceSystem, seed: number): Promise<Stage> {
+  await system.reportUsage(WINDOW_MS, USAGE_DUE_MS);
   system.configure(soakConfiguration(1));
+  system.trainer.key = LARGE.apiKeys[0];
   const models = Object.fromEntries(MODELS.map((model) => [model, 1]));
   const addEngine = () => system.addEngine({ models, events: EVENTS, workMs: EVENT_MS });
   const engines = await Promise.all(Array.from({ length: ENGINES }, addEngine));
@@ -139,6 +150,7 @@
   return {
     received: system.replicas.flatMap((replica) => replica.received),
     orders: system.replicas.flatMap((replica) => replica.orders),
+    reports: system.usage.reports,
     wholeText: (itemId: string) =>
       Array.from({ length: EVENTS }, (_, at) => eventData(itemId, at + 1)).join('\n'),
     apartMs: LEASE_MS,
--- a/src/coordination/jobs/job-owner.ts
+++ b/src/coordination/jobs/job-owner.ts
@@ -115,6 +115,15 @@
     return tokens;
   }
 
+  /** Items of the largest job of a model that was accepted lately; 0 without one. */
+  requestsOf(model: string): number {
+    const sinceMs = this.services.store.nowMs() - DEMAND_MS;
+    let largest = 0;
+    for (const { record } of this.heads.values())
+      if (record.model === model && record.acceptedAtMs >= sinceMs) largest = Math.max(largest, record.total);
+    return largest;
+  }
+
   /** Whether this node runs the job and has read what was listed before. */
   isRunning(jobId: string): boolean {
     return this.runs.get(jobId)?.isLoaded ?? false;
--- a/src/coordination/weights/weight-orders.ts
+++ b/src/coordination/weights/weight-orders.ts
@@ -10,7 +10,7 @@
 import type { ReplicaDirectory, ReplicaState, WeightVersions } from '../../state/replicas/index.js';
 import type { DutyLease } from '../duties/index.js';
 import { type FollowedModel, orderLoads } from './load-order.js';
-import { type PlannedModel, planReplicas } from './weight-plan.js';
+import { type PlannedModel, planReplicas, usefulReplicas } from './weight-plan.js';
 
 /** Part of a service's replicas that load at once at most. */
 const LOADING_FRACTION = 0.25;
@@ -40,6 +40,8 @@
   readonly lease: DutyLease;
   /** What the jobs of a model lately asked of the replicas, tokens. */
   readonly demandOf: (model: string) => number;
+  /** Requests of the largest job that the model lately had, 0 while none is known. */
+  readonly requestsOf: (model: string) => number;
   readonly nodeName: string;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
@@ -91,12 +93,14 @@
   private passService(service: string, models: readonly string[], signal: AbortSignal): void {
     const { directory, versions } = this.services;
     const states = directory.availableOf(service);
+    const slots = this.slotsOf(states);
     const room = Math.max(1, Math.ceil(states.length * LOADING_FRACTION));
     let loadingCount = states.filter((state) => this.isProbablyLoading(state)).length;
     const targets = models.map((model) => ({
       model,
       version: Math.max(1, versions.newestOf(model)),
       demand: this.services.demandOf(model),
+      most: usefulReplicas(this.services.requestsOf(model), slots),
     }));
     for (const load of this.wantedLoads(states, targets)) {
       if (loadingCount >= room) return;
@@ -107,6 +111,11 @@
     }
   }
 
+  /** Requests that a replica of the service runs at once. */
+  private slotsOf([first]: readonly ReplicaState[]): number {
+    return (first && this.services.routing.current?.slotsOf(first.replica)) ?? 1;
+  }
+
   /** Loads that are missing, the most urgent first; one for each replica. */
   private wantedLoads(states: readonly ReplicaState[], targets: readonly PlannedModel[]): WantedLoad[] {
     const byId = new Map(states.map((state) => [state.replica.id, state]));
--- a/src/coordination/weights/weight-plan.ts
+++ b/src/coordination/weights/weight-plan.ts
@@ -3,6 +3,8 @@
  * and each load takes room from running requests. So each model gets a share of the replicas, and only these are
  * brought to its newest version. The plan follows from the versions alone: a replica stays with the model that it is
  * least behind of, so a new giver of orders continues the plan of the one before.
+ *
+ * Replicas that no model's work needs follow none: they keep the version that they have, and cost no orders.
  */
 
 /** A replica as the plan sees it. */
@@ -16,6 +18,8 @@
   readonly model: string;
   readonly version: number;
   readonly demand: number;
+  /** Replicas that its work can use at most. Default: all. */
+  readonly most?: number;
 }
 
 interface Pair<R extends PlannedReplica> {
@@ -26,6 +30,18 @@
 
 /** Replicas that a model should have at least, so that one can load or fail while another serves. */
 const REDUNDANT_SHARE = 2;
+/**
+ * Replicas for each one that the requests of a model's largest job fill, and some on top: a zone may be lost, and loads, slow
+ * replicas and failures take others away.
+ */
+const SPARE_FACTOR = 1.5;
+const SPARE_REPLICAS = 2;
+
+/** Replicas that the work of a model can use: all while its work is not known. `requests` are those of its largest job. */
+export function usefulReplicas(requests: number, slots: number): number {
+  if (requests === 0) return Number.POSITIVE_INFINITY;
+  return Math.ceil((requests / Math.max(1, slots)) * SPARE_FACTOR) + SPARE_REPLICAS;
+}
 
 /** Replicas by model. Every model gets at least one replica, if there is any. */
 export function planReplicas<R extends PlannedReplica>(
@@ -40,15 +56,18 @@
   return plan;
 }
 
-/** Replicas for each model: the same small number for all, the rest where the demand for each replica is highest. */
+/** Replicas for each model: the same small number for all, the rest where the demand for each is highest and they are of use. */
 export function shareReplicas(count: number, models: readonly PlannedModel[]): Map<string, number> {
   const equal = Math.max(1, Math.min(REDUNDANT_SHARE, Math.floor(count / models.length)));
   const shares = new Map(models.map(({ model }) => [model, equal]));
   for (let left = count - equal * models.length; left > 0; left -= 1) {
-    const [neediest] = [...models].sort(
-      (one, other) => pressure(other, shares) - pressure(one, shares) || compare(one.model, other.model),
-    );
-    if (neediest) shares.set(neediest.model, (shares.get(neediest.model) ?? 0) + 1);
+    const [neediest] = models
+      .filter(({ model, most }) => (shares.get(model) ?? 0) < (most ?? count))
+      .sort(
+        (one, other) => pressure(other, shares) - pressure(one, shares) || compare(one.model, other.model),
+      );
+    if (!neediest) break;
+    shares.set(neediest.model, (shares.get(neediest.model) ?? 0) + 1);
   }
   return shares;
 }
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -177,6 +177,7 @@
       client,
       lease: this.orderLease,
       demandOf: (model) => this.ownership.demandOf(model),
+      requestsOf: (model) => this.ownership.requestsOf(model),
       nodeName: settings.nodeName,
       metrics,
       logger,
--- a/test/bench/soak-checks.test.ts
+++ b/test/bench/soak-checks.test.ts
@@ -1,8 +1,17 @@
 /** The checks of the soak find what they are meant to find: each breach is made up, and named. */
 import { expect } from 'chai';
-import { breaches, type Evidence, type History, jobHistory, notePage } from '../../bench/soak/index.js';
+import {
+  breaches,
+  type Evidence,
+  type History,
+  jobHistory,
+  notePage,
+  usageErrors,
+} from '../../bench/soak/index.js';
 import type { ReadResult, TrainerJob } from '../../emulator/clients/job-trainer.js';
 import type { ReceivedOrder, ReceivedRequest } from '../../emulator/replica/replica-server.js';
+import type { ReceivedReport } from '../../emulator/usage/usage-server.js';
+import type { TenantCounts } from '../../src/protocol/usage.js';
 
 const JOB: TrainerJob = {
   id: 'job-1',
@@ -43,25 +52,42 @@
   return { holder, fence, model: 'm', version: 2, expected: 0, atMs };
 }
 
+function report(
+  window: number,
+  counts: TenantCounts,
+  holder: string,
+  fence: number,
+  atMs: number,
+): ReceivedReport {
+  return { window, counts, holder, fence, atMs };
+}
+
 describe('checks of the soak', () => {
   let history: History;
   let received: ReceivedRequest[];
   let orders: ReceivedOrder[];
+  let reports: ReceivedReport[];
 
   beforeEach(() => {
     const job = jobHistory(JOB);
     job.statuses.push(202);
     notePage(job, 0, [result(0), result(1)]);
     job.endedAtMs = 1_000;
-    history = { jobs: [job], lookups: [{ id: 'l-1', status: 200, body: 'answer to l-1' }], faults: [] };
+    history = {
+      jobs: [job],
+      lookups: [{ id: 'l-1', tenant: undefined, status: 200, body: 'answer to l-1' }],
+      faults: [],
+    };
     received = [request('job-1-item-0', 500), request('job-1-item-1', 3_900), request('l-1', 100)];
     orders = [order('a', 1, 0), order('a', 1, 100), order('b', 2, 1_200)];
+    reports = [report(7, { x: 2 }, 'a', 1, 0), report(8, {}, 'b', 2, 1_500)];
   });
 
   const job = () => history.jobs[0] as History['jobs'][number];
 
   const found = () => {
-    const evidence: Evidence = { received, orders, wholeText: (id) => `text of ${id}`, apartMs: 1_000 };
+    const wholeText = (id: string) => `text of ${id}`;
+    const evidence: Evidence = { received, orders, reports, wholeText, apartMs: 1_000 };
     return breaches(history, evidence);
   };
 
@@ -111,12 +137,42 @@
 
   it('find the answer of another request, and a refused request that ran', () => {
     history.lookups.push(
-      { id: 'l-2', status: 200, body: 'answer to l-1' },
-      { id: 'l-1', status: 503, body: '' },
+      { id: 'l-2', tenant: undefined, status: 200, body: 'answer to l-1' },
+      { id: 'l-1', tenant: undefined, status: 503, body: '' },
     );
     expect(found()).to.deep.equal(["l-2: answered with 'answer to l-1'", 'l-1: ran although it was refused']);
   });
 
+  it('find a key that reaches a replica, and a run for another tenant than that of the key', () => {
+    received.push(
+      { ...request('l-1', 200), authorization: 'Bearer k' },
+      { ...request('l-1', 300), tenant: 'x' },
+    );
+    expect(found()).to.deep.equal(['l-1: reached a replica with its key', 'l-1: ran for x, not for nobody']);
+  });
+
+  it('find a window that is reported twice with different counts, and one that is left out', () => {
+    reports.push(
+      report(8, {}, 'b', 2, 1_600),
+      report(8, { x: 1 }, 'b', 2, 1_700),
+      report(10, {}, 'b', 2, 1_800),
+    );
+    expect(found()).to.deep.equal(['window 8: {}, then {"x":1}', 'window 9 was never reported']);
+  });
+
+  it('find reports of two nodes too close to each other, and a fencing token that falls', () => {
+    reports.push(report(9, {}, 'a', 1, 1_700));
+    expect(found()).to.deep.equal(['token 1 after 2', 'b and a 200 ms apart']);
+  });
+
+  it('count the requests by which reports are off', () => {
+    const begun = new Map<number, Record<string, number>>([
+      [7, { x: 2 }],
+      [8, { y: 3 }],
+    ]);
+    expect(usageErrors(reports, begun)).to.equal(3);
+  });
+
   it('find two holders too close to each other, and a fencing token that does not rise', () => {
     orders.push(order('a', 2, 1_300));
     expect(found()).to.deep.equal(['orders of b and a 100 ms apart', 'fencing token 2 after 2']);
--- a/test/coordination/weights/weight-orders.test.ts
+++ b/test/coordination/weights/weight-orders.test.ts
@@ -3,7 +3,11 @@
 import { ok } from 'neverthrow';
 import type { ReplicaServer } from '../../../emulator/replica/replica-server.js';
 import { type WeightOrderServices, WeightOrders } from '../../../src/coordination/weights/weight-orders.js';
-import { planReplicas, shareReplicas } from '../../../src/coordination/weights/weight-plan.js';
+import {
+  planReplicas,
+  shareReplicas,
+  usefulReplicas,
+} from '../../../src/coordination/weights/weight-plan.js';
 import type { Replica } from '../../../src/protocol/replica.js';
 import { RoutingTable } from '../../../src/state/configuration/routing-table.js';
 import { ReplicaDirectory } from '../../../src/state/replicas/replica-directory.js';
@@ -188,6 +192,7 @@
       client,
       lease: { isHeld: true, untilHeld: async () => {}, ...lease },
       demandOf: () => 1,
+      requestsOf: () => 0,
       nodeName: 'node-1',
       metrics: { orders: { inc: () => {} } },
       logger: { record: () => {} },
@@ -260,6 +265,25 @@
     expect([...shareReplicas(2, models).values()]).to.deep.equal([1, 1, 1]);
   });
 
+  it('leaves out replicas that no work can use, and keeps those that a model has', () => {
+    const ids = Array.from({ length: 300 }, (_, index) => `r${String(index).padStart(3, '0')}`);
+    const most = usefulReplicas(72, 8);
+    expect(most).to.be.within(10, 20);
+    const models = [{ model: 'a', version: 3, demand: 5, most }];
+    const first = planReplicas(
+      ids.map((id) => replica(id, { a: 1 })),
+      models,
+    ).get('a');
+    expect(first).to.have.length(most);
+    const kept = new Set(ids.slice(100, 100 + most));
+    const second = planReplicas(
+      ids.map((id) => replica(id, { a: kept.has(id) ? 2 : 1 })),
+      models,
+    ).get('a');
+    expect(new Set(second?.map(({ id }) => id))).to.deep.equal(kept);
+    expect(usefulReplicas(0, 8)).to.equal(Number.POSITIVE_INFINITY);
+  });
+
   it('gives one model all replicas, and more models than replicas at least one each', () => {
     const replicas = ['r1', 'r2', 'r3'].map((id) => replica(id, {}));
     expect(planReplicas(replicas, [{ model: 'a', version: 2, demand: 0 }]).get('a')).to.have.length(3);
