A window of usage waits only for nodes that were lately at work

Change: a node is waited for if it closed one of the two windows before; the list of nodes is no longer read for it.

Ruled out: waiting for one window only, since a node that is cut off for 8 s would be left out with what it has counted.

--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -151,10 +151,9 @@
   readonly window: number;
   readonly requests: number;
   readonly tenants: number;
-  /** Processes that have counted. */
-  readonly sources: number;
-  /** Nodes that had not closed the window; -1 when the nodes could not be learnt. */
+  /** Nodes that might have had something to add, and the names of a few of them. */
   readonly missingNodes: number;
+  readonly missing: string;
   readonly decidedBy: string;
   /** Time since the end of the window. */
   readonly sinceEndMs: number;
--- a/src/coordination/membership/peer-addresses.ts
+++ b/src/coordination/membership/peer-addresses.ts
@@ -66,13 +66,6 @@
       .slice(0, count);
   }
 
-  /** Names of all nodes that are at work; `undefined` when the store does not answer. */
-  async names(): Promise<readonly string[] | undefined> {
-    const all = await readPartition(this.store, TABLE, '');
-    if (all.isErr()) return undefined;
-    return all.value.content.filter((record) => !this.isExpired(record)).map(({ key }) => key);
-  }
-
   /** Nodes that are at work, as counted last: 1 before that. */
   get fleetSize(): number {
     return this.count;
@@ -89,11 +82,6 @@
     await Promise.all([this.announceRegularly(address, peerAddress, signal), this.lookRegularly(signal)]);
   }
 
-  /** Takes the announcement back: this node is on its way out. */
-  async withdraw(): Promise<void> {
-    await this.store.transact({ conditions: [], writes: [], removals: [recordAddress(this.nodeName)] });
-  }
-
   /** Until the store has answered once its clock is not known, and an announcement would bear a wrong time. */
   private async untilAnswered(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && (await this.scan(undefined)) === undefined)
--- a/src/coordination/usage/usage-accounting.ts
+++ b/src/coordination/usage/usage-accounting.ts
@@ -44,7 +44,6 @@
       lease,
       sink,
       windows,
-      nodes: () => peers.names(),
       dueMs: settings.dueMs,
       nodeName: self.node,
       metrics,
--- a/src/coordination/usage/usage-duty.ts
+++ b/src/coordination/usage/usage-duty.ts
@@ -7,9 +7,10 @@
 import type { DecisionLogger } from '../../common/decision-logger.js';
 import type { ServiceMetrics } from '../../common/service-metrics.js';
 import type { TenantCounts, UsageSink } from '../../protocol/usage.js';
-import type { StoredCount, StoredReport, UsageRepository } from '../../state/usage/index.js';
+import type { StoredReport, UsageRepository } from '../../state/usage/index.js';
 import type { DutyLease } from '../duties/index.js';
 import type { UsageWindows } from './usage-window.js';
+import { EARLIER_WINDOWS, missingNodes, sumOf } from './window-counts.js';
 
 /** All reports are acts on one thing: two holders keep apart whatever window they report. */
 const TARGET = 'usage';
@@ -29,8 +30,10 @@
 /** Windows that a new holder catches up with at most. */
 const MAX_BACKLOG = 200;
 /** Reported windows whose counts and reports are kept. */
-const KEPT_COUNTS = 2;
+const KEPT_COUNTS = EARLIER_WINDOWS;
 const KEPT_REPORTS = 60;
+/** Missing nodes that a log line names. */
+const SHOWN_NODES = 5;
 
 /** What the duty works with. */
 export interface UsageDutyServices {
@@ -38,8 +41,6 @@
   readonly lease: DutyLease;
   readonly sink: UsageSink;
   readonly windows: UsageWindows;
-  /** Names of the nodes that must close a window before it is complete; `undefined` when they cannot be learnt now. */
-  readonly nodes: () => Promise<readonly string[] | undefined>;
   /** Time after the end of a window at which its report is due, milliseconds. */
   readonly dueMs: number;
   readonly nodeName: string;
@@ -110,16 +111,16 @@
   private async decide(progress: Progress): Promise<boolean> {
     const { repository, windows, dueMs, nodeName } = this.services;
     const window = progress.nextWindow;
-    const [counts, nodes] = await Promise.all([repository.countsOf(window), this.services.nodes()]);
+    const counts = await repository.countsOf(window - EARLIER_WINDOWS, window);
     if (counts.isErr()) return false;
-    const missing = missingNodes(counts.value, nodes);
+    const missing = missingNodes(counts.value, window);
     const isLate = windows.sinceEndMs(window) >= dueMs - SENDING_MS;
-    if (missing !== 0 && !isLate) return false;
-    const decided = await repository.decide(window, sum(counts.value), nodeName);
+    if (missing.length > 0 && !isLate) return false;
+    const decided = await repository.decide(window, sumOf(counts.value, window), nodeName);
     if (decided.isErr()) return false;
     progress.nextWindow = window + 1;
     if (!decided.value.isReported) progress.unreported.push(decided.value);
-    this.reportDecision(decided.value, counts.value.length, missing);
+    this.reportDecision(decided.value, missing);
     return true;
   }
 
@@ -166,15 +167,15 @@
     await this.services.lease.resign();
   }
 
-  private reportDecision(report: StoredReport, sources: number, missing: number | undefined): void {
+  private reportDecision(report: StoredReport, missing: readonly string[]): void {
     const { windows, logger } = this.services;
     logger.record({
       event: 'usage-decided',
       window: report.window,
       requests: total(report.counts),
       tenants: Object.keys(report.counts).length,
-      sources,
-      missingNodes: missing ?? -1,
+      missingNodes: missing.length,
+      missing: missing.slice(0, SHOWN_NODES).join(','),
       decidedBy: report.decidedBy,
       sinceEndMs: Math.round(windows.sinceEndMs(report.window)),
     });
@@ -195,24 +196,6 @@
   }
 }
 
-/** Nodes that have not closed the window; `undefined` when the nodes are not known. */
-function missingNodes(
-  counts: readonly StoredCount[],
-  nodes: readonly string[] | undefined,
-): number | undefined {
-  const closed = new Set(counts.filter(({ isClosed }) => isClosed).map(({ node }) => node));
-  return nodes?.filter((node) => !closed.has(node)).length;
-}
-
-/** Counts of all processes together, tenants in the order of their names. */
-function sum(all: readonly StoredCount[]): TenantCounts {
-  const totals = new Map<string, number>();
-  for (const { counts } of all)
-    for (const [tenant, count] of Object.entries(counts))
-      totals.set(tenant, (totals.get(tenant) ?? 0) + count);
-  return Object.fromEntries([...totals].sort(([left], [right]) => (left < right ? -1 : 1)));
-}
-
 function total(counts: TenantCounts): number {
   return Object.values(counts).reduce((all, count) => all + count, 0);
 }
--- /dev/null
+++ b/src/coordination/usage/window-counts.ts
@@ -0,0 +1,29 @@
+/** What is known of a window before it is reported: its sums, and which nodes may still have something to add. */
+import type { TenantCounts } from '../../protocol/usage.js';
+import type { StoredCount } from '../../state/usage/index.js';
+
+/** Windows before one that tell which nodes are at work. */
+export const EARLIER_WINDOWS = 2;
+
+/**
+ * Nodes that have not closed a window and may still add to it: those that closed one of the `EARLIER_WINDOWS` before it. A
+ * node that is cut off for a while is waited for, one that is gone for good holds up two windows and then none.
+ */
+export function missingNodes(counts: readonly StoredCount[], window: number): string[] {
+  const closers = (from: number, to: number) =>
+    counts.filter((count) => count.isClosed && count.window >= from && count.window <= to);
+  const closed = new Set(closers(window, window).map(({ node }) => node));
+  const atWork = new Set(closers(window - EARLIER_WINDOWS, window - 1).map(({ node }) => node));
+  return [...atWork].filter((node) => !closed.has(node));
+}
+
+/** Requests of a window by tenant, all processes together, tenants in the order of their names. */
+export function sumOf(counts: readonly StoredCount[], window: number): TenantCounts {
+  const totals = new Map<string, number>();
+  for (const count of counts) {
+    if (count.window !== window) continue;
+    for (const [tenant, requests] of Object.entries(count.counts))
+      totals.set(tenant, (totals.get(tenant) ?? 0) + requests);
+  }
+  return Object.fromEntries([...totals].sort(([left], [right]) => (left < right ? -1 : 1)));
+}
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -284,17 +284,13 @@
     await this.ownership.handOver();
     await this.waitUntil(() => monotonicMs() > startedAt + MOVE_AWAY_MS, startedAt + MOVE_AWAY_MS + 1);
     await this.waitUntil(() => this.openRequests === 0, startedAt + stopGraceMs * END_FRACTION);
-    await this.leaveRecords();
+    if (this.usage) await this.flushUsage();
     this.controller.abort();
   }
 
-  /** What must not be lost with this process is written; the fleet no longer counts on this node. */
-  private async leaveRecords(): Promise<void> {
-    const signal = AbortSignal.timeout(FLUSH_MS);
-    await Promise.race([
-      Promise.all([this.usage?.flush(signal), this.peers.withdraw()]),
-      sleep(FLUSH_MS, this.controller.signal),
-    ]);
+  /** What was counted must not be lost with this process. */
+  private async flushUsage(): Promise<void> {
+    await Promise.race([this.usage?.flush(AbortSignal.timeout(FLUSH_MS)), sleep(FLUSH_MS)]);
   }
 
   private createUsage(usageSettings: UsageSettings, self: JobOwner, apartMs: () => number): UsageAccounting {
--- a/src/state/usage/usage-record.ts
+++ b/src/state/usage/usage-record.ts
@@ -32,6 +32,7 @@
 
 /** A count as read. */
 export interface StoredCount extends CountRecord {
+  readonly window: number;
   readonly node: string;
 }
 
--- a/src/state/usage/usage-repository.ts
+++ b/src/state/usage/usage-repository.ts
@@ -47,11 +47,15 @@
     return this.replace(countAddress(window, source), record, version, Number.POSITIVE_INFINITY, signal);
   }
 
-  /** What all processes have counted in a window so far. */
-  async countsOf(window: number): Promise<Result<StoredCount[], StateError>> {
-    const found = await readRange(this.store, COUNT_TABLE, '', windowKey(window), windowKey(window + 1));
+  /** What all processes have counted so far in the windows from `first` to `last`. */
+  async countsOf(first: number, last: number): Promise<Result<StoredCount[], StateError>> {
+    const found = await readRange(this.store, COUNT_TABLE, '', windowKey(first), windowKey(last + 1));
     return found.map(({ records }) =>
-      records.map(({ key, value }) => ({ node: nodeOfKey(key), ...parse<CountRecord>(value) })),
+      records.map(({ key, value }) => ({
+        window: windowOfKey(key),
+        node: nodeOfKey(key),
+        ...parse<CountRecord>(value),
+      })),
     );
   }
 
--- /dev/null
+++ b/test/coordination/usage/window-counts.test.ts
@@ -0,0 +1,36 @@
+/** When a window of usage is complete, and what it sums up to. */
+import { expect } from 'chai';
+import { missingNodes, sumOf } from '../../../src/coordination/usage/window-counts.js';
+import type { StoredCount } from '../../../src/state/usage/index.js';
+
+const closed = (window: number, node: string, counts: Record<string, number> = {}): StoredCount => ({
+  window,
+  node,
+  counts,
+  isClosed: true,
+});
+
+describe('the counts of a window', () => {
+  it('are complete once every node that was at work has closed it', () => {
+    const counts = [closed(5, 'a'), closed(5, 'b'), closed(6, 'a')];
+    expect(missingNodes(counts, 6)).to.deep.equal(['b']);
+    expect(missingNodes([...counts, { ...closed(6, 'b'), isClosed: false }], 6)).to.deep.equal(['b']);
+    expect(missingNodes([...counts, closed(6, 'b')], 6)).to.deep.equal([]);
+  });
+
+  it('are waited for from a node that missed one window, not from one that missed two', () => {
+    const cutOff = [closed(4, 'a'), closed(4, 'b'), closed(5, 'a'), closed(6, 'a')];
+    expect(missingNodes(cutOff, 6)).to.deep.equal(['b']);
+    expect(missingNodes([...cutOff, closed(7, 'a')], 7)).to.deep.equal([]);
+  });
+
+  it('count those of all processes of a node, and of nodes that are new', () => {
+    const counts = [
+      closed(6, 'a', { y: 1, x: 2 }),
+      { ...closed(6, 'a', { x: 3 }), isClosed: false },
+      closed(6, 'c', { z: 4 }),
+      closed(5, 'a', { x: 9 }),
+    ];
+    expect(JSON.stringify(sumOf(counts, 6))).to.equal('{"x":5,"y":1,"z":4}');
+  });
+});
