An owner that the store turns away gives its runs up when other nodes are served

Change: a node that cannot reach the store, and hears from another one that the store serves it, stops its runs: others claim its jobs within moments and need the slots. It goes on with those that are still its own when the store is back. In an outage of the whole store nobody is served, so everything goes on as before.

Ruled out: stopping whenever the store is silent (an outage of the store would cost every step); handing over through the other node (half a second sooner, a second way to release a job).

--- a/src/coordination/jobs/job-owner.ts
+++ b/src/coordination/jobs/job-owner.ts
@@ -48,6 +48,8 @@
   private readonly learntAtMs = new Map<string, number>();
   private readonly runs = new Map<string, JobRun>();
   private readonly claiming = new Set<string>();
+  /** Jobs whose runs were given up while the store did not serve this node. */
+  private readonly givenUp = new Set<string>();
   private isLeaving = false;
   private lastOwnedMs = Number.NEGATIVE_INFINITY;
 
@@ -55,7 +57,10 @@
     private readonly services: JobOwnerServices,
     private readonly self: JobOwner,
   ) {
-    services.sessions.onPoll(() => this.claimLost());
+    services.sessions.onPoll(() => {
+      this.claimLost();
+      void this.resume();
+    });
   }
 
   /** Jobs that this node runs. */
@@ -179,6 +184,19 @@
     await Promise.all([...this.runs.values()].map((run) => this.release(run)));
   }
 
+  /**
+   * Stops what runs here, for others are served by the store and this node is not: they take its jobs over once they miss its
+   * beats, and need the replicas' slots. It goes on with jobs that are still its own when the store serves it again.
+   */
+  giveUpRuns(): void {
+    for (const run of this.runs.values()) {
+      if (run.isStopped) continue;
+      this.report(run.head, 'given up', 'the store serves other nodes, not this one');
+      this.givenUp.add(run.head.jobId);
+      run.stop();
+    }
+  }
+
   /** Claims nothing from now on. */
   stopClaiming(): void {
     this.isLeaving = true;
@@ -249,6 +267,17 @@
       if (head.record.state === 'open' && !this.isMine(head)) this.considerClaim(head);
   }
 
+  /** Goes on with jobs that were given up and that nobody has taken over, now that the store answers. */
+  private async resume(): Promise<void> {
+    for (const jobId of this.givenUp) {
+      if (this.runs.has(jobId)) continue;
+      this.givenUp.delete(jobId);
+      await this.refresh(jobId);
+      const head = this.heads.get(jobId);
+      if (head && this.isMine(head)) this.start(head, undefined);
+    }
+  }
+
   private considerClaim(head: JobHead): void {
     const { owner } = head.record;
     if (this.isLeaving || this.claiming.has(head.jobId)) return;
--- a/src/coordination/jobs/job-run.ts
+++ b/src/coordination/jobs/job-run.ts
@@ -67,6 +67,11 @@
     return this.loaded;
   }
 
+  /** Whether it was stopped. */
+  get isStopped(): boolean {
+    return this.controller.signal.aborted;
+  }
+
   /** Stops at once: streams are closed, nothing more is listed. */
   stop(): void {
     this.controller.abort();
--- a/src/coordination/membership/peer-configuration.ts
+++ b/src/coordination/membership/peer-configuration.ts
@@ -23,6 +23,8 @@
   readonly ask: (address: string, version: number) => Promise<PeerConfigurationAnswer>;
   /** Takes the operator's record. */
   readonly take: (value: Buffer) => void;
+  /** Called each time when a node that the store serves has answered while it does not serve this one. */
+  readonly onTurnedAway: () => void;
   readonly logger: DecisionLogger;
 }
 
@@ -58,6 +60,7 @@
       if (answer.kind === 'newer') this.services.take(answer.value);
       this.confirmedAtMs = askedAtMs;
       if (answer.kind === 'newer') this.report(address);
+      if (!this.services.isStoreInReach()) this.services.onTurnedAway();
       return;
     }
   }
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -189,6 +189,7 @@
       version: () => this.routing.current?.version ?? 0,
       ask: parts.askForConfiguration,
       take: (value) => this.operators.takeConfiguration(value),
+      onTurnedAway: () => this.ownership.giveUpRuns(),
       logger,
     });
     const replicas = new ReplicaAnnouncements(store, format, this.directory, logger);
--- a/test/coordination/jobs/service-jobs.test.ts
+++ b/test/coordination/jobs/service-jobs.test.ts
@@ -178,6 +178,51 @@
     system.store.mode = 'answering';
     expectWhole(await system.trainer.readAll(urls, 'job-1', 2), job('job-1', { groups: 1 }), 60);
     expect(ownerOf('job-1')).to.equal(owner);
+    for (const { log } of nodes)
+      expect(log.some(({ context }) => context.change === 'given up')).to.equal(false);
+  });
+
+  it('is given up by an owner that the store turns away while it serves others, so that slots are free for the next', async () => {
+    const engine = await system.addEngine({ events: 60, workMs: 100 });
+    await system.addApplication();
+    const urls = await startNodes(2);
+    await until('the nodes know each other', () =>
+      nodes.every(({ log }) =>
+        log.some(({ context }) => context.subject === 'peers' && context.change === '1 known'),
+      ),
+    );
+    const submitted = job('job-1', { groups: 1 });
+    expect(await system.trainer.submit(urls[0] as string, submitted)).to.equal(202);
+    await until('items run', () => engine.running === 2);
+    const owner = nodeNamed(ownerOf('job-1'));
+    owner.proxy.set('cut');
+    await until('the job is given up', () =>
+      owner.log.some(({ context }) => context.jobId === 'job-1' && context.change === 'given up'),
+    );
+    await until('another node owns it', () => ownerOf('job-1') !== owner.name);
+    const others = nodes.filter(({ name }) => name !== owner.name).map(({ url }) => url);
+    expectWhole(await system.trainer.readAll(others, 'job-1', 2), submitted, 60);
+    expect(engine.received.length, 'runs: two at first, two of the next owner').to.equal(4);
+  });
+
+  it('goes on with its owner when the store serves it again before anyone has taken the job over', async () => {
+    await system.addEngine({ events: 60, workMs: 60 });
+    await system.addApplication();
+    const urls = await startNodes(2);
+    await until('the nodes know each other', () =>
+      nodes.every(({ log }) =>
+        log.some(({ context }) => context.subject === 'peers' && context.change === '1 known'),
+      ),
+    );
+    const submitted = job('job-1', { groups: 1 });
+    expect(await system.trainer.submit(urls[0] as string, submitted)).to.equal(202);
+    const owner = nodeNamed(ownerOf('job-1'));
+    owner.proxy.set('cut');
+    await until('the job is given up', () =>
+      owner.log.some(({ context }) => context.jobId === 'job-1' && context.change === 'given up'),
+    );
+    owner.proxy.set('pass');
+    expectWhole(await system.trainer.readAll(urls, 'job-1', 2), submitted, 60);
   });
 
   it('is taken, read and ended at a node that the store does not serve, which passes the calls on', async () => {
