--- a/scripts/layer-rules.ts
+++ b/scripts/layer-rules.ts
@@ -26,7 +26,7 @@
 
 /** Rooms of a layer; each may import those before it. */
 const ROOMS: Readonly<Record<string, readonly string[]>> = {
-  'src/state': ['store', 'leases', 'configuration', 'replicas', 'jobs', 'samples'],
+  'src/state': ['store', 'leases', 'configuration', 'replicas', 'usage', 'jobs', 'samples'],
   'src/coordination': [
     'configuration',
     'membership',
--- a/src/coordination/membership/peer-configuration.ts
+++ b/src/coordination/membership/peer-configuration.ts
@@ -1,6 +1,7 @@
 /**
- * The newest configuration from nodes that the store serves, for a node that it does not: the operator's changes take effect
- * here too, and a key that was taken away is not taken for longer. Versions only rise, whoever brings them.
+ * What a node that the store does not serve learns from nodes that it serves: the newest configuration, so that the operator's
+ * changes take effect here too and a key that was taken away is not taken for longer; and that the store is there, so that
+ * others will take this node's jobs over. Versions only rise, whoever brings them.
  */
 import { type Clock, SYSTEM_CLOCK } from '../../common/clock.js';
 import type { DecisionLogger } from '../../common/decision-logger.js';
--- a/test/coordination/jobs/service-jobs.test.ts
+++ b/test/coordination/jobs/service-jobs.test.ts
@@ -182,15 +182,19 @@
       expect(log.some(({ context }) => context.change === 'given up')).to.equal(false);
   });
 
-  it('is given up by an owner that the store turns away while it serves others, so that slots are free for the next', async () => {
-    const engine = await system.addEngine({ events: 60, workMs: 100 });
-    await system.addApplication();
-    const urls = await startNodes(2);
-    await until('the nodes know each other', () =>
+  /** Waits until each of two nodes knows where the other one is. */
+  const untilAcquainted = () =>
+    until('the nodes know each other', () =>
       nodes.every(({ log }) =>
         log.some(({ context }) => context.subject === 'peers' && context.change === '1 known'),
       ),
     );
+
+  it('is given up by an owner that the store turns away while it serves others, so that slots are free for the next', async () => {
+    const engine = await system.addEngine({ events: 60, workMs: 100 });
+    await system.addApplication();
+    const urls = await startNodes(2);
+    await untilAcquainted();
     const submitted = job('job-1', { groups: 1 });
     expect(await system.trainer.submit(urls[0] as string, submitted)).to.equal(202);
     await until('items run', () => engine.running === 2);
@@ -209,11 +213,7 @@
     await system.addEngine({ events: 60, workMs: 60 });
     await system.addApplication();
     const urls = await startNodes(2);
-    await until('the nodes know each other', () =>
-      nodes.every(({ log }) =>
-        log.some(({ context }) => context.subject === 'peers' && context.change === '1 known'),
-      ),
-    );
+    await untilAcquainted();
     const submitted = job('job-1', { groups: 1 });
     expect(await system.trainer.submit(urls[0] as string, submitted)).to.equal(202);
     const owner = nodeNamed(ownerOf('job-1'));
