A node counts as turned away at the second turn in a row

Cause: a node that was frozen hears of the store within moments of waking; at the first word of another node it would have given its runs up.

Change: the store must have served others, and not this node, in two turns in a row; tests with a clock of their own.

--- a/src/coordination/membership/peer-configuration.ts
+++ b/src/coordination/membership/peer-configuration.ts
@@ -11,6 +11,11 @@
 const LOOK_MS = 400;
 /** Nodes that are asked in one turn, one after the other, until one is served. */
 const ASKED = 4;
+/**
+ * Turns in a row in which another node is served and this one is not, after which this one counts as turned away: after a
+ * pause of its own a node hears of the store within the first.
+ */
+const TURNED_AWAY_TURNS = 2;
 /** How long the word of another node counts, milliseconds: two turns. */
 const CONFIRMED_MS = 2_500;
 
@@ -24,7 +29,7 @@
   readonly ask: (address: string, version: number) => Promise<PeerConfigurationAnswer>;
   /** Takes the operator's record. */
   readonly take: (value: Buffer) => void;
-  /** Called each time when a node that the store serves has answered while it does not serve this one. */
+  /** Called while the store serves others and has not served this node for some time. */
   readonly onTurnedAway: () => void;
   readonly logger: DecisionLogger;
 }
@@ -32,6 +37,7 @@
 /** The task of one node. */
 export class PeerConfiguration {
   private confirmedAtMs = Number.NEGATIVE_INFINITY;
+  private turnsAway = 0;
 
   constructor(
     private readonly services: PeerConfigurationServices,
@@ -46,7 +52,8 @@
   /** Asks while the store is out of reach, until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (!this.services.isStoreInReach()) await this.askInTurn();
+      if (this.services.isStoreInReach()) this.turnsAway = 0;
+      else await this.askInTurn();
       await this.clock.sleep(LOOK_MS, signal);
     }
   }
@@ -61,11 +68,17 @@
       if (answer.kind === 'newer') this.services.take(answer.value);
       this.confirmedAtMs = askedAtMs;
       if (answer.kind === 'newer') this.report(address);
-      if (!this.services.isStoreInReach()) this.services.onTurnedAway();
+      this.noteTurnedAway();
       return;
     }
   }
 
+  private noteTurnedAway(): void {
+    this.turnsAway += 1;
+    const isAway = this.turnsAway >= TURNED_AWAY_TURNS && !this.services.isStoreInReach();
+    if (isAway) this.services.onTurnedAway();
+  }
+
   private report(address: string): void {
     this.services.logger.record({
       event: 'belief-changed',
--- /dev/null
+++ b/test/coordination/membership/peer-configuration.test.ts
@@ -0,0 +1,93 @@
+/** What a node that the store does not serve learns from others. */
+import { expect } from 'chai';
+import { PeerConfiguration } from '../../../src/coordination/membership/peer-configuration.js';
+import type { PeerConfigurationAnswer } from '../../../src/protocol/configuration-peer.js';
+import { ManualClock } from '../../support/manual-clock.js';
+
+const LONG_MS = 10_000;
+
+describe('a node that the store does not serve', () => {
+  let clock: ManualClock;
+  let controller: AbortController;
+  let isInReach: boolean;
+  let answers: Record<string, PeerConfigurationAnswer>;
+  let asked: string[];
+  let taken: string[];
+  let turnedAway: number;
+  let peer: PeerConfiguration;
+
+  beforeEach(() => {
+    clock = new ManualClock(() => 0.5);
+    controller = new AbortController();
+    isInReach = false;
+    answers = { a: { kind: 'unavailable' }, b: { kind: 'same' } };
+    asked = [];
+    taken = [];
+    turnedAway = 0;
+    peer = new PeerConfiguration(
+      {
+        isStoreInReach: () => isInReach,
+        peers: () => Object.keys(answers),
+        version: () => 7,
+        ask: async (address) => {
+          asked.push(address);
+          return answers[address] as PeerConfigurationAnswer;
+        },
+        take: (value) => taken.push(value.toString()),
+        onTurnedAway: () => {
+          turnedAway += 1;
+        },
+        logger: { record: () => {} } as never,
+      },
+      clock,
+    );
+  });
+
+  afterEach(() => controller.abort());
+
+  async function run(ms: number): Promise<void> {
+    void peer.run(controller.signal);
+    await clock.advance(ms);
+  }
+
+  it('asks one node after the other until one is served, and is certain by its word for a while', async () => {
+    await run(0);
+    expect(asked).to.deep.equal(['a', 'b']);
+    expect(peer.isConfirmed).to.equal(true);
+    answers = { a: { kind: 'unavailable' } };
+    await clock.advance(LONG_MS);
+    expect(peer.isConfirmed).to.equal(false);
+  });
+
+  it('takes a newer configuration', async () => {
+    answers = { a: { kind: 'newer', value: Buffer.from('record') }, b: { kind: 'same' } };
+    await run(0);
+    expect(taken).to.deep.equal(['record']);
+    expect(asked).to.deep.equal(['a']);
+  });
+
+  it('asks nobody while the store serves it', async () => {
+    isInReach = true;
+    await run(LONG_MS);
+    expect(asked).to.deep.equal([]);
+    expect(peer.isConfirmed).to.equal(false);
+  });
+
+  it('counts as turned away at the second turn, not after a pause of its own that ends before', async () => {
+    await run(0);
+    expect(turnedAway).to.equal(0);
+    isInReach = true;
+    await clock.advance(LONG_MS);
+    isInReach = false;
+    await clock.advance(400);
+    expect(turnedAway).to.equal(0);
+    await clock.advance(400);
+    expect(turnedAway).to.equal(1);
+  });
+
+  it('never counts as turned away while no node is served', async () => {
+    answers = { a: { kind: 'unavailable' }, b: { kind: 'unavailable' } };
+    await run(LONG_MS);
+    expect(turnedAway).to.equal(0);
+  });
+});
