Counts of usage lie in partitions of their own

Counts and reports of usage shared a partition of the store with the beats and leases of all nodes and whatever else has no partition of its own.

Change: counts in four partitions by node, reports in one.

Ruled out: fewer writes (a kill would lose more of what is counted).

--- a/src/state/jobs/job-record.ts
+++ b/src/state/jobs/job-record.ts
@@ -1,4 +1,5 @@
 /** Records of batch jobs: their shape in the store and where each one lies. */
+import { spread } from '../../common/spread.js';
 import type { RecordAddress } from '../../protocol/record-store.js';
 
 /** Tables of the product. */
@@ -61,13 +62,6 @@
   (_, index) => `jobs-${index}`,
 );
 
-/** FNV-1a, for spreading only. */
-function spread(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let at = 0; at < text.length; at += 1) hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
-  return hash >>> 0;
-}
-
 /** Partition of a job: all its records lie in one, so that one transaction can change them. */
 export function partitionOf(jobId: string): string {
   return JOB_PARTITIONS[spread(jobId) % PARTITION_COUNT] as string;
--- a/src/state/usage/usage-record.ts
+++ b/src/state/usage/usage-record.ts
@@ -1,10 +1,18 @@
 /** Records of usage: what each process has counted in a window, and what was decided to report of it. */
+import { spread } from '../../common/spread.js';
 import type { RecordAddress } from '../../protocol/record-store.js';
 import type { TenantCounts } from '../../protocol/usage.js';
 
 export const COUNT_TABLE = 'usage-counts';
 export const REPORT_TABLE = 'usage-reports';
 
+/**
+ * Partitions of counts, over which nodes are spread, and the one of reports. A partition takes a few hundred writes a second in
+ * turn; in one with the beats and leases of all nodes, counts would hold these up.
+ */
+export const COUNT_PARTITIONS: readonly string[] = ['usage-0', 'usage-1', 'usage-2', 'usage-3'];
+export const REPORT_PARTITION = 'usage-reports';
+
 /** Digits of a window in a key, so that keys sort by window. */
 const WINDOW_DIGITS = 12;
 
@@ -43,11 +51,12 @@
 }
 
 export function countAddress(window: number, { node, life }: UsageSource): RecordAddress {
-  return { table: COUNT_TABLE, partition: '', key: `${windowKey(window)}/${node}/${life}` };
+  const partition = COUNT_PARTITIONS[spread(node) % COUNT_PARTITIONS.length] as string;
+  return { table: COUNT_TABLE, partition, key: `${windowKey(window)}/${node}/${life}` };
 }
 
 export function reportAddress(window: number): RecordAddress {
-  return { table: REPORT_TABLE, partition: '', key: windowKey(window) };
+  return { table: REPORT_TABLE, partition: REPORT_PARTITION, key: windowKey(window) };
 }
 
 /** Node in the key of a count. */
--- a/src/state/usage/usage-repository.ts
+++ b/src/state/usage/usage-repository.ts
@@ -3,17 +3,19 @@
  * wrote them, so that a write that is carried out late never undoes a newer one. A report is written once and for all before
  * it is sent, so that every holder of the duty sends the same.
  */
-import { err, ok, type Result } from 'neverthrow';
+import { err, ok, Result } from 'neverthrow';
 import { monotonicMs } from '../../common/clock.js';
 import type { RecordAddress, RecordStore, StoredRecord } from '../../protocol/record-store.js';
 import type { TenantCounts } from '../../protocol/usage.js';
 import type { StateError } from '../state-error.js';
 import { ConflictError, readRange, settle } from '../store/index.js';
 import {
+  COUNT_PARTITIONS,
   COUNT_TABLE,
   type CountRecord,
   countAddress,
   nodeOfKey,
+  REPORT_PARTITION,
   REPORT_TABLE,
   type ReportRecord,
   reportAddress,
@@ -49,19 +51,16 @@
 
   /** What all processes have counted so far in the windows from `first` to `last`. */
   async countsOf(first: number, last: number): Promise<Result<StoredCount[], StateError>> {
-    const found = await readRange(this.store, COUNT_TABLE, '', windowKey(first), windowKey(last + 1));
-    return found.map(({ records }) =>
-      records.map(({ key, value }) => ({
-        window: windowOfKey(key),
-        node: nodeOfKey(key),
-        ...parse<CountRecord>(value),
-      })),
+    const [from, until] = [windowKey(first), windowKey(last + 1)];
+    const found = await Promise.all(
+      COUNT_PARTITIONS.map((partition) => readRange(this.store, COUNT_TABLE, partition, from, until)),
     );
+    return Result.combine(found).map((parts) => parts.flatMap(({ records }) => records.map(toCount)));
   }
 
   /** All reports that are kept, in the order of their windows. */
   async reports(): Promise<Result<StoredReport[], StateError>> {
-    const found = await readRange(this.store, REPORT_TABLE, '');
+    const found = await readRange(this.store, REPORT_TABLE, REPORT_PARTITION);
     return found.map(({ records }) => records.map(toReport));
   }
 
@@ -88,8 +87,9 @@
 
   /** Removes counts of windows before `countsBefore` and reports of windows before `reportsBefore`. */
   async removeOld(countsBefore: number, reportsBefore: number): Promise<void> {
-    await this.removeRange(COUNT_TABLE, windowKey(countsBefore));
-    await this.removeRange(REPORT_TABLE, windowKey(reportsBefore));
+    for (const partition of COUNT_PARTITIONS)
+      await this.removeRange(COUNT_TABLE, partition, windowKey(countsBefore));
+    await this.removeRange(REPORT_TABLE, REPORT_PARTITION, windowKey(reportsBefore));
   }
 
   private async replace(
@@ -117,11 +117,11 @@
     return settled.map((written) => written || appliedVersion);
   }
 
-  private async removeRange(table: string, until: string): Promise<void> {
+  private async removeRange(table: string, partition: string, until: string): Promise<void> {
     for (let isMore = true; isMore; ) {
-      const page = await this.store.scan({ table, partition: '', until, limit: REMOVED_TOGETHER });
+      const page = await this.store.scan({ table, partition, until, limit: REMOVED_TOGETHER });
       if (page.isErr() || page.value.records.length === 0) return;
-      const removals = page.value.records.map(({ key }) => ({ table, partition: '', key }));
+      const removals = page.value.records.map(({ key }) => ({ table, partition, key }));
       const removed = await this.store.transact({ conditions: [], writes: [], removals });
       isMore = page.value.hasMore && removed.isOk();
     }
@@ -132,6 +132,10 @@
   return JSON.parse(value.toString('utf8')) as T;
 }
 
+function toCount({ key, value }: StoredRecord): StoredCount {
+  return { window: windowOfKey(key), node: nodeOfKey(key), ...parse<CountRecord>(value) };
+}
+
 function toReport({ key, value, version }: StoredRecord): StoredReport {
   return { ...parse<ReportRecord>(value), window: windowOfKey(key), version };
 }
--- a/test/coordination/usage/usage.test.ts
+++ b/test/coordination/usage/usage.test.ts
@@ -82,6 +82,16 @@
     expect(total).to.equal(60);
   });
 
+  it('is written beside the beats and leases of nodes, not among them', async () => {
+    await untilReported();
+    await send(nodes, 6);
+    await untilReported();
+    const shared = ['usage-counts', 'usage-reports'].flatMap((table) =>
+      system.store.rows.scan(table, '', '', undefined),
+    );
+    expect(shared).to.deep.equal([]);
+  });
+
   it('leaves out what a replica did not run, and calls that need no key', async () => {
     await untilReported();
     const busy = await system.addApplication({ slots: 0 });
