--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -100,7 +100,7 @@
     results: accepted.reduce((sum, { positions }) => sum + positions.size, 0),
     lookups: history.lookups.length,
     windows: new Set(system.usage.reports.map(({ window }) => window)).size,
-    usageErrors: usageErrors(system.usage.reports, begunByWindow(system.replicas, WINDOW_MS)),
+    usageErrors: usageErrors(system.usage.reports, begunByWindow(stage.applications, WINDOW_MS)),
     violations: found.length,
   };
   return { summary, found };
