Lines tell one request from another, and a replica that has ended from a connection that was cut

A line had the identifier of a try only, and "other side closed" was said of a replica's end, of an answer that was cut off and of a kept connection closed as it was written to.

Change: a digest of caller, path and body in lines about requests that were not served and runs whose connection broke; a look at the address whose connection broke (a connection opened and closed again; requests that broke together share one), its finding in the line and in thymecove_broken_runs_total. The look is waited for before the next attempt, 300 ms at most. The digest is worked out only when a line needs it.

Ruled out: a look by a request of ours (it would take a slot, and an application has no call that is free).

--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -18,6 +18,8 @@
   readonly configVersion: number;
   /** Tenant on whose behalf it was sent. */
   readonly tenant?: string;
+  /** The same for all tries of one request; told of those that a replica left without an answer, and of refusals. */
+  readonly digest?: string;
   readonly detail?: string;
 }
 
@@ -31,6 +33,10 @@
   readonly replica: string;
   readonly outcome: string;
   readonly detail?: string;
+  /** The same for all tries of one request; told when the connection broke under it. */
+  readonly digest?: string;
+  /** Whether the replica was found to have ended; told when the connection broke. */
+  readonly replicaEnded?: 'yes' | 'no';
   readonly tookMs: number;
   /** Time that the request waited for a slot at a replica before. */
   readonly waitedMs?: number;
--- a/src/common/service-metrics.ts
+++ b/src/common/service-metrics.ts
@@ -38,6 +38,11 @@
   );
   /** Time from acceptance of a job to the listing of a result. */
   readonly listedSeconds = this.histogram('thymecove_result_listed_seconds', 'Time to a listed result', []);
+  /** Requests whose connection broke while a replica had them, by what was found at its address: `refused` means that it has ended. */
+  readonly brokenRuns = this.counter('thymecove_broken_runs_total', 'Connections lost under a request', [
+    'service',
+    'listener',
+  ]);
   /** Orders to replicas by outcome. */
   readonly orders = this.counter('thymecove_orders_total', 'Orders to replicas', ['outcome']);
   /** Reports of usage by outcome. */
--- a/src/coordination/jobs/item-run.ts
+++ b/src/coordination/jobs/item-run.ts
@@ -7,6 +7,7 @@
 import type { Route } from '../../protocol/routing-configuration.js';
 import type { RoutingSnapshot, RoutingTable, TargetSplitter } from '../../state/configuration/index.js';
 import type { ReplicaDirectory, ReplicaState, WeightVersions } from '../../state/replicas/index.js';
+import { digestOf, type IdentifiedRequest, type ReplicaEndCheck } from '../requests/index.js';
 import type { Placement, PlacementRequest, SampleLengths, SampleScorer } from '../samples/index.js';
 import {
   type AttemptPace,
@@ -23,6 +24,7 @@
   readonly splitter: TargetSplitter;
   readonly placement: Placement;
   readonly client: ReplicaClient;
+  readonly endCheck: ReplicaEndCheck;
   readonly scorer: SampleScorer;
   readonly lengths: SampleLengths;
   readonly directory: ReplicaDirectory;
@@ -68,6 +70,8 @@
   /** Whether a part of the text is made, here or by an earlier owner, so that the item goes before new ones. */
   private isBegun: boolean;
   private readonly moves = new SampleMoves();
+  /** What makes the item the same request in each of its runs, also in another job. */
+  private readonly identified: IdentifiedRequest;
 
   constructor(
     private readonly services: ItemServices,
@@ -77,6 +81,8 @@
   ) {
     this.text = kept && this.isUsable(kept) ? SampleText.from(kept) : new SampleText();
     this.isBegun = this.text.eventCount > 0;
+    const { host, tenant } = job;
+    this.identified = { method: 'POST', path: item.path, host, tenant, body: item.body };
   }
 
   /** Resolves to the result, or to `undefined` when the job's signal was aborted before. */
@@ -140,10 +146,17 @@
     const outcome = await attemptGeneration(this.services.client, state, this.item, this.text, terms);
     placement.release(state, wasTaken);
     const took = { waitedMs: startedAt - queuedAt, tookMs: monotonicMs() - startedAt };
-    this.noteOutcome(state, outcome, took, this.text.eventCount - eventsBefore);
+    const replicaEnded = await this.hasEnded(state, outcome);
+    this.noteOutcome(state, outcome, took, this.text.eventCount - eventsBefore, replicaEnded);
     return outcome;
   }
 
+  /** Whether the replica was found to have ended under the item; `undefined` when its connection did not break. */
+  private async hasEnded(state: ReplicaState, outcome: GenerationOutcome): Promise<boolean | undefined> {
+    if (outcome.kind !== 'broken' || !outcome.isConnectionLost) return undefined;
+    return this.services.endCheck.hasEnded(state.replica);
+  }
+
   /** What the item asks of a replica. The service stays while the route leads to it. */
   private placementRequest(route: Route): PlacementRequest {
     const chosen = this.services.splitter.next(route)?.service;
@@ -226,6 +239,7 @@
     outcome: GenerationOutcome,
     { waitedMs, tookMs }: { waitedMs: number; tookMs: number },
     events: number,
+    replicaEnded: boolean | undefined,
   ): void {
     const { service, id } = state.replica;
     if (outcome.kind === 'whole') state.noteWhole();
@@ -244,6 +258,9 @@
       replica: id,
       outcome: outcome.kind,
       detail: `${events} events${'reason' in outcome ? `, ${outcome.reason}` : ''}`,
+      ...(replicaEnded === undefined
+        ? {}
+        : { digest: digestOf(this.identified), replicaEnded: replicaEnded ? 'yes' : 'no' }),
       tookMs: Math.round(tookMs),
       waitedMs: Math.round(waitedMs),
       inFlight: state.inFlight,
--- a/src/coordination/requests/index.ts
+++ b/src/coordination/requests/index.ts
@@ -8,8 +8,10 @@
   TIMEOUT_HEADER,
   writeRelayedHead,
 } from './application-relay.js';
+export { ReplicaEndCheck } from './replica-end-check.js';
 export { defectOf, ReplicaExchange } from './replica-exchange.js';
 export { isPastDeadline, type RequestContext, timeLeftMs } from './request-context.js';
+export { digestOf, type IdentifiedRequest } from './request-digest.js';
 export { isAllowedZone, type RouteQuery, Router } from './router.js';
-export { type RelayOutcome, ServiceRelay } from './service-relay.js';
+export { type RelayedRequest, type RelayOutcome, ServiceRelay } from './service-relay.js';
 export { NODE_TABLE, type NodeEvent, type NodeState, WorkGate } from './work-gate.js';
--- /dev/null
+++ b/src/coordination/requests/replica-end-check.ts
@@ -0,0 +1,36 @@
+/**
+ * Tells a replica that has ended from a connection that was cut. Both look the same to the request that was under way; but
+ * where a process has ended nothing listens any more, until its successor has started seconds later.
+ */
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import type { Replica } from '../../protocol/replica.js';
+import { type ListenerState, probeListener } from '../../transport/listener-probe.js';
+
+/** Longest wait for the machine's word, milliseconds: a caller may be waiting for the next attempt. */
+const PROBE_TIMEOUT_MS = 300;
+
+/** Looks at the addresses of replicas whose connections broke. */
+export class ReplicaEndCheck {
+  /** Looks under way, by address: requests that broke together share one. */
+  private readonly looks = new Map<string, Promise<ListenerState>>();
+
+  constructor(
+    private readonly metrics: Pick<ServiceMetrics, 'brokenRuns'>,
+    private readonly probe: typeof probeListener = probeListener,
+  ) {}
+
+  /** Whether the replica under a broken request has certainly ended. In doubt it has not. */
+  async hasEnded({ service, address }: Replica): Promise<boolean> {
+    const state = await this.look(address);
+    this.metrics.brokenRuns.inc({ service, listener: state });
+    return state === 'refused';
+  }
+
+  private look(address: string): Promise<ListenerState> {
+    const underWay = this.looks.get(address);
+    if (underWay) return underWay;
+    const look = this.probe(address, PROBE_TIMEOUT_MS).finally(() => this.looks.delete(address));
+    this.looks.set(address, look);
+    return look;
+  }
+}
--- a/src/coordination/requests/replica-exchange.ts
+++ b/src/coordination/requests/replica-exchange.ts
@@ -5,6 +5,9 @@
 import type { ReplicaAnswer, ReplicaClient, ReplicaRequest } from '../../protocol/replica.js';
 import type { ReplicaState } from '../../state/replicas/index.js';
 import { readWhole } from '../../transport/http-client.js';
+import type { TransportError } from '../../transport/transport-error.js';
+import type { ReplicaEndCheck } from './replica-end-check.js';
+import { digestOf } from './request-digest.js';
 
 /** An answer is held in memory up to this size, bytes. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -28,7 +31,12 @@
   /** Certainly not run. */
   | { readonly kind: 'declined'; readonly reason: string; readonly isFull: boolean }
   /** May have run; there is no answer to pass on. */
-  | { readonly kind: 'unknown'; readonly reason: string }
+  | {
+      readonly kind: 'unknown';
+      readonly reason: string;
+      /** Told when the connection broke under the request: whether its replica has certainly ended. */
+      readonly replicaEnded?: boolean;
+    }
   /** Given up because the caller left or the time was over. */
   | { readonly kind: 'cancelled' };
 
@@ -51,6 +59,7 @@
 export class ReplicaExchange {
   constructor(
     readonly client: ReplicaClient,
+    private readonly endCheck: ReplicaEndCheck,
     private readonly metrics: ServiceMetrics,
     private readonly logger: DecisionLogger,
   ) {}
@@ -67,7 +76,7 @@
     state.inFlight -= 1;
     const tookMs = monotonicMs() - startedAt;
     this.noteOutcome(state, outcome, tookMs);
-    this.report(state, request.id, outcome, tookMs, context);
+    this.report(state, request, outcome, tookMs, context);
     return outcome;
   }
 
@@ -77,7 +86,7 @@
       const { failure, requestSent, message } = sent.error;
       if (request.signal.aborted) return { kind: 'cancelled' };
       if (!requestSent) return { kind: 'declined', reason: `${failure}: ${message}`, isFull: false };
-      return { kind: 'unknown', reason: `${failure}: ${message}` };
+      return this.broken(state, sent.error, `${failure}: ${message}`);
     }
     const answer = sent.value;
     const defect = defectOf(answer);
@@ -93,12 +102,21 @@
     if (defect) return { kind: 'unknown', reason: defect };
     if (body.isErr()) {
       if (request.signal.aborted) return { kind: 'cancelled' };
-      return { kind: 'unknown', reason: `body: ${body.error.message}` };
+      return this.broken(state, body.error, `body: ${body.error.message}`);
     }
     const { status, headers, signature, isFramed } = answer;
     return { kind: 'answered', answer: { status, headers, signature, isFramed, body: body.value } };
   }
 
+  private async broken(
+    { replica }: ReplicaState,
+    { failure }: TransportError,
+    reason: string,
+  ): Promise<AttemptOutcome> {
+    if (failure !== 'connection-lost') return { kind: 'unknown', reason };
+    return { kind: 'unknown', reason, replicaEnded: await this.endCheck.hasEnded(replica) };
+  }
+
   private noteOutcome(state: ReplicaState, outcome: AttemptOutcome, tookMs: number): void {
     if (outcome.kind === 'answered' && outcome.answer.status < 500) state.noteSuccess(tookMs);
     else if (outcome.kind === 'declined' && outcome.isFull) state.pause(FULL_PAUSE_MS);
@@ -107,21 +125,25 @@
 
   private report(
     state: ReplicaState,
-    requestId: string,
+    request: ReplicaRequest,
     outcome: AttemptOutcome,
     tookMs: number,
     context: AttemptContext,
   ): void {
     const { service, id } = state.replica;
+    const replicaEnded = outcome.kind === 'unknown' ? outcome.replicaEnded : undefined;
     this.metrics.attempts.inc({ service, outcome: outcome.kind });
     this.logger.record({
       event: 'attempt-ended',
-      requestId,
+      requestId: request.id,
       ...context,
       service,
       replica: id,
       outcome: outcome.kind === 'answered' ? String(outcome.answer.status) : outcome.kind,
       detail: 'reason' in outcome ? outcome.reason : undefined,
+      ...(replicaEnded === undefined
+        ? {}
+        : { digest: digestOf(request), replicaEnded: replicaEnded ? 'yes' : 'no' }),
       tookMs: Math.round(tookMs),
       inFlight: state.inFlight,
     });
--- /dev/null
+++ b/src/coordination/requests/request-digest.ts
@@ -0,0 +1,28 @@
+/** What makes two tries the same request, whatever identifiers they bear: who asks, for what, with which body. */
+import { createHash } from 'node:crypto';
+
+/** The parts of a request that a caller repeats unchanged. */
+export interface IdentifiedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly host: string;
+  /** Tenant on whose behalf it runs, if any. */
+  readonly tenant?: string;
+  readonly body: Buffer;
+}
+
+const DIGEST_LENGTH = 32;
+const SEPARATOR = '\0';
+/** Digests of requests that are still held: a large body is read once at most. */
+const known = new WeakMap<IdentifiedRequest, string>();
+
+/** Digest of a request, in hexadecimal digits. Worked out when first asked for: most requests never need one. */
+export function digestOf(request: IdentifiedRequest): string {
+  const before = known.get(request);
+  if (before !== undefined) return before;
+  const { method, host, tenant, path, body } = request;
+  const hash = createHash('sha256').update([method, host, tenant ?? '', path, ''].join(SEPARATOR));
+  const digest = hash.update(body).digest('hex').slice(0, DIGEST_LENGTH);
+  known.set(request, digest);
+  return digest;
+}
--- a/src/coordination/samples/generation-attempt.ts
+++ b/src/coordination/samples/generation-attempt.ts
@@ -5,6 +5,7 @@
 import type { ReplicaAnswer, ReplicaClient } from '../../protocol/replica.js';
 import type { ReplicaState } from '../../state/replicas/index.js';
 import { readWhole } from '../../transport/http-client.js';
+import { toTransportError } from '../../transport/transport-error.js';
 import { defectOf } from '../requests/index.js';
 import type { SampleText } from './sample-text.js';
 
@@ -43,7 +44,12 @@
   /** The replica's weights are too old, or differ where one version is asked for. */
   | { readonly kind: 'wrong-version'; readonly reason: string }
   /** The stream broke; what came before is kept. */
-  | { readonly kind: 'broken'; readonly reason: string }
+  | {
+      readonly kind: 'broken';
+      readonly reason: string;
+      /** Whether the connection was lost, as when the replica ends. */
+      readonly isConnectionLost?: boolean;
+    }
   /** Broken off from here, to go on at a faster replica. */
   | { readonly kind: 'moved'; readonly reason: string }
   | { readonly kind: 'cancelled' };
@@ -176,7 +182,7 @@
   if (sent.isErr()) {
     const reason = `${sent.error.failure}: ${sent.error.message}`;
     if (!sent.error.requestSent) return { kind: 'declined', reason, isFull: false };
-    return { kind: 'broken', reason };
+    return { kind: 'broken', reason, isConnectionLost: sent.error.failure === 'connection-lost' };
   }
   watch.heard();
   const answer = sent.value;
@@ -226,7 +232,8 @@
       }
     }
   } catch (cause) {
-    return { kind: 'broken', reason: cause instanceof Error ? cause.message : String(cause) };
+    const { failure, message } = toTransportError(cause);
+    return { kind: 'broken', reason: message, isConnectionLost: failure === 'connection-lost' };
   }
   if (parser.hasRemainder) return { kind: 'broken', reason: 'the stream ended within an event' };
   if (!answer.isFramed) return { kind: 'broken', reason: 'the stream ended with its connection' };
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -19,7 +19,7 @@
   ReplicaAnnouncements,
   SessionMonitor,
 } from '../coordination/membership/index.js';
-import { ReplicaExchange, ServiceRelay } from '../coordination/requests/index.js';
+import { ReplicaEndCheck, ReplicaExchange, ServiceRelay } from '../coordination/requests/index.js';
 import { Placement, SampleLengths, SampleScorer } from '../coordination/samples/index.js';
 import { UsageAccounting } from '../coordination/usage/index.js';
 import { WeightOrders } from '../coordination/weights/index.js';
@@ -112,7 +112,8 @@
     const settings = parts.settings();
     const self: JobOwner = { node: settings.nodeName, life: uniqueId() };
     const splitter = new TargetSplitter();
-    const exchange = new ReplicaExchange(client, metrics, logger);
+    const endCheck = new ReplicaEndCheck(metrics);
+    const exchange = new ReplicaExchange(client, endCheck, metrics, logger);
     const repository = new JobRepository(store);
     const cache = new ResultCache(settings.memoryBytes * RESULT_CACHE_FRACTION);
     this.relay = new ServiceRelay(
@@ -137,6 +138,7 @@
         directory: this.directory,
         versions: this.versions,
         client,
+        endCheck,
         lengths: new SampleLengths(),
         scorer: new SampleScorer(this.routing, this.directory, this.relay),
         metrics,
--- /dev/null
+++ b/src/transport/listener-probe.ts
@@ -0,0 +1,23 @@
+/** Asks whether anything listens at an address, by opening a connection and closing it again without a byte. */
+import { connect } from 'node:net';
+
+/** `refused`: the machine answers and nothing listens. `unknown`: no answer in time, or none that tells. */
+export type ListenerState = 'listening' | 'refused' | 'unknown';
+
+/** Looks at `address` (`IP:PORT`) for at most `timeoutMs` milliseconds. Never rejects. */
+export function probeListener(address: string, timeoutMs: number): Promise<ListenerState> {
+  const colon = address.lastIndexOf(':');
+  return new Promise((resolve) => {
+    const socket = connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) });
+    const finish = (state: ListenerState) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(state);
+    };
+    const timer = setTimeout(() => finish('unknown'), timeoutMs);
+    socket.once('connect', () => finish('listening'));
+    socket.once('error', (error: NodeJS.ErrnoException) =>
+      finish(error.code === 'ECONNREFUSED' ? 'refused' : 'unknown'),
+    );
+  });
+}
