A request that ends the replicas which run it, brought about: fails on the code as it is

Cause shown: one request under new identifiers at three nodes, four replicas that are restarted at their addresses.

Ruled out: more attempts than a route allows (three a try, as declared), and different requests (one digest).

Conclusion: the mend must know the request by what it is, at every node and after every life of a node.

--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -65,6 +65,10 @@
   isSilent = false;
   /** Status that every request gets, as a failure that ran. */
   failWith: number | undefined;
+  /** A request with this body ends the replica while it runs. */
+  fatalBody: string | undefined;
+  /** Called when a request has ended the replica. */
+  onFatal: () => void = () => {};
   /** Streams that are broken after `breakAfterEvents` events, from the next one. */
   streamsToBreak = 0;
   /** Streams, from the next one, that end with their connection, after `breakAfterEvents` events. */
@@ -94,7 +98,7 @@
 
   constructor(
     private readonly rows: RowStore,
-    private readonly options: ReplicaOptions,
+    readonly options: ReplicaOptions,
   ) {
     this.versions = new Map(Object.entries(options.models ?? {}));
     this.workMs = options.workMs ?? 5;
@@ -117,9 +121,9 @@
     return this.sockets.size;
   }
 
-  /** Starts and announces itself. */
-  async start(): Promise<this> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+  /** Starts and announces itself; a successor takes the port of the one before. */
+  async start(port = 0): Promise<this> {
+    await new Promise<void>((resolve) => this.server.listen(port, '127.0.0.1', resolve));
     nextReplica += 1;
     this.id = `replica-${nextReplica}`;
     this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
@@ -189,10 +193,17 @@
     }
     this.active += 1;
     received.beganAtMs = Date.now();
-    await this.work(request, response, id);
+    if (body.toString('utf8') === this.fatalBody) await this.endUnderRequest();
+    else await this.work(request, response, id);
     this.active -= 1;
   }
 
+  private async endUnderRequest(): Promise<void> {
+    await sleep(this.workMs);
+    this.crash();
+    this.onFatal();
+  }
+
   private async work(request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
     if (this.failWith !== undefined) {
       response
--- /dev/null
+++ b/test/coordination/requests/fatal-requests.test.ts
@@ -0,0 +1,119 @@
+/**
+ * Requests that end the replicas which run them.
+ *
+ * What users saw: one kind of request refused for seconds, again and again, on a day on which nothing else was wrong.
+ *
+ * The order of events: a request ends the replica that runs it; the silent attempt has been doubled by a second one, which ends
+ * the next replica; the route allows a third attempt. The caller comes back at another node with a new identifier, and that
+ * node knows nothing of all this. Once the replicas are back after some seconds, so is the request.
+ *
+ * The cause: a run that ends its replica was taken for a fault of the replica, which is to be tried again elsewhere; nothing of
+ * it outlived the try. The evidence: the lines of three nodes with the same digest, `replicaEnded` yes, under names of six
+ * replicas at three addresses within 0.3 s and again 3 s later.
+ */
+import { expect } from 'chai';
+import type { ReplicaServer } from '../../../emulator/replica/replica-server.js';
+import { kill, LOOKUP_PATH, type ServiceNodeProcess, ServiceSystem } from '../../support/service-system.js';
+import { until } from '../../support/wait.js';
+
+const REPLICAS = 4;
+const ROUNDS = 6;
+/** Replicas that one request may end, whatever becomes of it. */
+const MAX_ENDED = 3;
+const FATAL_PATH = `${LOOKUP_PATH}fatal`;
+const FATAL_BODY = 'ends whoever runs it';
+/** Longer than a request needs to end a replica, and long enough that it is doubled meanwhile, milliseconds. */
+const WORK_MS = 300;
+
+describe('a request that ends the replicas which run it', () => {
+  let system: ServiceSystem;
+  let nodes: ServiceNodeProcess[];
+  let ended: ReplicaServer[];
+  let identifiers = 0;
+
+  /** Starts the next life of each replica that was ended. */
+  async function restartEnded(): Promise<void> {
+    const down = system.replicas.filter((replica) => ended.includes(replica) && !restarted.has(replica));
+    for (const replica of down) {
+      restarted.add(replica);
+      watch(await system.restartReplica(replica));
+    }
+  }
+
+  let restarted: Set<ReplicaServer>;
+
+  function watch(replica: ReplicaServer): void {
+    replica.fatalBody = FATAL_BODY;
+    replica.onFatal = () => ended.push(replica);
+  }
+
+  const nextId = () => {
+    identifiers += 1;
+    return `request-${identifiers}`;
+  };
+
+  const sendFatal = (node: ServiceNodeProcess) => system.lookup(node, nextId(), {}, FATAL_PATH, FATAL_BODY);
+
+  /** Sends it to each node in turn, at each one once its replicas are back. */
+  async function repeat(rounds: number): Promise<(number | undefined)[]> {
+    const statuses: (number | undefined)[] = [];
+    for (let round = 0; round < rounds; round += 1) {
+      await restartEnded();
+      const node = nodes[round % nodes.length] as ServiceNodeProcess;
+      await until(
+        'another request is served',
+        async () => (await system.lookup(node, nextId()))?.status === 200,
+      );
+      statuses.push((await sendFatal(node))?.status);
+    }
+    return statuses;
+  }
+
+  beforeEach(async () => {
+    ended = [];
+    restarted = new Set();
+    system = await ServiceSystem.start();
+    for (let count = 0; count < REPLICAS; count += 1)
+      watch(await system.addApplication({ workMs: WORK_MS, slots: 8 }));
+    nodes = await Promise.all(['node-1', 'node-2', 'node-3'].map((name) => system.addNode(name)));
+    for (const node of nodes) await system.untilReady(node);
+  });
+
+  afterEach(() => system.stop());
+
+  it('ends three at most, however often and wherever it comes', async () => {
+    const statuses = await repeat(ROUNDS);
+    expect(ended.length, statuses.join()).to.be.within(1, MAX_ENDED);
+    expect(statuses.at(-1)).to.equal(503);
+  });
+
+  it('is refused with a time to come back, and has not run then', async () => {
+    await repeat(ROUNDS);
+    const before = system.replicas.flatMap((replica) => replica.received).length;
+    const answer = await sendFatal(nodes[0] as ServiceNodeProcess);
+    expect(answer?.status).to.equal(503);
+    expect(Number(answer?.headers['retry-after'])).to.be.greaterThan(0);
+    expect(system.replicas.flatMap((replica) => replica.received).length).to.equal(before);
+  });
+
+  it('is known as such after all nodes were killed', async () => {
+    await repeat(ROUNDS);
+    const before = ended.length;
+    await Promise.all(nodes.map((node) => kill(node)));
+    nodes = await Promise.all(nodes.map(({ name }) => system.addNode(name)));
+    for (const node of nodes) await system.untilReady(node);
+    await repeat(ROUNDS);
+    expect(ended.length).to.equal(before);
+  });
+
+  it('does not keep others of its route and caller from being served', async () => {
+    await repeat(ROUNDS);
+    await restartEnded();
+    for (const node of nodes) {
+      expect((await system.lookup(node, nextId(), {}, FATAL_PATH, 'another body'))?.status).to.equal(200);
+      expect(
+        (await system.lookup(node, nextId(), {}, `${LOOKUP_PATH}y`, FATAL_BODY.slice(1)))?.status,
+      ).to.equal(200);
+    }
+  });
+});
--- a/test/support/service-system.ts
+++ b/test/support/service-system.ts
@@ -142,6 +142,17 @@
     return this.addReplica({ service: APPLICATION_SERVICE, ...options });
   }
 
+  /** Starts the next life of a replica that has ended, at the same address. */
+  async restartReplica(ended: ReplicaServer): Promise<ReplicaServer> {
+    const next = await new ReplicaServer(this.store.rows, ended.options).start(
+      Number(new URL(`http://${ended.address}`).port),
+    );
+    next.fatalBody = ended.fatalBody;
+    ended.withdraw();
+    this.replicas.push(next);
+    return next;
+  }
+
   /** Starts a node under a name; a second start under the same name is its next life. */
   async addNode(name: string, settings: Readonly<Record<string, string>> = {}): Promise<ServiceNodeProcess> {
     const proxy = await FaultProxy.start(`http://${this.storeAddress}`);
@@ -191,12 +202,13 @@
     requestId: string,
     headers: Readonly<Record<string, string>> = {},
     path = `${LOOKUP_PATH}x`,
+    body = 'question',
   ): Promise<WholeResponse | undefined> {
     const answer = await this.http.exchange({
       method: 'POST',
       url: `${node.url}${path}`,
       headers: { host: HOST, [HEADER.requestId]: requestId, [HEADER.deadlineMs]: '3000', ...headers },
-      body: 'question',
+      body,
       totalTimeoutMs: 10_000,
     });
     return answer.unwrapOr(undefined as never);
