Requests that end replicas are kept away from them, at every node

Cause: a run that ends its replica was taken for a fault of the replica. It was tried again elsewhere at once, doubled while it was silent, and nothing of it outlived the try, so that the next node, or the next life of the replicas, began from nothing. Class: a retry policy that takes every failure for one of the back end, and a belief that is kept for a try where the request outlives it.

Change: one mechanism, asked before each send (lookups, scoring calls, items) and told of each run under which a replica has certainly ended (connection lost, nothing listens at its address, not leaving). Ends at one address within a second are one. After one end no second replica is put at risk while the first is silent; after two that the request alone has in common it is held for 4 s, after three for 10 minutes: refused at once with that time, 502 where it has run in the same try. An item waits; it is not dead. Nodes share runs through the table of jobs, which all of them follow already: no call of the store by a node that has nothing to tell, none on the way of a request. A node is not ready before it has read them (2 s at most).

Ruled out: a threshold of three ends alone (the service of three would be down whole with the first try), a feed of its own (a long poll for each node and second), a dead item (a replica's end is no answer).

--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -131,6 +131,24 @@
   readonly version: number;
 }
 
+/** A replica has ended under a request; what follows for the request. */
+export interface RequestSuspected {
+  readonly event: 'request-suspected';
+  readonly digest: string;
+  /** The replica, or the name of the record that told of it. */
+  readonly replica: string;
+  /** `IP:PORT`. */
+  readonly address: string;
+  readonly source: 'here' | 'another node';
+  readonly verdict: 'clear' | 'suspected' | 'held';
+  /** Replicas that have ended under it, as far as this node knows. */
+  readonly ends: number;
+  /** How long it is held from now on. */
+  readonly holdMs: number;
+  /** Time since the end of the replica. */
+  readonly ageMs: number;
+}
+
 /** A duty was taken, lost or carried out. */
 export interface DutyChanged {
   readonly event: 'duty-changed';
@@ -210,6 +228,7 @@
   | ItemChanged
   | ResultsListed
   | BeliefChanged
+  | RequestSuspected
   | DutyChanged
   | OrderGiven
   | UsageDecided
--- a/src/common/service-metrics.ts
+++ b/src/common/service-metrics.ts
@@ -43,6 +43,14 @@
     'service',
     'listener',
   ]);
+  /** Requests under which a replica has ended lately, as far as this node knows. */
+  readonly suspectRequests = this.gauge(
+    'thymecove_suspect_requests',
+    'Requests under which a replica has ended',
+    [],
+  );
+  /** Requests that were not sent to a replica because replicas have ended under them. */
+  readonly heldRequests = this.counter('thymecove_held_requests_total', 'Requests held back', ['service']);
   /** Orders to replicas by outcome. */
   readonly orders = this.counter('thymecove_orders_total', 'Orders to replicas', ['outcome']);
   /** Reports of usage by outcome. */
--- a/src/coordination/configuration/index.ts
+++ b/src/coordination/configuration/index.ts
@@ -1,2 +1,3 @@
 export { ConfigFollower } from './config-follower.js';
 export { type FeedHandler, type FeedObserver, RecordFeed, readPartition } from './record-feed.js';
+export { SharedTable } from './shared-table.js';
--- a/src/coordination/jobs/item-run.ts
+++ b/src/coordination/jobs/item-run.ts
@@ -7,7 +7,12 @@
 import type { Route } from '../../protocol/routing-configuration.js';
 import type { RoutingSnapshot, RoutingTable, TargetSplitter } from '../../state/configuration/index.js';
 import type { ReplicaDirectory, ReplicaState, WeightVersions } from '../../state/replicas/index.js';
-import { digestOf, type IdentifiedRequest, type ReplicaEndCheck } from '../requests/index.js';
+import {
+  digestOf,
+  type IdentifiedRequest,
+  type ReplicaEndCheck,
+  type RequestQuarantine,
+} from '../requests/index.js';
 import type { Placement, PlacementRequest, SampleLengths, SampleScorer } from '../samples/index.js';
 import {
   type AttemptPace,
@@ -25,6 +30,7 @@
   readonly placement: Placement;
   readonly client: ReplicaClient;
   readonly endCheck: ReplicaEndCheck;
+  readonly quarantine: RequestQuarantine;
   readonly scorer: SampleScorer;
   readonly lengths: SampleLengths;
   readonly directory: ReplicaDirectory;
@@ -59,6 +65,8 @@
 const ROUTE_POLL_MS = 100;
 const DEFAULT_DEADLINE_MS = 60_000;
 const SHORTEST_DEADLINE_MS = 1_000;
+/** How often an item that is held back looks whether it may run, milliseconds. */
+const HELD_POLL_MS = 250;
 /** Pause after a replica declined an item, milliseconds. */
 const DECLINED_PAUSE_MS = 60;
 
@@ -69,6 +77,8 @@
   private attempts = 0;
   /** Whether a part of the text is made, here or by an earlier owner, so that the item goes before new ones. */
   private isBegun: boolean;
+  /** Whether it waits because replicas have ended under it. */
+  private isHeld = false;
   private readonly moves = new SampleMoves();
   /** What makes the item the same request in each of its runs, also in another job. */
   private readonly identified: IdentifiedRequest;
@@ -92,6 +102,7 @@
       const route = await this.awaitRoute();
       if (!route) return this.job.signal.aborted ? undefined : this.dead('the route is gone');
       if (this.ageMs > route.maxQueueMs) return this.dead('the longest time in the queue has passed');
+      if (await this.isHeldBack(route)) continue;
       const outcome = await this.attempt(route);
       const verdict = outcome && (await this.judge(outcome, route));
       if (verdict) return verdict;
@@ -147,10 +158,31 @@
     placement.release(state, wasTaken);
     const took = { waitedMs: startedAt - queuedAt, tookMs: monotonicMs() - startedAt };
     const replicaEnded = await this.hasEnded(state, outcome);
-    this.noteOutcome(state, outcome, took, this.text.eventCount - eventsBefore, replicaEnded);
+    const events = this.text.eventCount - eventsBefore;
+    if (replicaEnded && events === 0) this.services.quarantine.noteEnd(this.identified, state);
+    this.noteOutcome(state, outcome, took, events, replicaEnded);
     return outcome;
   }
 
+  /**
+   * Waits a little if replicas have ended under the item. It is not given up for that: a replica's end is no answer, so the
+   * item stays owed until its time is over. A run that made events accuses nothing, since the next one goes on after them.
+   */
+  private async isHeldBack(route: Route): Promise<boolean> {
+    const verdict = this.services.quarantine.judge(this.identified);
+    if (verdict.kind !== 'held') {
+      this.isHeld = false;
+      return false;
+    }
+    if (!this.isHeld) {
+      this.report('held back', `${verdict.ends} replicas have ended under it`);
+      this.services.quarantine.noteHeld(route.targets[0]?.service ?? '');
+    }
+    this.isHeld = true;
+    await sleep(Math.min(HELD_POLL_MS, verdict.retryAfterMs), this.job.signal);
+    return true;
+  }
+
   /** Whether the replica was found to have ended under the item; `undefined` when its connection did not break. */
   private async hasEnded(state: ReplicaState, outcome: GenerationOutcome): Promise<boolean | undefined> {
     if (outcome.kind !== 'broken' || !outcome.isConnectionLost) return undefined;
--- a/src/coordination/requests/index.ts
+++ b/src/coordination/requests/index.ts
@@ -12,6 +12,7 @@
 export { defectOf, ReplicaExchange } from './replica-exchange.js';
 export { isPastDeadline, type RequestContext, timeLeftMs } from './request-context.js';
 export { digestOf, type IdentifiedRequest } from './request-digest.js';
+export { RequestQuarantine } from './request-quarantine.js';
 export { isAllowedZone, type RouteQuery, Router } from './router.js';
 export { type RelayedRequest, type RelayOutcome, ServiceRelay } from './service-relay.js';
 export { NODE_TABLE, type NodeEvent, type NodeState, WorkGate } from './work-gate.js';
--- /dev/null
+++ b/src/coordination/requests/request-quarantine.ts
@@ -0,0 +1,196 @@
+/**
+ * Keeps requests that end replicas away from them. Whoever sends a request to a replica asks here before and tells of each
+ * run under which a replica ended; what one node learns, all others hear through the store within milliseconds, and nodes
+ * that start later read it there. The store is never waited for: a node judges by what it knows.
+ */
+import { type Clock, SYSTEM_CLOCK } from '../../common/clock.js';
+import { ConditionVariable } from '../../common/condition-variable.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import { TokenBucket } from '../../common/token-bucket.js';
+import type { ChangedRecord, RecordStore, RecordWrite, StoredRecord } from '../../protocol/record-store.js';
+import {
+  FATAL_RUN_EXPIRY_MS,
+  FATAL_RUN_PARTITION,
+  type FatalRun,
+  FatalRuns,
+  parseFatalRun,
+  type ReplicaDirectory,
+  type ReplicaState,
+  toFatalRunRecord,
+  type Verdict,
+} from '../../state/replicas/index.js';
+import { FOLLOWED_TABLE } from '../../state/store/index.js';
+import { type FeedHandler, readPartition } from '../configuration/index.js';
+import { digestOf, type IdentifiedRequest } from './request-digest.js';
+
+/** Records in one transaction at most. */
+const MAX_RECORDS = 100;
+/** Runs that one node reports in the long run, and at once: what is over that counts at this node alone. */
+const REPORTS_PER_SECOND = 20;
+const BURST_REPORTS = 200;
+/** Runs that wait for the store at most: what is over that counts at this node alone. */
+const MAX_PENDING = 1_000;
+/** Pauses after a write that the store did not take, milliseconds. */
+const FIRST_PAUSE_MS = 50;
+const LONGEST_PAUSE_MS = 1_000;
+/** How often what has expired is removed, milliseconds. */
+const SWEEP_MS = 60_000;
+/** A node that reads records of others removes those that have been due for this long, milliseconds. */
+const OVERDUE_MS = FATAL_RUN_EXPIRY_MS;
+
+const CLEAR: Verdict = { kind: 'clear' };
+
+/** What the quarantine works with. */
+export interface QuarantineServices {
+  readonly store: RecordStore;
+  readonly directory: ReplicaDirectory;
+  readonly metrics: Pick<ServiceMetrics, 'heldRequests' | 'suspectRequests'>;
+  readonly logger: DecisionLogger;
+}
+
+/** The quarantine of one node. */
+export class RequestQuarantine implements FeedHandler<readonly StoredRecord[]> {
+  readonly table = FOLLOWED_TABLE;
+  private readonly runs = new FatalRuns();
+  /** Records that the store has not taken yet, by key. */
+  private pending = new Map<string, RecordWrite>();
+  /** Records that this node has written, to be removed once they have expired. */
+  private written: RecordWrite[] = [];
+  private readonly hasPending = new ConditionVariable();
+  private readonly budget = new TokenBucket(REPORTS_PER_SECOND, BURST_REPORTS);
+  private hasRead = false;
+
+  constructor(
+    private readonly services: QuarantineServices,
+    private readonly clock: Clock = SYSTEM_CLOCK,
+  ) {}
+
+  /** Whether this node knows what others had reported before it started. */
+  get isInformed(): boolean {
+    return this.hasRead;
+  }
+
+  /** Whether a request may be sent to a replica now. Costs nothing while no replica has ended under a request. */
+  judge(request: IdentifiedRequest): Verdict {
+    if (this.runs.size === 0) return CLEAR;
+    return this.runs.judge(digestOf(request), this.services.store.nowMs());
+  }
+
+  /** Counts a request that was not sent because of its verdict. */
+  noteHeld(service: string): void {
+    this.services.metrics.heldRequests.inc({ service });
+  }
+
+  /** A replica has ended while it ran the request. One that was leaving has ended by plan. */
+  noteEnd(request: IdentifiedRequest, state: ReplicaState): void {
+    if (!this.services.directory.isAvailable(state)) return;
+    const { id, address } = state.replica;
+    const run = { digest: digestOf(request), address, endedAtMs: this.services.store.nowMs() };
+    if (!this.take(run, 'here', id)) return;
+    if (this.pending.size >= MAX_PENDING || this.budget.take() > 0) return;
+    const record = toFatalRunRecord(run, id);
+    this.pending.set(record.key, record);
+    this.hasPending.notifyAll();
+  }
+
+  /** Reports what this node learns, until `signal` is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.reportAll(signal), this.sweepRegularly(signal)]);
+  }
+
+  /** What was read counts at once: the other kinds of the table may not be readable yet. */
+  async readAll() {
+    const read = await readPartition(this.services.store, FOLLOWED_TABLE, FATAL_RUN_PARTITION);
+    if (read.isOk()) this.replaceAll(read.value.content);
+    return read;
+  }
+
+  replaceAll(content: readonly StoredRecord[]): void {
+    for (const record of content) this.apply(record);
+    if (!this.hasRead) void this.removeOverdue(content);
+    this.hasRead = true;
+  }
+
+  apply(change: ChangedRecord): void {
+    const run = parseFatalRun(change);
+    if (run && !this.isExpired(run)) this.take(run, 'another node', change.key);
+  }
+
+  private isExpired({ endedAtMs }: FatalRun): boolean {
+    return endedAtMs < this.services.store.nowMs() - FATAL_RUN_EXPIRY_MS;
+  }
+
+  /** Takes a run; false when it was known. */
+  private take(run: FatalRun, source: 'here' | 'another node', replica: string): boolean {
+    if (!this.runs.note(run)) return false;
+    const verdict = this.runs.judge(run.digest, this.services.store.nowMs());
+    this.services.metrics.suspectRequests.set({}, this.runs.size);
+    this.services.logger.record({
+      event: 'request-suspected',
+      digest: run.digest,
+      replica,
+      address: run.address,
+      source,
+      verdict: verdict.kind,
+      ends: verdict.kind === 'clear' ? 0 : verdict.ends,
+      holdMs: verdict.kind === 'held' ? Math.round(verdict.retryAfterMs) : 0,
+      ageMs: Math.round(this.services.store.nowMs() - run.endedAtMs),
+    });
+    return true;
+  }
+
+  private async reportAll(signal: AbortSignal): Promise<void> {
+    let pauseMs = FIRST_PAUSE_MS;
+    while (!signal.aborted) {
+      await this.untilPending(signal);
+      if (signal.aborted) return;
+      const isTaken = await this.report();
+      if (!isTaken) await this.clock.sleep(pauseMs * (0.5 + this.clock.random()), signal);
+      pauseMs = isTaken ? FIRST_PAUSE_MS : Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+    }
+  }
+
+  private async untilPending(signal: AbortSignal): Promise<void> {
+    while (this.pending.size === 0 && !signal.aborted) await this.hasPending.wait(signal);
+  }
+
+  /** Writes a batch; a repeat of a write that was done after all changes nothing. */
+  private async report(): Promise<boolean> {
+    const writes = [...this.pending.values()].slice(0, MAX_RECORDS);
+    const outcome = await this.services.store.transact({ conditions: [], writes, removals: [] });
+    if (outcome.isErr()) return false;
+    for (const { key } of writes) this.pending.delete(key);
+    this.written.push(...writes);
+    return true;
+  }
+
+  private async sweepRegularly(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.clock.sleep(SWEEP_MS, signal);
+      if (!signal.aborted) await this.sweep();
+    }
+  }
+
+  private async sweep(): Promise<void> {
+    this.runs.forgetBefore(this.services.store.nowMs() - FATAL_RUN_EXPIRY_MS);
+    this.services.metrics.suspectRequests.set({}, this.runs.size);
+    const isDue = (record: RecordWrite) => {
+      const run = parseFatalRun(record);
+      return run === undefined || this.isExpired(run);
+    };
+    const due = this.written.filter(isDue).slice(0, MAX_RECORDS);
+    if (due.length === 0) return;
+    const outcome = await this.services.store.transact({ conditions: [], writes: [], removals: due });
+    if (outcome.isOk()) this.written = this.written.filter((record) => !due.includes(record));
+  }
+
+  /** Nodes that are gone for good leave their records behind. */
+  private async removeOverdue(content: readonly StoredRecord[]): Promise<void> {
+    const dueMs = this.services.store.nowMs() - FATAL_RUN_EXPIRY_MS - OVERDUE_MS;
+    const removals = content.filter((record) => (parseFatalRun(record)?.endedAtMs ?? 0) < dueMs);
+    if (removals.length === 0) return;
+    const batch = removals.slice(0, MAX_RECORDS);
+    await this.services.store.transact({ conditions: [], writes: [], removals: batch });
+  }
+}
--- a/src/coordination/requests/service-relay.ts
+++ b/src/coordination/requests/service-relay.ts
@@ -1,14 +1,16 @@
 /**
  * Relays one request to a replica of its route's service and returns the whole answer. Safe requests are tried again
  * on another replica, also while a silent one may still answer; other requests only when a replica said that it did not
- * run them. The final answer is given at once: at the deadline, at the route's time-out, or when nothing is left to try.
+ * run them. The final answer is given at once: at the deadline, at the route's time-out, or when nothing is left to try. Under
+ * a request that ends replicas no more of them are put at risk than it takes to tell.
  */
 import { monotonicMs } from '../../common/clock.js';
 import type { ReplicaRequest } from '../../protocol/replica.js';
 import type { Route } from '../../protocol/routing-configuration.js';
 import type { RoutingSnapshot, TargetSplitter } from '../../state/configuration/index.js';
-import type { ReplicaDirectory, ReplicaState } from '../../state/replicas/index.js';
+import type { ReplicaDirectory, ReplicaState, Verdict } from '../../state/replicas/index.js';
 import type { AttemptOutcome, ReplicaExchange, WholeAnswer } from './replica-exchange.js';
+import type { RequestQuarantine } from './request-quarantine.js';
 
 /** A request to relay. */
 export interface RelayedRequest {
@@ -73,6 +75,7 @@
     private readonly directory: ReplicaDirectory,
     private readonly splitter: TargetSplitter,
     private readonly exchange: ReplicaExchange,
+    private readonly quarantine: RequestQuarantine,
     private readonly zone: string,
     private readonly countRun: RunCounter = () => () => {},
   ) {}
@@ -89,6 +92,7 @@
       target.service,
       this.directory,
       this.exchange,
+      this.quarantine,
       this.zone,
       this.countRun,
     );
@@ -115,6 +119,7 @@
     private readonly service: string,
     private readonly directory: ReplicaDirectory,
     private readonly exchange: ReplicaExchange,
+    private readonly quarantine: RequestQuarantine,
     private readonly zone: string,
     private readonly countRun: RunCounter,
   ) {
@@ -148,11 +153,16 @@
     }
   }
 
-  /** Whether another attempt may run beside the pending ones. */
+  /**
+   * Whether another attempt may run beside the pending ones. Where a replica has ended under the request, a second one is not
+   * put at risk while the first is silent.
+   */
   private mayStart(pendingCount: number): boolean {
     if (this.declines >= MAX_DECLINES) return false;
     if (this.runs + pendingCount >= this.request.route.maxAttempts) return false;
-    return pendingCount === 0 || this.request.isHedged;
+    const verdict = this.quarantine.judge(this.request);
+    if (verdict.kind === 'held') return false;
+    return pendingCount === 0 || (this.request.isHedged && verdict.kind === 'clear');
   }
 
   private start(pending: Set<Promise<AttemptOutcome>>): boolean {
@@ -166,6 +176,7 @@
     const tracked: Promise<AttemptOutcome> = attempt.then((outcome) => {
       pending.delete(tracked);
       if (outcome.kind === 'declined') this.noteNotRun();
+      if (outcome.kind === 'unknown' && outcome.replicaEnded) this.quarantine.noteEnd(this.request, state);
       return outcome;
     });
     pending.add(tracked);
@@ -252,11 +263,21 @@
 
   private exhausted(): RelayOutcome {
     if (this.lastFailure) return { kind: 'answered', answer: this.lastFailure, attempts: this.attempts };
+    const verdict = this.quarantine.judge(this.request);
+    if (verdict.kind === 'held') return this.heldBack(verdict);
     if (this.mayHaveRun) return this.failed(false);
     const reason = this.lastReason;
     return { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS, attempts: this.attempts };
   }
 
+  /** A caller whose request has not run is told when it may; one whose request has run here is promised nothing. */
+  private heldBack({ ends, retryAfterMs }: Extract<Verdict, { kind: 'held' }>): RelayOutcome {
+    this.quarantine.noteHeld(this.service);
+    this.lastReason = `${ends} replicas have ended under this request`;
+    if (this.mayHaveRun) return this.failed(false);
+    return { kind: 'refused', reason: this.lastReason, retryAfterMs, attempts: this.attempts };
+  }
+
   private timedOut(): RelayOutcome {
     if (this.tried.size === 0) return this.exhausted();
     this.lastReason = `the time is over; ${this.tried.size} replica(s) asked; before: ${this.lastReason}`;
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -7,7 +7,7 @@
 import type { DecisionLogger } from '../common/decision-logger.js';
 import { uniqueId } from '../common/identifier.js';
 import type { ServiceMetrics } from '../common/service-metrics.js';
-import { type FeedObserver, RecordFeed } from '../coordination/configuration/index.js';
+import { type FeedObserver, RecordFeed, SharedTable } from '../coordination/configuration/index.js';
 import { DutyLease } from '../coordination/duties/index.js';
 import type { SubmissionParser } from '../coordination/jobs/index.js';
 import { JobCalls, JobForwarding, JobOwnership } from '../coordination/jobs/index.js';
@@ -19,7 +19,12 @@
   ReplicaAnnouncements,
   SessionMonitor,
 } from '../coordination/membership/index.js';
-import { ReplicaEndCheck, ReplicaExchange, ServiceRelay } from '../coordination/requests/index.js';
+import {
+  ReplicaEndCheck,
+  ReplicaExchange,
+  RequestQuarantine,
+  ServiceRelay,
+} from '../coordination/requests/index.js';
 import { Placement, SampleLengths, SampleScorer } from '../coordination/samples/index.js';
 import { UsageAccounting } from '../coordination/usage/index.js';
 import { WeightOrders } from '../coordination/weights/index.js';
@@ -32,7 +37,7 @@
 import { RoutingTable, TargetSplitter } from '../state/configuration/index.js';
 import type { JobOwner } from '../state/jobs/index.js';
 import { JobRepository } from '../state/jobs/index.js';
-import { ReplicaDirectory, WeightVersions } from '../state/replicas/index.js';
+import { FATAL_RUN_PARTITION, ReplicaDirectory, WeightVersions } from '../state/replicas/index.js';
 import { ResultCache } from '../state/samples/index.js';
 
 /** Duty of giving orders to model replicas. */
@@ -48,6 +53,11 @@
 /** Callers are moved to other nodes within this time after the node says that it is not ready, milliseconds. */
 const MOVE_AWAY_MS = 3_000;
 const DRAIN_POLL_MS = 50;
+/**
+ * A node that has just started is not ready before it has read which requests have ended replicas; after this time it is all
+ * the same, since that part of the store may be away, milliseconds.
+ */
+const UNINFORMED_MS = 2_000;
 const MILLISECONDS_PER_SECOND = 1000;
 /**
  * A node that holds nothing asks for further changes this much later for each node of the fleet, at most
@@ -91,6 +101,7 @@
   readonly relay: ServiceRelay;
   readonly jobs: JobCalls;
   private readonly versions = new WeightVersions();
+  private readonly quarantine: RequestQuarantine;
   private readonly placement: Placement;
   private readonly ownership: JobOwnership;
   private readonly sessions: SessionMonitor;
@@ -104,6 +115,7 @@
   private readonly feeds: readonly RecordFeed<unknown>[];
   private readonly controller = new AbortController();
   private isDraining = false;
+  private startedAtMs = Number.POSITIVE_INFINITY;
   private openRequests = 0;
 
   constructor(private readonly parts: ServiceNodeParts) {
@@ -116,10 +128,12 @@
     const exchange = new ReplicaExchange(client, endCheck, metrics, logger);
     const repository = new JobRepository(store);
     const cache = new ResultCache(settings.memoryBytes * RESULT_CACHE_FRACTION);
+    this.quarantine = new RequestQuarantine({ store, directory: this.directory, metrics, logger });
     this.relay = new ServiceRelay(
       this.directory,
       splitter,
       exchange,
+      this.quarantine,
       settings.zone,
       (tenant) => this.usage?.counter.begin(tenant) ?? (() => {}),
     );
@@ -139,6 +153,7 @@
         versions: this.versions,
         client,
         endCheck,
+        quarantine: this.quarantine,
         lengths: new SampleLengths(),
         scorer: new SampleScorer(this.routing, this.directory, this.relay),
         metrics,
@@ -200,7 +215,12 @@
     this.feeds = [
       new RecordFeed(store, this.operators, observer, pause),
       new RecordFeed(store, replicas, observer, pause),
-      new RecordFeed(store, this.ownership, observer, pause),
+      new RecordFeed(
+        store,
+        new SharedTable(this.ownership, { partition: FATAL_RUN_PARTITION, handler: this.quarantine }),
+        observer,
+        pause,
+      ),
     ] as RecordFeed<unknown>[];
   }
 
@@ -210,8 +230,10 @@
    */
   start(address: string, peerAddress?: string): void {
     const { signal } = this.controller;
+    this.startedAtMs = monotonicMs();
     void this.peers.run(address, signal, peerAddress);
     void this.peerConfiguration.run(signal);
+    void this.quarantine.run(signal);
     void this.usage?.run(signal);
     for (const feed of this.feeds) void feed.run(signal);
     void this.sessions.run(signal);
@@ -224,7 +246,8 @@
    */
   get isReady(): boolean {
     const isInformed = this.routing.current !== undefined && this.directory.ids.length > 0;
-    return !this.isDraining && isInformed && this.parts.store.isInReach();
+    const knowsFatalRuns = this.quarantine.isInformed || monotonicMs() - this.startedAtMs > UNINFORMED_MS;
+    return !this.isDraining && isInformed && knowsFatalRuns && this.parts.store.isInReach();
   }
 
   /**
--- a/src/state/jobs/job-record.ts
+++ b/src/state/jobs/job-record.ts
@@ -1,9 +1,10 @@
 /** Records of batch jobs: their shape in the store and where each one lies. */
 import { spread } from '../../common/spread.js';
 import type { RecordAddress } from '../../protocol/record-store.js';
+import { FOLLOWED_TABLE } from '../store/index.js';
 
 /** Tables of the product. */
-export const JOB_TABLE = 'jobs';
+export const JOB_TABLE = FOLLOWED_TABLE;
 export const SUBMISSION_TABLE = 'job-submissions';
 export const RESULT_TABLE = 'job-results';
 export const TEXT_TABLE = 'job-texts';
--- /dev/null
+++ b/src/state/replicas/fatal-runs.ts
@@ -0,0 +1,126 @@
+/**
+ * What is known of requests under which replicas have ended, and what follows from it. A replica may end for reasons of its
+ * own while it runs any request; so one end accuses every request that ran there, and it takes further ends to tell the one
+ * that causes them from the others.
+ */
+
+/** A replica ended while it ran a request. */
+export interface FatalRun {
+  /** Says which request it was, whatever identifier it bore. */
+  readonly digest: string;
+  /** `IP:PORT` of the replica. */
+  readonly address: string;
+  /** On the store's clock, milliseconds. */
+  readonly endedAtMs: number;
+}
+
+/** What may be done with a request. */
+export type Verdict =
+  /** No replica has ended under it. */
+  | { readonly kind: 'clear' }
+  /** It may run, on one replica at a time. */
+  | { readonly kind: 'suspected'; readonly ends: number }
+  /** It may not run before `retryAfterMs` milliseconds have passed. */
+  | { readonly kind: 'held'; readonly ends: number; readonly retryAfterMs: number };
+
+/** Ends under one request after which it is held for long, whatever else ran there. */
+const MAX_ENDS = 3;
+/** Ends after which it is held for a short time if no other request was there each time. */
+const SOLE_SUSPECT_ENDS = 2;
+/**
+ * How long a request is held, milliseconds. The short time lets replicas come back before another one is risked, and costs a
+ * request that was accused wrongly one step at most; the long one bounds what a request can end to one replica in ten minutes
+ * once it is known, and lets a request run again whose cause was mended.
+ */
+const SHORT_HOLD_MS = 4_000;
+const LONG_HOLD_MS = 600_000;
+/** Reports of ends at one address that are this close are of one end: a successor takes longer to start, milliseconds. */
+const SAME_END_MS = 1_000;
+/** Requests that are remembered; some 300 bytes each. */
+const MAX_REMEMBERED = 5_000;
+
+/** After this time a run is no longer held against its request, milliseconds. */
+export const FATAL_RUN_EXPIRY_MS = LONG_HOLD_MS;
+
+const CLEAR: Verdict = { kind: 'clear' };
+
+/** The end of a replica, and the requests that it ran. */
+interface ReplicaEnd {
+  readonly endedAtMs: number;
+  readonly digests: Set<string>;
+}
+
+/** All that one node knows. */
+export class FatalRuns {
+  private readonly endsByAddress = new Map<string, ReplicaEnd[]>();
+  private readonly endsByDigest = new Map<string, ReplicaEnd[]>();
+
+  /** Requests that are remembered. */
+  get size(): number {
+    return this.endsByDigest.size;
+  }
+
+  /** Takes a run; false when it was known. */
+  note({ digest, address, endedAtMs }: FatalRun): boolean {
+    const end = this.endAt(address, endedAtMs);
+    if (end.digests.has(digest)) return false;
+    end.digests.add(digest);
+    this.endsByDigest.set(digest, [...(this.endsByDigest.get(digest) ?? []), end]);
+    if (this.size > MAX_REMEMBERED) this.forgetOldest();
+    return true;
+  }
+
+  /** What may be done with a request at `nowMs` on the store's clock. */
+  judge(digest: string, nowMs: number): Verdict {
+    const ends = this.endsByDigest.get(digest);
+    if (!ends) return CLEAR;
+    const count = ends.length;
+    const lastMs = Math.max(...ends.map(({ endedAtMs }) => endedAtMs));
+    const retryAfterMs = lastMs + this.holdMs(digest, ends) - nowMs;
+    return retryAfterMs > 0
+      ? { kind: 'held', ends: count, retryAfterMs }
+      : { kind: 'suspected', ends: count };
+  }
+
+  /** Forgets all runs before `ms` on the store's clock. */
+  forgetBefore(ms: number): void {
+    for (const [digest, ends] of this.endsByDigest) {
+      const kept = ends.filter(({ endedAtMs }) => endedAtMs >= ms);
+      if (kept.length === 0) this.endsByDigest.delete(digest);
+      else if (kept.length < ends.length) this.endsByDigest.set(digest, kept);
+    }
+    for (const [address, ends] of this.endsByAddress) {
+      const kept = ends.filter(({ endedAtMs }) => endedAtMs >= ms);
+      if (kept.length === 0) this.endsByAddress.delete(address);
+      else this.endsByAddress.set(address, kept);
+    }
+  }
+
+  private holdMs(digest: string, ends: readonly ReplicaEnd[]): number {
+    if (ends.length >= MAX_ENDS) return LONG_HOLD_MS;
+    return ends.length >= SOLE_SUSPECT_ENDS && this.isSoleSuspect(digest, ends) ? SHORT_HOLD_MS : 0;
+  }
+
+  /** Whether no other request ran at each of the ends. */
+  private isSoleSuspect(digest: string, [first, ...others]: readonly ReplicaEnd[]): boolean {
+    for (const other of first?.digests ?? [])
+      if (other !== digest && others.every(({ digests }) => digests.has(other))) return false;
+    return true;
+  }
+
+  private endAt(address: string, endedAtMs: number): ReplicaEnd {
+    const ends = this.endsByAddress.get(address) ?? [];
+    const same = ends.find((end) => Math.abs(end.endedAtMs - endedAtMs) < SAME_END_MS);
+    if (same) return same;
+    const end: ReplicaEnd = { endedAtMs, digests: new Set() };
+    this.endsByAddress.set(address, [...ends, end]);
+    return end;
+  }
+
+  private forgetOldest(): void {
+    const [oldest] = this.endsByDigest.keys();
+    if (oldest === undefined) return;
+    for (const end of this.endsByDigest.get(oldest) ?? []) end.digests.delete(oldest);
+    this.endsByDigest.delete(oldest);
+  }
+}
--- a/src/state/store/index.ts
+++ b/src/state/store/index.ts
@@ -1,3 +1,4 @@
+export { FOLLOWED_TABLE } from './followed-table.js';
 export { InstrumentedStore } from './instrumented-store.js';
 export { readRange } from './read-range.js';
 export {
--- a/test/coordination/jobs/item-run.test.ts
+++ b/test/coordination/jobs/item-run.test.ts
@@ -49,7 +49,13 @@
       return undefined;
     },
   };
-  const services = { routing, placement, splitter: new TargetSplitter(), lengths: new SampleLengths() };
+  const services = {
+    routing,
+    placement,
+    splitter: new TargetSplitter(),
+    lengths: new SampleLengths(),
+    quarantine: { judge: () => ({ kind: 'clear' }) },
+  };
   const job: ItemJob = {
     jobId: 'job-1',
     host: 'h',
--- /dev/null
+++ b/test/state/replicas/fatal-runs.test.ts
@@ -0,0 +1,82 @@
+/** Which requests are held back after replicas have ended, and which are not. */
+import { expect } from 'chai';
+import { parseFatalRun, toFatalRunRecord } from '../../../src/state/replicas/fatal-run-record.js';
+import { FATAL_RUN_EXPIRY_MS, type FatalRun, FatalRuns } from '../../../src/state/replicas/fatal-runs.js';
+
+const SHORT_HOLD_MS = 4_000;
+
+describe('requests under which replicas have ended', () => {
+  let runs: FatalRuns;
+
+  beforeEach(() => {
+    runs = new FatalRuns();
+  });
+
+  const end = (address: string, endedAtMs: number, ...digests: string[]) => {
+    for (const digest of digests) runs.note({ digest, address, endedAtMs });
+  };
+
+  it('may run on one replica at a time after the first end', () => {
+    end('a', 0, 'fatal', 'other');
+    expect(runs.judge('fatal', 1)).to.deep.equal({ kind: 'suspected', ends: 1 });
+    expect(runs.judge('unknown', 1)).to.deep.equal({ kind: 'clear' });
+  });
+
+  it('are held for a short time after two ends that they alone have in common', () => {
+    end('a', 0, 'fatal', 'other');
+    end('b', 100, 'fatal', 'another');
+    expect(runs.judge('fatal', 200)).to.deep.equal({
+      kind: 'held',
+      ends: 2,
+      retryAfterMs: SHORT_HOLD_MS - 100,
+    });
+    expect(runs.judge('other', 200).kind).to.equal('suspected');
+    expect(runs.judge('fatal', SHORT_HOLD_MS + 100).kind).to.equal('suspected');
+  });
+
+  it('may run on while another one ran at the same two ends', () => {
+    end('a', 0, 'fatal', 'other');
+    end('b', 100, 'fatal', 'other');
+    for (const digest of ['fatal', 'other'])
+      expect(runs.judge(digest, 200).kind, digest).to.equal('suspected');
+    end('c', 300, 'fatal');
+    expect(runs.judge('fatal', 300)).to.deep.equal({
+      kind: 'held',
+      ends: 3,
+      retryAfterMs: FATAL_RUN_EXPIRY_MS,
+    });
+    expect(runs.judge('other', 300).kind).to.equal('suspected');
+  });
+
+  it('count an end once, whoever reports it and under whatever name', () => {
+    end('a', 0, 'fatal');
+    end('a', 900, 'fatal');
+    expect(runs.judge('fatal', 1_000)).to.deep.equal({ kind: 'suspected', ends: 1 });
+    end('a', 2_500, 'fatal');
+    expect(runs.judge('fatal', 2_600).kind).to.equal('held');
+  });
+
+  it('are forgotten in the end', () => {
+    for (const address of ['a', 'b', 'c']) end(address, 0, 'fatal');
+    runs.forgetBefore(1);
+    expect(runs.judge('fatal', 1)).to.deep.equal({ kind: 'clear' });
+    expect(runs.size).to.equal(0);
+  });
+
+  it('take bounded memory, the newest are kept', () => {
+    const count = 10_000;
+    for (let index = 0; index < count; index += 1) end(`address-${index}`, index, `request-${index}`);
+    expect(runs.size).to.be.at.most(5_000);
+    expect(runs.judge(`request-${count - 1}`, count).kind).to.equal('suspected');
+  });
+
+  it('come back from their records as they were', () => {
+    const run: FatalRun = { digest: '0a1b', address: '127.0.0.1:80', endedAtMs: 1_234 };
+    const { key, value } = toFatalRunRecord(run, 'replica-1');
+    expect(parseFatalRun({ key, value })).to.deep.equal(run);
+    expect(() => JSON.parse(value.toString('utf8'))).to.throw();
+    for (const other of ['', 'x', 'x\n', 'x\ny', '{"state":"open"}'])
+      expect(parseFatalRun({ key, value: Buffer.from(other) }), other).to.equal(undefined);
+    expect(parseFatalRun({ key, value: undefined })).to.equal(undefined);
+  });
+});
