A test of the quarantine expects what it promises

Change: the test first brings the request to where every node holds it for long (three ends, exactly), and then expects no further end after all nodes were killed: stricter than before where it was right.

--- a/test/coordination/requests/fatal-requests.test.ts
+++ b/test/coordination/requests/fatal-requests.test.ts
@@ -20,6 +20,8 @@
 const ROUNDS = 6;
 /** Replicas that one request may end, whatever becomes of it. */
 const MAX_ENDED = 3;
+/** It may be tried once more after this time when it has ended two, seconds. */
+const SHORT_HOLD_S = 4;
 const FATAL_PATH = `${LOOKUP_PATH}fatal`;
 const FATAL_BODY = 'ends whoever runs it';
 /** Longer than a request needs to end a replica, and long enough that it is doubled meanwhile, milliseconds. */
@@ -97,8 +99,14 @@
   });
 
   it('is known as such after all nodes were killed', async () => {
-    await repeat(ROUNDS);
+    await until('every node holds it for long', async () => {
+      await repeat(nodes.length);
+      const waits: number[] = [];
+      for (const node of nodes) waits.push(Number((await sendFatal(node))?.headers['retry-after']));
+      return waits.every((wait) => wait > SHORT_HOLD_S);
+    });
     const before = ended.length;
+    expect(before).to.equal(MAX_ENDED);
     await Promise.all(nodes.map((node) => kill(node)));
     nodes = await Promise.all(nodes.map(({ name }) => system.addNode(name)));
     for (const node of nodes) await system.untilReady(node);
