An answer acquits a request under which replicas have ended

Cause: two requests with the same path, caller and body are one to the quarantine, as they should be. But one that many callers repeat (a poll without a body, a scoring call with a fixed one) is under way at many ends that it has no part in; three of them within ten minutes would have held back the most popular request. Found by reading, before it was seen.

Change: an answer below 500 forgets what was known of the request up to then, at this node and through the store at all others.

Ruled out: counting callers (a caller is not told apart where there are no tenants).

--- a/emulator/clients/job-trainer.ts
+++ b/emulator/clients/job-trainer.ts
@@ -14,6 +14,9 @@
   readonly groupSize: number;
   /** Path of the scoring calls; none without it. */
   readonly scoringPath?: string;
+  /** Number of an item whose body is `fatalBody`; none without it. */
+  readonly fatalItem?: number;
+  readonly fatalBody?: string;
   /** Estimated tokens of each item, in their order; none without it. */
   readonly estimates?: readonly number[];
 }
@@ -54,7 +57,7 @@
     id,
     path: `${job.path}${id}`,
     headers: { Model: job.model, 'Token-Usage': '10,20', ...estimateOf(job, index) },
-    body: BYTES,
+    body: index === job.fatalItem ? Buffer.from(job.fatalBody ?? '').toString('base64') : BYTES,
     tokens: 30,
     group: `group-${Math.floor(index / job.groupSize)}`,
     scorer: job.scoringPath && { id: `${id}-score`, host: job.host, path: job.scoringPath, body: BYTES },
--- a/src/coordination/jobs/item-run.ts
+++ b/src/coordination/jobs/item-run.ts
@@ -160,6 +160,7 @@
     const replicaEnded = await this.hasEnded(state, outcome);
     const events = this.text.eventCount - eventsBefore;
     if (replicaEnded && events === 0) this.services.quarantine.noteEnd(this.identified, state);
+    if (outcome.kind === 'whole') this.services.quarantine.noteServed(this.identified);
     this.noteOutcome(state, outcome, took, events, replicaEnded);
     return outcome;
   }
--- a/src/coordination/requests/request-quarantine.ts
+++ b/src/coordination/requests/request-quarantine.ts
@@ -13,11 +13,14 @@
   FATAL_RUN_EXPIRY_MS,
   FATAL_RUN_PARTITION,
   type FatalRun,
+  type FatalRunReport,
   FatalRuns,
-  parseFatalRun,
+  parseFatalRunReport,
   type ReplicaDirectory,
   type ReplicaState,
+  timeOf,
   toFatalRunRecord,
+  toServedRecord,
   type Verdict,
 } from '../../state/replicas/index.js';
 import { FOLLOWED_TABLE } from '../../state/store/index.js';
@@ -87,11 +90,17 @@
     if (!this.services.directory.isAvailable(state)) return;
     const { id, address } = state.replica;
     const run = { digest: digestOf(request), address, endedAtMs: this.services.store.nowMs() };
-    if (!this.take(run, 'here', id)) return;
-    if (this.pending.size >= MAX_PENDING || this.budget.take() > 0) return;
-    const record = toFatalRunRecord(run, id);
-    this.pending.set(record.key, record);
-    this.hasPending.notifyAll();
+    if (this.take(run, 'here', id)) this.share(toFatalRunRecord(run, id));
+  }
+
+  /** A replica has answered the request: it is not what ends them. */
+  noteServed(request: IdentifiedRequest): void {
+    if (this.runs.size === 0) return;
+    const digest = digestOf(request);
+    if (!this.runs.isAccused(digest)) return;
+    const run = { digest, servedAtMs: this.services.store.nowMs() };
+    this.runs.noteServed(run);
+    this.share(toServedRecord(run));
   }
 
   /** Reports what this node learns, until `signal` is aborted. */
@@ -113,12 +122,20 @@
   }
 
   apply(change: ChangedRecord): void {
-    const run = parseFatalRun(change);
-    if (run && !this.isExpired(run)) this.take(run, 'another node', change.key);
+    const report = parseFatalRunReport(change);
+    if (!report || this.isExpired(report)) return;
+    if (report.kind === 'served') this.runs.noteServed(report.run);
+    else this.take(report.run, 'another node', change.key);
   }
 
-  private isExpired({ endedAtMs }: FatalRun): boolean {
-    return endedAtMs < this.services.store.nowMs() - FATAL_RUN_EXPIRY_MS;
+  private isExpired(report: FatalRunReport): boolean {
+    return timeOf(report) < this.services.store.nowMs() - FATAL_RUN_EXPIRY_MS;
+  }
+
+  private share(record: RecordWrite): void {
+    if (this.pending.size >= MAX_PENDING || this.budget.take() > 0) return;
+    this.pending.set(record.key, record);
+    this.hasPending.notifyAll();
   }
 
   /** Takes a run; false when it was known. */
@@ -176,8 +193,8 @@
     this.runs.forgetBefore(this.services.store.nowMs() - FATAL_RUN_EXPIRY_MS);
     this.services.metrics.suspectRequests.set({}, this.runs.size);
     const isDue = (record: RecordWrite) => {
-      const run = parseFatalRun(record);
-      return run === undefined || this.isExpired(run);
+      const report = parseFatalRunReport(record);
+      return report === undefined || this.isExpired(report);
     };
     const due = this.written.filter(isDue).slice(0, MAX_RECORDS);
     if (due.length === 0) return;
@@ -188,7 +205,11 @@
   /** Nodes that are gone for good leave their records behind. */
   private async removeOverdue(content: readonly StoredRecord[]): Promise<void> {
     const dueMs = this.services.store.nowMs() - FATAL_RUN_EXPIRY_MS - OVERDUE_MS;
-    const removals = content.filter((record) => (parseFatalRun(record)?.endedAtMs ?? 0) < dueMs);
+    const isOverdue = (record: StoredRecord) => {
+      const report = parseFatalRunReport(record);
+      return report === undefined || timeOf(report) < dueMs;
+    };
+    const removals = content.filter(isOverdue);
     if (removals.length === 0) return;
     const batch = removals.slice(0, MAX_RECORDS);
     await this.services.store.transact({ conditions: [], writes: [], removals: batch });
--- a/src/coordination/requests/service-relay.ts
+++ b/src/coordination/requests/service-relay.ts
@@ -245,6 +245,7 @@
 
   private judgeAnswer(answer: WholeAnswer): RelayOutcome | undefined {
     const isFailure = answer.status >= 500;
+    if (!isFailure) this.quarantine.noteServed(this.request);
     if (!isFailure || !this.isRepeatable) return { kind: 'answered', answer, attempts: this.attempts };
     this.runs += 1;
     this.mayHaveRun = true;
--- a/src/state/replicas/fatal-runs.ts
+++ b/src/state/replicas/fatal-runs.ts
@@ -1,7 +1,8 @@
 /**
  * What is known of requests under which replicas have ended, and what follows from it. A replica may end for reasons of its
  * own while it runs any request; so one end accuses every request that ran there, and it takes further ends to tell the one
- * that causes them from the others.
+ * that causes them from the others. An answer acquits: a request that many callers repeat is under way at many ends that it
+ * has no part in, but is served all the while.
  */
 
 /** A replica ended while it ran a request. */
@@ -14,6 +15,13 @@
   readonly endedAtMs: number;
 }
 
+/** A replica has answered a request, so that it is not what ends them. */
+export interface ServedRun {
+  readonly digest: string;
+  /** On the store's clock, milliseconds. */
+  readonly servedAtMs: number;
+}
+
 /** What may be done with a request. */
 export type Verdict =
   /** No replica has ended under it. */
@@ -54,14 +62,17 @@
 export class FatalRuns {
   private readonly endsByAddress = new Map<string, ReplicaEnd[]>();
   private readonly endsByDigest = new Map<string, ReplicaEnd[]>();
+  /** When requests that were accused before were served last, milliseconds. */
+  private readonly servedAtMs = new Map<string, number>();
 
   /** Requests that are remembered. */
   get size(): number {
     return this.endsByDigest.size;
   }
 
-  /** Takes a run; false when it was known. */
+  /** Takes a run; false when it was known, or the request was served since. */
   note({ digest, address, endedAtMs }: FatalRun): boolean {
+    if (endedAtMs <= (this.servedAtMs.get(digest) ?? Number.NEGATIVE_INFINITY)) return false;
     const end = this.endAt(address, endedAtMs);
     if (end.digests.has(digest)) return false;
     end.digests.add(digest);
@@ -70,6 +81,26 @@
     return true;
   }
 
+  /** Takes an answer: what is known of the request up to then is forgotten. False when nothing was. */
+  noteServed({ digest, servedAtMs }: ServedRun): boolean {
+    const before = this.servedAtMs.get(digest) ?? Number.NEGATIVE_INFINITY;
+    this.servedAtMs.delete(digest);
+    this.servedAtMs.set(digest, Math.max(before, servedAtMs));
+    const [oldest] = this.servedAtMs.keys();
+    if (this.servedAtMs.size > MAX_REMEMBERED && oldest !== undefined) this.servedAtMs.delete(oldest);
+    const ends = this.endsByDigest.get(digest) ?? [];
+    const later = ends.filter(({ endedAtMs }) => endedAtMs > servedAtMs);
+    for (const end of ends) if (end.endedAtMs <= servedAtMs) end.digests.delete(digest);
+    if (later.length === 0) this.endsByDigest.delete(digest);
+    else this.endsByDigest.set(digest, later);
+    return later.length < ends.length;
+  }
+
+  /** Whether a replica has ended under the request, and it was not served since. */
+  isAccused(digest: string): boolean {
+    return this.endsByDigest.has(digest);
+  }
+
   /** What may be done with a request at `nowMs` on the store's clock. */
   judge(digest: string, nowMs: number): Verdict {
     const ends = this.endsByDigest.get(digest);
@@ -89,6 +120,7 @@
       if (kept.length === 0) this.endsByDigest.delete(digest);
       else if (kept.length < ends.length) this.endsByDigest.set(digest, kept);
     }
+    for (const [digest, servedAtMs] of this.servedAtMs) if (servedAtMs < ms) this.servedAtMs.delete(digest);
     for (const [address, ends] of this.endsByAddress) {
       const kept = ends.filter(({ endedAtMs }) => endedAtMs >= ms);
       if (kept.length === 0) this.endsByAddress.delete(address);
--- a/src/state/replicas/index.ts
+++ b/src/state/replicas/index.ts
@@ -1,6 +1,13 @@
 export { AdmissionLimits } from './admission-limits.js';
 export { BackendEntry, BackendRegistry } from './backend-registry.js';
-export { FATAL_RUN_PARTITION, parseFatalRun, toFatalRunRecord } from './fatal-run-record.js';
+export {
+  FATAL_RUN_PARTITION,
+  type FatalRunReport,
+  parseFatalRunReport,
+  timeOf,
+  toFatalRunRecord,
+  toServedRecord,
+} from './fatal-run-record.js';
 export { FATAL_RUN_EXPIRY_MS, type FatalRun, FatalRuns, type Verdict } from './fatal-runs.js';
 export { partitionOf, rankByRendezvous } from './rendezvous.js';
 export { ReplicaDirectory, ReplicaState } from './replica-directory.js';
--- a/test/coordination/requests/fatal-requests.test.ts
+++ b/test/coordination/requests/fatal-requests.test.ts
@@ -12,7 +12,9 @@
  * replicas at three addresses within 0.3 s and again 3 s later.
  */
 import { expect } from 'chai';
+import { itemIds } from '../../../emulator/clients/job-trainer.js';
 import type { ReplicaServer } from '../../../emulator/replica/replica-server.js';
+import { job } from '../../support/jobs.js';
 import { kill, LOOKUP_PATH, type ServiceNodeProcess, ServiceSystem } from '../../support/service-system.js';
 import { until } from '../../support/wait.js';
 
@@ -114,6 +116,24 @@
     expect(ended.length).to.equal(before);
   });
 
+  it('is told from one that many callers repeat, which is under way at each end', async () => {
+    const popular = () =>
+      system.lookup(nodes[0] as ServiceNodeProcess, nextId(), {}, `${LOOKUP_PATH}popular`);
+    for (let round = 0; round < ROUNDS; round += 1) {
+      await restartEnded();
+      const node = nodes[round % nodes.length] as ServiceNodeProcess;
+      await until(
+        'another request is served',
+        async () => (await system.lookup(node, nextId()))?.status === 200,
+      );
+      await Promise.all([sendFatal(node), popular(), popular(), popular()]);
+      await restartEnded();
+      await until('it is served', async () => (await popular())?.status === 200);
+    }
+    expect(ended.length).to.be.within(1, MAX_ENDED);
+    expect((await sendFatal(nodes[0] as ServiceNodeProcess))?.status).to.equal(503);
+  });
+
   it('does not keep others of its route and caller from being served', async () => {
     await repeat(ROUNDS);
     await restartEnded();
@@ -125,3 +145,36 @@
     }
   });
 });
+
+describe('an item that ends the replicas which run it', () => {
+  it('ends three at most, is not dead for it, and does not keep the other items from being listed', async () => {
+    const system = await ServiceSystem.start();
+    const ended: ReplicaServer[] = [];
+    const watch = (replica: ReplicaServer) => {
+      replica.fatalBody = FATAL_BODY;
+      replica.onFatal = () => ended.push(replica);
+    };
+    try {
+      await system.addApplication();
+      for (let count = 0; count < 5; count += 1) watch(await system.addEngine());
+      const node = await system.addNode('node-1');
+      await system.untilReady(node);
+      const submitted = job('job-1', { fatalItem: 0, fatalBody: FATAL_BODY });
+      expect(await system.trainer.submit(node.url, submitted)).to.equal(202);
+      const results = await system.trainer.readAll([node.url], submitted.id, itemIds(submitted).length - 1);
+      expect(results.map(({ state }) => state)).to.deep.equal(results.map(() => 'completed'));
+      expect(results.map(({ id }) => id)).not.to.include(itemIds(submitted)[0]);
+      await until('the item is held for long', () =>
+        node.log.some(
+          ({ message, context }) => message === 'request-suspected' && context.ends === MAX_ENDED,
+        ),
+      );
+      expect(ended.length).to.equal(MAX_ENDED);
+      const { page } = await system.trainer.read(node.url, submitted.id, results.length);
+      expect(page?.results).to.deep.equal([]);
+      expect(await system.trainer.end(node.url, submitted.id)).to.equal(200);
+    } finally {
+      await system.stop();
+    }
+  });
+});
--- a/test/state/replicas/fatal-runs.test.ts
+++ b/test/state/replicas/fatal-runs.test.ts
@@ -1,6 +1,10 @@
 /** Which requests are held back after replicas have ended, and which are not. */
 import { expect } from 'chai';
-import { parseFatalRun, toFatalRunRecord } from '../../../src/state/replicas/fatal-run-record.js';
+import {
+  parseFatalRunReport,
+  toFatalRunRecord,
+  toServedRecord,
+} from '../../../src/state/replicas/fatal-run-record.js';
 import { FATAL_RUN_EXPIRY_MS, type FatalRun, FatalRuns } from '../../../src/state/replicas/fatal-runs.js';
 
 const SHORT_HOLD_MS = 4_000;
@@ -56,6 +60,18 @@
     expect(runs.judge('fatal', 2_600).kind).to.equal('held');
   });
 
+  it('are acquitted by an answer, also when it is heard of first', () => {
+    for (const [at, address] of ['a', 'b', 'c'].entries()) end(address, at, 'popular', 'fatal');
+    expect(runs.noteServed({ digest: 'popular', servedAtMs: 10 })).to.equal(true);
+    expect(runs.judge('popular', 11)).to.deep.equal({ kind: 'clear' });
+    expect(runs.judge('fatal', 11).kind).to.equal('held');
+    end('d', 9, 'popular');
+    expect(runs.judge('popular', 11)).to.deep.equal({ kind: 'clear' });
+    end('e', 12, 'popular');
+    expect(runs.judge('popular', 13)).to.deep.equal({ kind: 'suspected', ends: 1 });
+    expect(runs.noteServed({ digest: 'unknown', servedAtMs: 10 })).to.equal(false);
+  });
+
   it('are forgotten in the end', () => {
     for (const address of ['a', 'b', 'c']) end(address, 0, 'fatal');
     runs.forgetBefore(1);
@@ -73,10 +89,12 @@
   it('come back from their records as they were', () => {
     const run: FatalRun = { digest: '0a1b', address: '127.0.0.1:80', endedAtMs: 1_234 };
     const { key, value } = toFatalRunRecord(run, 'replica-1');
-    expect(parseFatalRun({ key, value })).to.deep.equal(run);
+    expect(parseFatalRunReport({ key, value })).to.deep.equal({ kind: 'ended', run });
     expect(() => JSON.parse(value.toString('utf8'))).to.throw();
+    const served = { digest: '0a1b', servedAtMs: 1_235 };
+    expect(parseFatalRunReport(toServedRecord(served))).to.deep.equal({ kind: 'served', run: served });
     for (const other of ['', 'x', 'x\n', 'x\ny', '{"state":"open"}'])
-      expect(parseFatalRun({ key, value: Buffer.from(other) }), other).to.equal(undefined);
-    expect(parseFatalRun({ key, value: undefined })).to.equal(undefined);
+      expect(parseFatalRunReport({ key, value: Buffer.from(other) }), other).to.equal(undefined);
+    expect(parseFatalRunReport({ key, value: undefined })).to.equal(undefined);
   });
 });
