A confirmed lease counts the time in which its machine was suspended

Found by reading what bounds a right by time.

Change: common/elapsed-time.ts takes the longer of the monotonic clock and the time of day, and nothing as certain once the time of day was set back; a confirmation is also void once the store's clock, as of its newest answer, has passed the time that its record names.

Ruled out: the monotonic clock with all bounds shortened (a suspension has no bound); the time of day alone (it is stepped).

Other beliefs bounded by time are not listed yet.

--- a/src/coordination/duties/duty-lease.ts
+++ b/src/coordination/duties/duty-lease.ts
@@ -4,9 +4,9 @@
  * targets of the newest acts and when each of these began at the latest, so a successor acts at once on all targets but
  * those on which another machine may have acted a moment ago.
  */
-import { monotonicMs } from '../../common/clock.js';
 import { ConditionVariable } from '../../common/condition-variable.js';
 import type { DecisionLogger } from '../../common/decision-logger.js';
+import { SYSTEM_TIME, startElapsed, type TimeSources } from '../../common/elapsed-time.js';
 import type { RecordAddress, RecordStore, StoredRecord } from '../../protocol/record-store.js';
 import type { JobOwner } from '../../state/jobs/index.js';
 import { SESSION_TABLE, type SessionMonitor } from '../membership/index.js';
@@ -78,6 +78,7 @@
     /** Time that the acts of two holders on one target must be apart, milliseconds. */
     private readonly apartMs: () => number,
     private readonly logger: DecisionLogger,
+    private readonly time: TimeSources = SYSTEM_TIME,
   ) {}
 
   /** Whether this node believes that it holds the lease. */
@@ -121,7 +122,11 @@
     return allowsAct(this.recentActs, target, this.self.node);
   }
 
-  /** Asks the store to confirm the lease before an act on `target`; `undefined` when it is not confirmed. */
+  /**
+   * Asks the store to confirm the lease before an act on `target`; `undefined` when it is not confirmed. A machine that was suspended
+   * has a confirmation that is older than its monotonic clock says, and takes the store's clock for earlier than it is until
+   * the store has answered: neither lets an act begin later than its record says.
+   */
   confirm(target: string): Promise<LeaseConfirmation | undefined> {
     this.batch ??= this.openBatch();
     this.batch.targets.add(target);
@@ -145,14 +150,15 @@
     const answerMs = this.store.usualAnswerMs();
     const usualMs = Math.round(answerMs * VALIDITY_ANSWERS);
     const validMs = Math.min(LONGEST_VALIDITY_MS, Math.max(SHORTEST_VALIDITY_MS, usualMs));
-    const askedAtMs = monotonicMs();
+    const elapsed = startElapsed(this.time);
     const begunByMs = Math.round(this.store.nowMs() + answerMs + validMs);
     const { node } = this.self;
     const acts = [...targets].map((target) => ({ target, node, begunByMs }));
     const recent = addActs(this.recentActs, acts);
     if (!(await this.write(version, { ...content, acts: content.acts + 1, validMs, recent })))
       return undefined;
-    return { epoch: content.epoch, isFresh: () => monotonicMs() - askedAtMs < validMs };
+    const isBegunInTime = () => this.store.nowMs() <= begunByMs;
+    return { epoch: content.epoch, isFresh: () => elapsed() < validMs && isBegunInTime() };
   }
 
   /**
--- a/test/coordination/duties/duty-lease.test.ts
+++ b/test/coordination/duties/duty-lease.test.ts
@@ -24,11 +24,15 @@
   transactions = 0;
   private version = 0;
 
+  /** What a node takes the clock to be. A suspended one is behind by its suspension until the store answers again. */
+  behindMs = 0;
+
   usualAnswerMs = () => 0;
-  nowMs = () => this.clockMs;
+  nowMs = () => this.clockMs - this.behindMs;
 
   async transact({ conditions, writes }: RecordTransaction) {
     this.transactions += 1;
+    this.behindMs = 0;
     const expected = conditions[0]?.version ?? 0;
     if (expected !== (this.record?.version ?? 0)) {
       const current = this.record ? [this.record] : [];
@@ -48,8 +52,13 @@
   beforeEach(() => {
     store = new LeaseStore();
     isLost = false;
+    suspendedMs = 0;
   });
 
+  /** Added to the time of day: a suspension, which the monotonic clock does not count. */
+  let suspendedMs = 0;
+  const time = { monotonicMs: () => performance.now(), timeOfDayMs: () => performance.now() + suspendedMs };
+
   function leaseAt(node: string, life: string): DutyLease {
     const sessions = { isLost: () => isLost, noteHolding: () => {}, observedTimeMs: 0 };
     return new DutyLease(
@@ -59,6 +68,7 @@
       sessions as unknown as SessionMonitor,
       () => APART_MS,
       silentDecisionLogger,
+      time,
     );
   }
 
@@ -148,6 +158,23 @@
     expect(second.mayActOn('replica-1')).to.equal(true);
   });
 
+  it('confirms no act that begins after the machine was suspended', async () => {
+    const first = await taken(leaseAt('node-1', 'life-1'));
+    const confirmation = await first.confirm('replica-1');
+    expect(confirmation?.isFresh()).to.equal(true);
+    suspendedMs = LONG_MS;
+    expect(confirmation?.isFresh()).to.equal(false);
+  });
+
+  it('confirms no act of which the record says that it began before, by the clock of a machine that was suspended', async () => {
+    const first = await taken(leaseAt('node-1', 'life-1'));
+    store.clockMs += LONG_MS;
+    store.behindMs = LONG_MS;
+    expect((await first.confirm('replica-1'))?.isFresh()).to.equal(false);
+    expect((await first.confirm('replica-1'))?.isFresh()).to.equal(true);
+    expect((await successor('node-2')).mayActOn('replica-1')).to.equal(false);
+  });
+
   it('confirms nothing once another machine has taken it', async () => {
     const first = await taken(leaseAt('node-1', 'life-1'));
     await successor('node-2');
