The soak has requests that end replicas, and counts the ends by body

Cause: no stand-in had a request that ends a replica, so neither tests nor soaks could show what it does.

Change: a trouble that sends one such request to any node for up to 16 s; the applications start again at their addresses after 1.5 s; a check that no request ends more than three replicas later than 3 s after the third. Four applications in place of two.

A check is narrowed: a lookup that was refused must not have begun to run; before, it must not have reached a replica. Items keep the stricter check.

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -2,13 +2,18 @@
 import { itemIds } from '../../emulator/clients/job-trainer.js';
 import type { ReceivedOrder, ReceivedRequest } from '../../emulator/replica/replica-server.js';
 import type { ReceivedReport } from '../../emulator/usage/usage-server.js';
+import { groupBy } from '../../src/common/collections.js';
 import { reportBreaches } from '../../test/support/tenants.js';
-import type { FaultSpan, History, JobHistory, LookupHistory } from './records.js';
+import type { FatalEnd, FaultSpan, History, JobHistory, LookupHistory } from './records.js';
 
 /** Statuses that promise that nothing ran and nothing will. */
 const PROMISES = new Set([408, 421, 429, 503]);
 /** Time after the end of a job from which nothing of it may reach a replica, milliseconds. */
 const END_BOUND_MS = 3_000;
+/** Replicas that have ended under a request before it must be known, in what time, milliseconds, and how many more may end. */
+const KNOWN_ENDS = 3;
+const KNOWN_BOUND_MS = 3_000;
+const LATE_ENDS = 3;
 const STATUS_OK = 200;
 const STATUS_ACCEPTED = 202;
 
@@ -28,6 +33,9 @@
 /** All breaches. */
 export function breaches(history: History, evidence: Evidence): string[] {
   const reached = new Set(evidence.received.map((request) => request.id));
+  const begun = new Set(
+    evidence.received.filter(({ beganAtMs }) => beganAtMs !== undefined).map(({ id }) => id),
+  );
   return [
     ...history.jobs.flatMap((job) => [
       ...listingBreaches(job),
@@ -35,7 +43,8 @@
       ...refusalBreaches(job, reached),
       ...endBreaches(job, evidence.received, history.faults),
     ]),
-    ...history.lookups.flatMap((lookup) => lookupBreaches(lookup, reached)),
+    ...history.lookups.flatMap((lookup) => lookupBreaches(lookup, begun)),
+    ...fatalBreaches(history.fatalEnds),
     ...tenantBreaches(history.lookups, evidence.received),
     ...reportBreaches(evidence.reports, evidence.apartMs),
     ...missingReports(evidence.reports),
@@ -93,14 +102,24 @@
 /** How much of a wrong answer is shown. */
 const SHOWN_CHARACTERS = 40;
 
-/** An answer is that of the request, and a refused lookup did not run. */
-function lookupBreaches({ id, status, body }: LookupHistory, reached: ReadonlySet<string>): string[] {
+/** An answer is that of the request, and a refused lookup did not run; a full replica may have declined it. */
+function lookupBreaches({ id, status, body }: LookupHistory, begun: ReadonlySet<string>): string[] {
   if (status === STATUS_OK && body !== `answer to ${id}`)
     return [`${id}: answered with '${body.slice(0, SHOWN_CHARACTERS)}'`];
-  if (PROMISES.has(status) && reached.has(id)) return [`${id}: ran although it was refused`];
+  if (PROMISES.has(status) && begun.has(id)) return [`${id}: ran although it was refused`];
   return [];
 }
 
+/** A request that ends replicas ends three and a few more at once, and three later than that at most. */
+function fatalBreaches(ends: readonly FatalEnd[]): string[] {
+  return [...groupBy(ends, ({ body }) => body)].flatMap(([body, ofBody]) => {
+    const times = ofBody.map(({ atMs }) => atMs).sort((left, right) => left - right);
+    const thirdMs = times[KNOWN_ENDS - 1] ?? Number.POSITIVE_INFINITY;
+    const late = times.filter((atMs) => atMs > thirdMs + KNOWN_BOUND_MS).length;
+    return late > LATE_ENDS ? [`${body}: ended ${times.length} replicas, ${late} of them late`] : [];
+  });
+}
+
 /** A replica runs a lookup for the tenant of its key alone, never with a key, and never for a key that nobody has. */
 function tenantBreaches(lookups: readonly LookupHistory[], received: readonly ReceivedRequest[]): string[] {
   const tenants = new Map(lookups.map(({ id, tenant }) => [id, tenant]));
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -1,15 +1,16 @@
 /** The troubles of a soak. Each one is a function that brings trouble for a while and resolves once it is over. */
 import type { ReplicaServer } from '../../emulator/replica/replica-server.js';
-import { sleep } from '../../src/common/clock.js';
+import { monotonicMs, sleep } from '../../src/common/clock.js';
 import type { Random } from '../../src/common/random.js';
 import {
   kill,
+  LOOKUP_PATH,
   MODEL,
   type ServiceNodeProcess,
   type ServiceSystem,
   usualConfiguration,
 } from '../../test/support/service-system.js';
-import { LARGE, SMALL, type TenantRow } from '../../test/support/tenants.js';
+import { bearing, LARGE, SMALL, type TenantRow } from '../../test/support/tenants.js';
 
 /** What troubles act on. */
 export interface Stage {
@@ -18,7 +19,8 @@
   readonly nodes: Map<string, ServiceNodeProcess>;
   /** Engines that are up. */
   readonly engines: Set<ReplicaServer>;
-  readonly applications: readonly ReplicaServer[];
+  /** Applications of all lives. */
+  readonly applications: ReplicaServer[];
   readonly addEngine: () => Promise<ReplicaServer>;
   readonly random: Random;
 }
@@ -33,6 +35,12 @@
 const altered = { workMs: new Set<ReplicaServer>(), loadMs: new Set<ReplicaServer>() };
 
 let configurationVersion = 1;
+/** Requests with bodies that begin like this end application replicas. */
+export const FATAL_PREFIX = 'fatal-';
+/** Times as long as other troubles that one of them comes again, and the pause between, milliseconds. */
+const FATAL_FACTOR = 4;
+const FATAL_PAUSE_MS = 100;
+let fatalRequests = 0;
 
 /** Models that the engines serve. */
 export const MODELS: readonly string[] = [MODEL, 'model-b'];
@@ -187,6 +195,19 @@
   random.pick(applications).unframedCuts = 2;
 }
 
+/** One request, under new identifiers at any node, under which every application replica ends that runs it. */
+async function fatalRequest({ system, nodes, random }: Stage, forMs: number): Promise<void> {
+  fatalRequests += 1;
+  const body = `${FATAL_PREFIX}${fatalRequests}`;
+  const endsAtMs = monotonicMs() + FATAL_FACTOR * forMs;
+  for (let sends = 1; monotonicMs() < endsAtMs; sends += 1) {
+    const { url } = random.pick([...nodes.values()]);
+    const id = `${body}-${sends}`;
+    await system.lookup({ url }, id, bearing(random.pick(LARGE.apiKeys)), `${LOOKUP_PATH}fatal`, body);
+    await sleep(FATAL_PAUSE_MS);
+  }
+}
+
 async function lateOrders({ engines, random }: Stage, forMs: number): Promise<void> {
   const engine = random.pick([...engines]);
   engine.lateOrderMs = forMs;
@@ -245,6 +266,7 @@
   'engine-streams-unframed': unframedStreams,
   'application-surplus-answers': surplusAnswers,
   'application-unframed-answers': unframedAnswers,
+  'application-fatal-request': fatalRequest,
   'orders-late': lateOrders,
   'configuration-change': changeConfiguration,
   'usage-slow': slowUsage,
--- a/bench/soak/records.ts
+++ b/bench/soak/records.ts
@@ -26,6 +26,12 @@
   readonly body: string;
 }
 
+/** The end of a replica under a request, as the replica itself saw it. */
+export interface FatalEnd {
+  readonly body: string;
+  readonly atMs: number;
+}
+
 /** A span in which a trouble was on, milliseconds. */
 export interface FaultSpan {
   readonly kind: string;
@@ -38,6 +44,7 @@
   readonly jobs: JobHistory[];
   readonly lookups: LookupHistory[];
   readonly faults: FaultSpan[];
+  readonly fatalEnds: FatalEnd[];
 }
 
 /** A fresh history of a job. */
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -5,18 +5,19 @@
  *   npm run bench -- soak [--seed N] [--minutes M] [--only KIND]
  */
 import { parseArgs } from 'node:util';
-import { eventData } from '../../emulator/replica/replica-server.js';
+import { eventData, type ReplicaServer } from '../../emulator/replica/replica-server.js';
 import { monotonicMs, sleep } from '../../src/common/clock.js';
 import { Random } from '../../src/common/random.js';
 import { ServiceSystem } from '../../test/support/service-system.js';
 import { begunByWindow, LARGE } from '../../test/support/tenants.js';
 import { acceptedJobs, breaches, usageErrors } from './checks.js';
-import { FAULTS, MODELS, ON_NODES, type Stage, soakConfiguration } from './faults.js';
+import { FATAL_PREFIX, FAULTS, MODELS, ON_NODES, type Stage, soakConfiguration } from './faults.js';
 import { type Load, lookUp, readAgain, trainSteps } from './load.js';
 import type { History } from './records.js';
 
 const NODES = 4;
 const ENGINES = 4;
+const APPLICATIONS = 4;
 const EVENTS = 24;
 const EVENT_MS = 12;
 /** Lease time in the settings of the nodes, milliseconds. */
@@ -24,11 +25,14 @@
 const SHORTEST_FAULT_MS = 300;
 const LONGEST_FAULT_MS = 4_000;
 const LONGEST_PAUSE_MS = 1_500;
+/** Time until a replica that a request has ended is back, milliseconds. */
+const RESTART_MS = 1_500;
 /** Streams of troubles that run beside each other. */
 const STREAMS = 2;
 /** Time without trouble at the end, in which steps must become whole again, milliseconds. */
 const CALM_MS = 12_000;
 const MS_PER_MINUTE = 60_000;
+const STATUS_FAILURE = 500;
 /** Length of a window of usage, and when its report is due, milliseconds. */
 const WINDOW_MS = 2_000;
 const USAGE_DUE_MS = 10_000;
@@ -41,9 +45,13 @@
   readonly wholeSteps: number;
   readonly results: number;
   readonly lookups: number;
+  /** Lookups that failed, were refused for a time, or got no answer. */
+  readonly unservedLookups: number;
   /** Windows of usage that were reported, and requests by which the reports are off in all. */
   readonly windows: number;
   readonly usageErrors: number;
+  /** Replicas that ended under requests. */
+  readonly fatalEnds: number;
   readonly violations: number;
 }
 
@@ -63,7 +71,8 @@
 
 async function play(system: ServiceSystem, seed: number, minutes: number, only: string | undefined) {
   const stage = await prepare(system, seed);
-  const history: History = { jobs: [], lookups: [], faults: [] };
+  const history: History = { jobs: [], lookups: [], faults: [], fatalEnds: [] };
+  for (const application of [...stage.applications]) restartAfterFatal(stage, application, history);
   const stop = new AbortController();
   const load: Load = {
     system,
@@ -99,8 +108,10 @@
     wholeSteps: wholeSteps.reduce((sum, count) => sum + count, 0),
     results: accepted.reduce((sum, { positions }) => sum + positions.size, 0),
     lookups: history.lookups.length,
+    unservedLookups: history.lookups.filter(({ status }) => status === 0 || status >= STATUS_FAILURE).length,
     windows: new Set(system.usage.reports.map(({ window }) => window)).size,
     usageErrors: usageErrors(system.usage.reports, begunByWindow(stage.applications, WINDOW_MS)),
+    fatalEnds: history.fatalEnds.length,
     violations: found.length,
   };
   return { summary, found };
@@ -113,7 +124,7 @@
   const models = Object.fromEntries(MODELS.map((model) => [model, 1]));
   const addEngine = () => system.addEngine({ models, events: EVENTS, workMs: EVENT_MS });
   const engines = await Promise.all(Array.from({ length: ENGINES }, addEngine));
-  const applications = await Promise.all([system.addApplication(), system.addApplication()]);
+  const applications = await Promise.all(Array.from({ length: APPLICATIONS }, () => system.addApplication()));
   const names = Array.from({ length: NODES }, (_, at) => `node-${at + 1}`);
   const nodes = await Promise.all(names.map((name) => system.addNode(name)));
   await Promise.all(nodes.map((node) => system.untilReady(node)));
@@ -127,6 +138,18 @@
   };
 }
 
+/** A replica that a request has ended starts again at its address; the end is noted. */
+function restartAfterFatal(stage: Stage, replica: ReplicaServer, history: History): void {
+  replica.fatalPrefix = FATAL_PREFIX;
+  replica.onFatal = async (body) => {
+    history.fatalEnds.push({ body, atMs: monotonicMs() });
+    await sleep(RESTART_MS);
+    const next = await stage.system.restartReplica(replica);
+    stage.applications.push(next);
+    restartAfterFatal(stage, next, history);
+  };
+}
+
 /** One trouble after the other until the time is over. Only one stream ends or freezes processes. */
 async function trouble(
   stage: Stage,
--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -65,10 +65,10 @@
   isSilent = false;
   /** Status that every request gets, as a failure that ran. */
   failWith: number | undefined;
-  /** A request with this body ends the replica while it runs. */
-  fatalBody: string | undefined;
-  /** Called when a request has ended the replica. */
-  onFatal: () => void = () => {};
+  /** A request whose body begins like this ends the replica while it runs. */
+  fatalPrefix: string | undefined;
+  /** Called with the body when a request has ended the replica. */
+  onFatal: (body: string) => void = () => {};
   /** Streams that are broken after `breakAfterEvents` events, from the next one. */
   streamsToBreak = 0;
   /** Streams, from the next one, that end with their connection, after `breakAfterEvents` events. */
@@ -90,6 +90,7 @@
   loadMs: number;
   /** Connections that were opened so far. */
   openedConnections = 0;
+  private hasCrashed = false;
   private orderCount = 0;
   private isLoading = false;
   private active = 0;
@@ -145,6 +146,7 @@
 
   /** Ends at once; its row stays until `withdraw`. */
   crash(): void {
+    this.hasCrashed = true;
     this.server.close();
     for (const socket of this.sockets) socket.destroy();
   }
@@ -193,15 +195,17 @@
     }
     this.active += 1;
     received.beganAtMs = Date.now();
-    if (body.toString('utf8') === this.fatalBody) await this.endUnderRequest();
+    const text = body.toString('utf8');
+    if (this.fatalPrefix !== undefined && text.startsWith(this.fatalPrefix)) await this.endUnder(text);
     else await this.work(request, response, id);
     this.active -= 1;
   }
 
-  private async endUnderRequest(): Promise<void> {
+  private async endUnder(body: string): Promise<void> {
     await sleep(this.workMs);
+    if (this.hasCrashed) return;
     this.crash();
-    this.onFatal();
+    this.onFatal(body);
   }
 
   private async work(request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
--- a/test/bench/soak-checks.test.ts
+++ b/test/bench/soak-checks.test.ts
@@ -77,6 +77,7 @@
       jobs: [job],
       lookups: [{ id: 'l-1', tenant: undefined, status: 200, body: 'answer to l-1' }],
       faults: [],
+      fatalEnds: [],
     };
     received = [request('job-1-item-0', 500), request('job-1-item-1', 3_900), request('l-1', 100)];
     orders = [order('a', 1, 0), order('a', 1, 100), order('b', 2, 1_200)];
@@ -139,7 +140,9 @@
     history.lookups.push(
       { id: 'l-2', tenant: undefined, status: 200, body: 'answer to l-1' },
       { id: 'l-1', tenant: undefined, status: 503, body: '' },
+      { id: 'l-3', tenant: undefined, status: 503, body: '' },
     );
+    received.push({ ...request('l-1', 150), beganAtMs: 150 }, request('l-3', 160));
     expect(found()).to.deep.equal(["l-2: answered with 'answer to l-1'", 'l-1: ran although it was refused']);
   });
 
@@ -151,6 +154,15 @@
     expect(found()).to.deep.equal(['l-1: reached a replica with its key', 'l-1: ran for x, not for nobody']);
   });
 
+  it('find a request that goes on ending replicas after it must be known, and none that does so at once', () => {
+    const end = (body: string, atMs: number) => history.fatalEnds.push({ body, atMs });
+    for (const atMs of [0, 10, 20, 30, 40, 50, 3_000]) end('fatal-1', atMs);
+    for (const atMs of [0, 10, 20, 4_000, 9_000, 20_000]) end('fatal-2', atMs);
+    expect(found()).to.deep.equal([]);
+    end('fatal-2', 30_000);
+    expect(found()).to.deep.equal(['fatal-2: ended 7 replicas, 4 of them late']);
+  });
+
   it('find a window that is reported twice with different counts, and one that is left out', () => {
     reports.push(
       report(8, {}, 'b', 2, 1_600),
