A node that the store does not serve exchanges what it knows of requests that end replicas

Cause: reports went through the store alone. A node that the store turns away while it serves others put replicas at risk under requests that all others held back, and kept to itself what ended there.

Change: such a node sends what the store has not taken to up to four others, at once when there is something, and gets their newest 500 reports; who is served writes them for all. The freshness lease of the own interface counts suspensions, like the lease of duties.

Ruled out: telling all nodes directly at all times (a node remembers eight).

--- a/src/coordination/configuration/config-follower.ts
+++ b/src/coordination/configuration/config-follower.ts
@@ -3,7 +3,8 @@
  * accepted when the store has committed it. Each answer of the store confirms the configuration, counted from the moment
  * of asking, so that a node that was paused or is cut off knows that it may be behind.
  */
-import { monotonicMs, sleep } from '../../common/clock.js';
+import { sleep } from '../../common/clock.js';
+import { startElapsed } from '../../common/elapsed-time.js';
 import type { LifecycleObserver } from '../../common/lifecycle.js';
 import type { RecordStore } from '../../protocol/record-store.js';
 import type { ConfigStore, ConfigView, FreshnessLease } from '../../state/configuration/index.js';
@@ -43,7 +44,7 @@
 
   /** Catches up with the store now; true when the configuration is confirmed. */
   async readNow(): Promise<boolean> {
-    const askedAt = monotonicMs();
+    const elapsed = startElapsed();
     const head = await this.configuration.head();
     if (head.isErr()) return false;
     if (!this.hasLoaded && !(await this.loadSnapshot())) return false;
@@ -55,7 +56,7 @@
       if (!hasMoved && this.view.revision < head.value) return false;
     }
     this.hasLoaded = true;
-    this.lease.confirm(askedAt);
+    this.lease.confirm(elapsed);
     return true;
   }
 
@@ -68,12 +69,12 @@
   }
 
   private async awaitChange(signal: AbortSignal): Promise<boolean> {
-    const askedAt = monotonicMs();
+    const elapsed = startElapsed();
     const answer = await this.store.changes(CONFIGURATION_TABLE, this.position, this.holdMs, signal);
     if (answer.isErr()) return answer.error.failure === 'history-lost' ? this.load() : false;
     if (answer.value.changes.length > 0 && !(await this.readNow())) return false;
     this.position = answer.value.version;
-    this.lease.confirm(askedAt);
+    this.lease.confirm(elapsed);
     return true;
   }
 
--- a/src/coordination/requests/index.ts
+++ b/src/coordination/requests/index.ts
@@ -8,6 +8,7 @@
   TIMEOUT_HEADER,
   writeRelayedHead,
 } from './application-relay.js';
+export { QuarantineExchange } from './quarantine-exchange.js';
 export { ReplicaEndCheck } from './replica-end-check.js';
 export { defectOf, ReplicaExchange } from './replica-exchange.js';
 export { isPastDeadline, type RequestContext, timeLeftMs } from './request-context.js';
--- a/src/coordination/requests/request-quarantine.ts
+++ b/src/coordination/requests/request-quarantine.ts
@@ -1,13 +1,15 @@
 /**
  * Keeps requests that end replicas away from them. Whoever sends a request to a replica asks here before and tells of each
  * run under which a replica ended; what one node learns, all others hear through the store within milliseconds, and nodes
- * that start later read it there. The store is never waited for: a node judges by what it knows.
+ * that start later read it there. The store is never waited for: a node judges by what it knows. A node that the store does
+ * not serve exchanges reports with others (`quarantine-exchange.ts`).
  */
 import { type Clock, SYSTEM_CLOCK } from '../../common/clock.js';
 import { ConditionVariable } from '../../common/condition-variable.js';
 import type { DecisionLogger } from '../../common/decision-logger.js';
 import type { ServiceMetrics } from '../../common/service-metrics.js';
 import { TokenBucket } from '../../common/token-bucket.js';
+import { type FatalRunMessage, MAX_REPORTS } from '../../protocol/fatal-run-peer.js';
 import type { ChangedRecord, RecordStore, RecordWrite, StoredRecord } from '../../protocol/record-store.js';
 import {
   FATAL_RUN_EXPIRY_MS,
@@ -43,6 +45,11 @@
 const OVERDUE_MS = FATAL_RUN_EXPIRY_MS;
 
 const CLEAR: Verdict = { kind: 'clear' };
+const FATAL_RUN_ADDRESS = { table: FOLLOWED_TABLE, partition: FATAL_RUN_PARTITION } as const;
+
+function toMessage({ key, value }: RecordWrite): FatalRunMessage {
+  return { key, value: value.toString('utf8') };
+}
 
 /** What the quarantine works with. */
 export interface QuarantineServices {
@@ -60,6 +67,8 @@
   private pending = new Map<string, RecordWrite>();
   /** Records that this node has written, to be removed once they have expired. */
   private written: RecordWrite[] = [];
+  /** The newest reports, of this node and of others, by key. */
+  private readonly reports = new Map<string, FatalRunMessage>();
   private readonly hasPending = new ConditionVariable();
   private readonly budget = new TokenBucket(REPORTS_PER_SECOND, BURST_REPORTS);
   private hasRead = false;
@@ -103,6 +112,30 @@
     this.share(toServedRecord(run));
   }
 
+  /** What this node has learnt and the store has not taken yet. */
+  get unreported(): readonly FatalRunMessage[] {
+    return [...this.pending.values()].slice(0, MAX_REPORTS).map(toMessage);
+  }
+
+  /** Resolves when this node has learnt something that the store must be told, after `ms` milliseconds at the latest. */
+  untilNews(ms: number, signal: AbortSignal): Promise<void> {
+    return this.hasPending.waitAtMost(ms, signal, this.clock);
+  }
+
+  /** The newest reports that this node knows. */
+  get newestReports(): readonly FatalRunMessage[] {
+    return [...this.reports.values()].slice(-MAX_REPORTS);
+  }
+
+  /** Takes reports of a node, and writes those that are new here for all others. */
+  takeFromPeer(messages: readonly FatalRunMessage[]): void {
+    for (const { key, value } of messages) {
+      if (this.reports.get(key)?.value === value) continue;
+      const record = { ...FATAL_RUN_ADDRESS, key, value: Buffer.from(value, 'utf8') };
+      if (this.takeReport(record)) this.share(record);
+    }
+  }
+
   /** Reports what this node learns, until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     await Promise.all([this.reportAll(signal), this.sweepRegularly(signal)]);
@@ -122,10 +155,24 @@
   }
 
   apply(change: ChangedRecord): void {
-    const report = parseFatalRunReport(change);
-    if (!report || this.isExpired(report)) return;
+    this.takeReport(change);
+  }
+
+  /** Takes a report of another node; false when it is none, or expired. */
+  private takeReport(record: Pick<ChangedRecord, 'key' | 'value'>): boolean {
+    const report = parseFatalRunReport(record);
+    if (!report || !record.value || this.isExpired(report)) return false;
+    this.remember({ key: record.key, value: record.value.toString('utf8') });
     if (report.kind === 'served') this.runs.noteServed(report.run);
-    else this.take(report.run, 'another node', change.key);
+    else this.take(report.run, 'another node', record.key);
+    return true;
+  }
+
+  private remember(message: FatalRunMessage): void {
+    this.reports.delete(message.key);
+    this.reports.set(message.key, message);
+    const [oldest] = this.reports.keys();
+    if (this.reports.size > MAX_REPORTS && oldest !== undefined) this.reports.delete(oldest);
   }
 
   private isExpired(report: FatalRunReport): boolean {
@@ -133,6 +180,7 @@
   }
 
   private share(record: RecordWrite): void {
+    this.remember(toMessage(record));
     if (this.pending.size >= MAX_PENDING || this.budget.take() > 0) return;
     this.pending.set(record.key, record);
     this.hasPending.notifyAll();
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -20,6 +20,7 @@
   SessionMonitor,
 } from '../coordination/membership/index.js';
 import {
+  QuarantineExchange,
   ReplicaEndCheck,
   ReplicaExchange,
   RequestQuarantine,
@@ -29,6 +30,7 @@
 import { UsageAccounting } from '../coordination/usage/index.js';
 import { WeightOrders } from '../coordination/weights/index.js';
 import type { PeerConfigurationAnswer } from '../protocol/configuration-peer.js';
+import type { FatalRunAnswer, FatalRunMessage } from '../protocol/fatal-run-peer.js';
 import type { JobPeer } from '../protocol/job-calls.js';
 import type { RecordStore } from '../protocol/record-store.js';
 import type { ReplicaClient } from '../protocol/replica.js';
@@ -81,6 +83,11 @@
   readonly createUsageSink: (settings: UsageSettings) => UsageSink;
   /** Asks another node for a configuration newer than a version. */
   readonly askForConfiguration: (address: string, version: number) => Promise<PeerConfigurationAnswer>;
+  /** Exchanges reports of requests that end replicas with another node. */
+  readonly exchangeFatalRuns: (
+    address: string,
+    reports: readonly FatalRunMessage[],
+  ) => Promise<FatalRunAnswer | undefined>;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
@@ -102,6 +109,7 @@
   readonly jobs: JobCalls;
   private readonly versions = new WeightVersions();
   private readonly quarantine: RequestQuarantine;
+  private readonly quarantineExchange: QuarantineExchange;
   private readonly placement: Placement;
   private readonly ownership: JobOwnership;
   private readonly sessions: SessionMonitor;
@@ -209,6 +217,12 @@
       onTurnedAway: () => this.ownership.giveUpRuns(),
       logger,
     });
+    this.quarantineExchange = new QuarantineExchange({
+      quarantine: this.quarantine,
+      isStoreInReach: () => store.isInReach(),
+      peers: (count) => this.peers.likeliestPeers(count),
+      ask: parts.exchangeFatalRuns,
+    });
     const replicas = new ReplicaAnnouncements(store, format, this.directory, logger);
     const observer = feedObserver(logger);
     const pause = (signal: AbortSignal) => this.pauseBetweenChanges(signal);
@@ -234,6 +248,7 @@
     void this.peers.run(address, signal, peerAddress);
     void this.peerConfiguration.run(signal);
     void this.quarantine.run(signal);
+    void this.quarantineExchange.run(signal);
     void this.usage?.run(signal);
     for (const feed of this.feeds) void feed.run(signal);
     void this.sessions.run(signal);
@@ -266,6 +281,13 @@
     return isNewer ? { kind: 'newer', value: configuration } : { kind: 'same' };
   }
 
+  /** What another node is told that exchanges reports of requests that end replicas. */
+  exchangeFatalRuns(reports: readonly FatalRunMessage[]): FatalRunAnswer {
+    const known = this.quarantine.newestReports;
+    this.quarantine.takeFromPeer(reports);
+    return { isServed: this.parts.store.isInReach(), reports: [...known] };
+  }
+
   /** Whether the node is on its way out. */
   get isLeaving(): boolean {
     return this.isDraining;
--- a/src/node/service-process.ts
+++ b/src/node/service-process.ts
@@ -4,8 +4,9 @@
 import type { StandardOutputLogger } from '../common/decision-logger.js';
 import type { ServiceMetrics } from '../common/service-metrics.js';
 import { CONFIGURATION_PATH, NEWER_THAN } from '../protocol/configuration-peer.js';
+import { FATAL_RUNS_PATH, MAX_MESSAGE_BYTES, parseFatalRunQuestion } from '../protocol/fatal-run-peer.js';
 import type { ServiceSettings } from '../protocol/service-settings.js';
-import { HttpServer, sendJson } from '../transport/http-server.js';
+import { HttpServer, readRequestBody, sendJson } from '../transport/http-server.js';
 import type { ServiceNode } from './service-node.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -72,6 +73,9 @@
     this.peers.route('GET', CONFIGURATION_PATH, async (request, response) =>
       this.answerPeer(request, response),
     );
+    this.peers.route('POST', FATAL_RUNS_PATH, (request, response) =>
+      this.exchangeFatalRuns(request, response),
+    );
   }
 
   /** Listens and serves until a signal ends the process. */
@@ -111,6 +115,14 @@
     else response.writeHead(answer.kind === 'same' ? 204 : 503).end();
   }
 
+  /** Another node, which the store does not serve, exchanges reports of requests that end replicas. */
+  private async exchangeFatalRuns(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readRequestBody(request, MAX_MESSAGE_BYTES);
+    const reports = body && parseFatalRunQuestion(body);
+    if (reports) sendJson(response, 200, this.parts.node.exchangeFatalRuns(reports));
+    else sendJson(response, 400, { error: 'no reports' });
+  }
+
   private answerReady(response: ServerResponse): void {
     const { isReady } = this.parts.node;
     sendJson(response, isReady ? 200 : 503, { ready: isReady });
--- a/test/coordination/requests/fatal-requests.test.ts
+++ b/test/coordination/requests/fatal-requests.test.ts
@@ -134,6 +134,25 @@
     expect((await sendFatal(nodes[0] as ServiceNodeProcess))?.status).to.equal(503);
   });
 
+  it('is known to a node that the store does not serve, and through that node to all others', async () => {
+    const [cut, ...served] = nodes as [ServiceNodeProcess, ...ServiceNodeProcess[]];
+    await until('the nodes know each other', () =>
+      nodes.every((node) => node.log.some(({ context }) => context.subject === 'peers')),
+    );
+    cut.proxy.set('cut');
+    await until('the store is out of reach', async () => (await system.status(cut.readyUrl)) === 503);
+    await until('it is held at a node that is cut off', async () => {
+      await restartEnded();
+      return (await sendFatal(cut))?.status === 503 && ended.length > 1;
+    });
+    await until('all others hold it', async () => {
+      const statuses: (number | undefined)[] = [];
+      for (const node of served) statuses.push((await sendFatal(node))?.status);
+      return statuses.every((status) => status === 503);
+    });
+    expect(ended.length).to.be.at.most(MAX_ENDED);
+  });
+
   it('does not keep others of its route and caller from being served', async () => {
     await repeat(ROUNDS);
     await restartEnded();
