The soak judges the distance of orders at each replica, and shared fencing tokens at all

The check took the orders of all replicas as one sequence.

Change: distance and rising tokens are judged at each replica; that no two holders share a token, over all of them (before, only between neighbours in time).

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -23,10 +23,11 @@
 /** What the stand-ins have recorded. */
 export interface Evidence {
   readonly received: readonly ReceivedRequest[];
-  readonly orders: readonly ReceivedOrder[];
+  /** Orders that each replica received. */
+  readonly orders: readonly (readonly ReceivedOrder[])[];
   readonly reports: readonly ReceivedReport[];
   readonly wholeText: WholeText;
-  /** Least time between the orders of two holders, milliseconds. */
+  /** Least time between the orders of two holders at one replica, milliseconds. */
   readonly apartMs: number;
 }
 
@@ -48,7 +49,8 @@
     ...tenantBreaches(history.lookups, evidence.received),
     ...reportBreaches(evidence.reports, evidence.apartMs),
     ...missingReports(evidence.reports),
-    ...orderBreaches(evidence.orders, evidence.apartMs),
+    ...evidence.orders.flatMap((orders) => orderBreaches(orders, evidence.apartMs)),
+    ...sharedTokens(evidence.orders.flat()),
   ];
 }
 
@@ -155,7 +157,7 @@
   return wrong;
 }
 
-/** Two holders are apart by the lease time, and fencing tokens never fall. */
+/** At one replica two holders are apart by the lease time, and fencing tokens never fall. */
 function orderBreaches(orders: readonly ReceivedOrder[], apartMs: number): string[] {
   const inOrder = [...orders].sort((left, right) => left.atMs - right.atMs);
   return inOrder.flatMap((order, at) => {
@@ -170,6 +172,15 @@
   });
 }
 
+/** No two holders share a fencing token, at whatever replicas. */
+function sharedTokens(orders: readonly ReceivedOrder[]): string[] {
+  const byToken = groupBy(orders, ({ fence }) => fence);
+  return [...byToken].flatMap(([fence, ofToken]) => {
+    const holders = new Set(ofToken.map(({ holder }) => holder));
+    return holders.size > 1 ? [`fencing token ${fence} of ${[...holders].join(' and ')}`] : [];
+  });
+}
+
 /** Jobs that were accepted. */
 export function acceptedJobs(history: History): JobHistory[] {
   return history.jobs.filter(({ statuses }) => statuses.includes(STATUS_ACCEPTED));
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -172,7 +172,7 @@
 function evidenceOf(system: ServiceSystem) {
   return {
     received: system.replicas.flatMap((replica) => replica.received),
-    orders: system.replicas.flatMap((replica) => replica.orders),
+    orders: system.replicas.map((replica) => replica.orders),
     reports: system.usage.reports,
     wholeText: (itemId: string) =>
       Array.from({ length: EVENTS }, (_, at) => eventData(itemId, at + 1)).join('\n'),
--- a/test/bench/soak-checks.test.ts
+++ b/test/bench/soak-checks.test.ts
@@ -65,7 +65,9 @@
 describe('checks of the soak', () => {
   let history: History;
   let received: ReceivedRequest[];
+  /** Orders at one replica, and at another. */
   let orders: ReceivedOrder[];
+  let others: ReceivedOrder[];
   let reports: ReceivedReport[];
 
   beforeEach(() => {
@@ -81,6 +83,7 @@
     };
     received = [request('job-1-item-0', 500), request('job-1-item-1', 3_900), request('l-1', 100)];
     orders = [order('a', 1, 0), order('a', 1, 100), order('b', 2, 1_200)];
+    others = [order('b', 2, 300)];
     reports = [report(7, { x: 2 }, 'a', 1, 0), report(8, {}, 'b', 2, 1_500)];
   });
 
@@ -88,7 +91,7 @@
 
   const found = () => {
     const wholeText = (id: string) => `text of ${id}`;
-    const evidence: Evidence = { received, orders, reports, wholeText, apartMs: 1_000 };
+    const evidence: Evidence = { received, orders: [orders, others], reports, wholeText, apartMs: 1_000 };
     return breaches(history, evidence);
   };
 
@@ -187,6 +190,15 @@
 
   it('find two holders too close to each other, and a fencing token that does not rise', () => {
     orders.push(order('a', 2, 1_300));
-    expect(found()).to.deep.equal(['orders of b and a 100 ms apart', 'fencing token 2 after 2']);
+    expect(found()).to.deep.equal([
+      'orders of b and a 100 ms apart',
+      'fencing token 2 after 2',
+      'fencing token 2 of b and a',
+    ]);
+  });
+
+  it('find two holders that share a fencing token at different replicas', () => {
+    others.push(order('c', 2, 9_000));
+    expect(found()).to.include('fencing token 2 of b and c');
   });
 });
