Only all records together prove that lost results were listed

An owner that is left without an answer repeats its batch; when the condition then fails, the record at the batch's first position, with the same bytes, was taken as proof that the batch had been done. Bytes of a result follow from its item alone, so a successor that has listed the same result there, and the next ones in another order, gave the same proof. The owner then kept its own order in its cache and served it. Class: a part taken as proof of the whole.

Change: each record of a batch is a condition of its own, and all must stand as they were to be written. 48 records a batch (80 before), so that conditions and writes stay under 100 entries.

Ruled out: that the store's rows change (they are written on the condition that they are absent).

The same cause elsewhere: other settled transactions write one record, whose value names its writer's life or is the same whoever writes it.

--- a/src/state/jobs/job-contents.ts
+++ b/src/state/jobs/job-contents.ts
@@ -31,6 +31,8 @@
 /** Bytes and records of one transaction. */
 const TRANSACTION_BYTES = 600_000;
 const TRANSACTION_RECORDS = 80;
+/** Records of results in one transaction, each with a condition of its own: with the head under 100 entries. */
+const RESULT_RECORDS = 48;
 
 /** Results in order of position, each as JSON text. */
 export interface ResultPage {
@@ -88,7 +90,8 @@
 
   /**
    * Lists results from `firstPosition` on, under the owner's head. Repeats write the same bytes at the same positions,
-   * so a lost answer does no harm.
+   * so a lost answer does no harm. Only all records together prove that a lost transaction was done: a successor lists
+   * results of the same bytes, but may do so in another order.
    */
   async appendResults(
     head: JobHead,
@@ -100,14 +103,13 @@
     const writes = results.flatMap((result, index) =>
       this.resultWrites(head.jobId, firstPosition + index, result),
     );
-    const first = writes[0];
-    if (!first) return ok(undefined);
+    if (writes.length === 0) return ok(undefined);
     const outcome = await settle(
       this.store,
       {
         conditions: [
           { ...headAddress(head.jobId), version: head.version },
-          { table: first.table, partition: first.partition, key: first.key, version: 0 },
+          ...writes.map(({ table, partition, key }) => ({ table, partition, key, version: 0 })),
         ],
         writes,
         removals: [],
@@ -115,8 +117,7 @@
       {
         deadlineMs,
         signal,
-        isApplied: (current) =>
-          current.some((record) => record.key === first.key && record.value.equals(first.value)),
+        isApplied: (current) => areAllThere(writes, current),
       },
     );
     return outcome.map(() => undefined);
@@ -130,7 +131,7 @@
     for (const result of results) {
       bytes += result.length;
       records += Math.ceil(result.length / this.pieceBytes);
-      if (count > 0 && (bytes > TRANSACTION_BYTES || records > TRANSACTION_RECORDS)) break;
+      if (count > 0 && (bytes > TRANSACTION_BYTES || records > RESULT_RECORDS)) break;
       count += 1;
     }
     return count;
@@ -220,6 +221,12 @@
   }
 }
 
+/** Whether each record stands as it was to be written. */
+function areAllThere(writes: readonly RecordWrite[], current: readonly StoredRecord[]): boolean {
+  const values = new Map(current.map(({ key, value }) => [key, value]));
+  return writes.every(({ key, value }) => values.get(key)?.equals(value) ?? false);
+}
+
 /** Joins the chunks of results; stops before the first position that is not whole. */
 function assembleResults(records: readonly StoredRecord[], firstPosition: number): string[] {
   const results: string[] = [];
