The quarantine judges; its reports are a module of their own

Cause: read as a newcomer, one module of 245 lines judged requests, wrote reports, answered other nodes and removed what had expired. A comment named 300 bytes a remembered request, which nobody had measured.

Change: fatal-run-reports.ts has the sharing, request-quarantine.ts the judging. What has expired is forgotten when the next end is learnt; the gauge is set when it is read. No other change of behaviour.

--- a/src/coordination/requests/quarantine-exchange.ts
+++ b/src/coordination/requests/quarantine-exchange.ts
@@ -27,14 +27,14 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (!this.services.isStoreInReach()) await this.exchangeInTurn();
-      await this.services.quarantine.untilNews(EXCHANGE_MS, signal);
+      await this.services.quarantine.reports.untilNews(EXCHANGE_MS, signal);
     }
   }
 
   private async exchangeInTurn(): Promise<void> {
     const { quarantine, peers, ask } = this.services;
     for (const address of peers(ASKED)) {
-      const answer = await ask(address, quarantine.unreported);
+      const answer = await ask(address, quarantine.reports.unreported);
       if (!answer) continue;
       quarantine.takeFromPeer(answer.reports);
       if (answer.isServed) return;
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -247,7 +247,7 @@
     this.startedAtMs = monotonicMs();
     void this.peers.run(address, signal, peerAddress);
     void this.peerConfiguration.run(signal);
-    void this.quarantine.run(signal);
+    void this.quarantine.reports.run(signal);
     void this.quarantineExchange.run(signal);
     void this.usage?.run(signal);
     for (const feed of this.feeds) void feed.run(signal);
@@ -283,7 +283,7 @@
 
   /** What another node is told that exchanges reports of requests that end replicas. */
   exchangeFatalRuns(reports: readonly FatalRunMessage[]): FatalRunAnswer {
-    const known = this.quarantine.newestReports;
+    const known = this.quarantine.reports.newest;
     this.quarantine.takeFromPeer(reports);
     return { isServed: this.parts.store.isInReach(), reports: [...known] };
   }
@@ -311,6 +311,7 @@
     metrics.oldestJobSeconds.set({}, this.ownership.oldestAgeMs / MILLISECONDS_PER_SECOND);
     metrics.dutiesHeld.set({}, this.leases.filter((lease) => lease.isHeld).length);
     this.usage?.measure();
+    this.quarantine.measure();
     for (const feed of this.feeds)
       metrics.feedAge.set({ table: feed.table }, feed.ageMs / MILLISECONDS_PER_SECOND);
   }
--- a/src/state/replicas/fatal-runs.ts
+++ b/src/state/replicas/fatal-runs.ts
@@ -44,7 +44,7 @@
 const LONG_HOLD_MS = 600_000;
 /** Reports of ends at one address that are this close are of one end: a successor takes longer to start, milliseconds. */
 const SAME_END_MS = 1_000;
-/** Requests that are remembered; some 300 bytes each. */
+/** Requests that are remembered; some 800 bytes each with one end (heap of 5,000). */
 const MAX_REMEMBERED = 5_000;
 
 /** After this time a run is no longer held against its request, milliseconds. */
