The stand-in for reports of usage notes their arrival

The stand-in noted a report when it took it; slowed down it takes it 600 ms after its arrival. A later report that is not slowed seems closer by that, or even to come before it.

Change: the time of arrival is noted, and the check goes by it.

--- a/emulator/usage/usage-server.ts
+++ b/emulator/usage/usage-server.ts
@@ -11,6 +11,7 @@
   readonly counts: TenantCounts;
   readonly holder: string;
   readonly fence: number;
+  /** When it arrived, however long it took to be taken, milliseconds. */
   readonly atMs: number;
 }
 
@@ -55,6 +56,7 @@
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAtMs = monotonicMs();
     const chunks: Buffer[] = [];
     try {
       for await (const chunk of request) chunks.push(chunk as Buffer);
@@ -67,12 +69,12 @@
       response.writeHead(this.mode === 'busy' ? 503 : 404).end('{}');
       return;
     }
-    this.take(request, Buffer.concat(chunks));
+    this.take(request, Buffer.concat(chunks), arrivedAtMs);
     if (this.answersToLose > 0) this.answersToLose -= 1;
     else response.writeHead(200, { 'content-type': 'application/json' }).end('{}');
   }
 
-  private take(request: IncomingMessage, body: Buffer): void {
+  private take(request: IncomingMessage, body: Buffer, atMs: number): void {
     const { windowId, counts } = JSON.parse(body.toString('utf8')) as {
       windowId: number;
       counts: TenantCounts;
@@ -82,7 +84,7 @@
       counts,
       holder: String(request.headers[HEADER.dutyHolder]),
       fence: Number(request.headers[HEADER.fencingToken]),
-      atMs: monotonicMs(),
+      atMs,
     });
   }
 }
--- a/test/support/tenants.ts
+++ b/test/support/tenants.ts
@@ -50,8 +50,9 @@
     if (before !== undefined && before !== text) found.push(`window ${window}: ${before}, then ${text}`);
     first.set(window, text);
   }
-  for (const [at, report] of reports.entries()) {
-    const before = reports[at - 1];
+  const arrived = [...reports].sort((left, right) => left.atMs - right.atMs);
+  for (const [at, report] of arrived.entries()) {
+    const before = arrived[at - 1];
     if (before && report.fence < before.fence) found.push(`token ${report.fence} after ${before.fence}`);
     if (before && before.holder !== report.holder && report.atMs - before.atMs < apartMs)
       found.push(`${before.holder} and ${report.holder} ${Math.round(report.atMs - before.atMs)} ms apart`);
