The test of the operators' view of usage ends the node before it reads

A node removes counts two windows after their report, here 2 s; the two programs of the view took longer beside that load.

Change: the test waits for the noted report and ends the node. What it expects of the view is unchanged.

--- a/test/cli/usage-accounts.test.ts
+++ b/test/cli/usage-accounts.test.ts
@@ -3,7 +3,8 @@
 import { once } from 'node:events';
 import { resolve } from 'node:path';
 import { expect } from 'chai';
-import { ServiceSystem } from '../support/service-system.js';
+import { REPORT_PARTITION, REPORT_TABLE, windowKey } from '../../src/state/usage/usage-record.js';
+import { kill, ServiceSystem } from '../support/service-system.js';
 import { bearing, tenantConfiguration } from '../support/tenants.js';
 import { until } from '../support/wait.js';
 
@@ -30,6 +31,7 @@
     return { code, out };
   }
 
+  /** The node is ended before the views are read: it removes counts a few windows after their report. */
   it('lists windows, and shows one with the counts that it comes from', async () => {
     system.configure(tenantConfiguration(2));
     await system.reportUsage(WINDOW_MS, DUE_MS);
@@ -40,6 +42,12 @@
     const window = await until('the request is reported', () =>
       system.usage.reports.find(({ counts }) => counts.small === 1),
     );
+    await until('the report is noted as taken', () =>
+      system.store.rows
+        .scan(REPORT_TABLE, REPORT_PARTITION, windowKey(window.window), windowKey(window.window + 1))
+        .some((row) => Buffer.from(row.value ?? '', 'base64').includes('"isReported":true')),
+    );
+    await kill(node);
     const list = await run('list');
     expect(list.code).to.equal(0);
     expect(list.out).to.match(new RegExp(`${window.window} +(reported|decided) +node-1 +1 +1`));
