--- a/emulator/store/row-store.ts
+++ b/emulator/store/row-store.ts
@@ -1,4 +1,8 @@
-/** Rows of the stand-in of the platform's store: one counter of versions, transactions, and a history for feeds. */
+/**
+ * Rows of the stand-in of the platform's store: one counter of versions, transactions, a history for feeds, and reads as
+ * of an earlier moment.
+ */
+import { monotonicMs } from '../../src/common/clock.js';
 
 /** Where a row lies. */
 export interface RowAddress {
@@ -25,6 +29,24 @@
 /** The outcome: done with a version, or the rows of the conditions as they are. */
 export type TransactionResult = { readonly ver: number } | { readonly rows: readonly Row[] };
 
+/** Rows of a range, and the version of the newest transaction at the moment that they show. */
+export interface RowPage {
+  readonly rows: readonly Row[];
+  readonly version: number;
+}
+
+/** What a change has put something else in the place of. */
+interface PastRow {
+  readonly address: string;
+  /** `undefined` when the row was not there. */
+  readonly before: Row | undefined;
+  /** Version of the change. */
+  readonly version: number;
+  readonly atMs: number;
+}
+
+/** Longest time that reads can be behind, milliseconds. */
+const LONGEST_PAST_MS = 30_000;
 const SEPARATOR = '\u0000';
 
 function identity(address: RowAddress): string {
@@ -34,6 +56,8 @@
 /** The rows. */
 export class RowStore {
   private readonly rows = new Map<string, Row>();
+  /** Oldest first. */
+  private readonly past: PastRow[] = [];
   private readonly history: Row[] = [];
   private historyStart = 0;
   private counter = 0;
@@ -80,10 +104,21 @@
 
   /** Rows of a range in the order of their keys. */
   scan(table: string, part: string, from: string, until: string | undefined): Row[] {
-    return [...this.rows.values()]
-      .filter((row) => row.table === table && row.part === part)
-      .filter((row) => row.key >= from && (until === undefined || row.key < until))
-      .sort((left, right) => Buffer.compare(Buffer.from(left.key), Buffer.from(right.key)));
+    return inRange(this.rows.values(), table, part, from, until);
+  }
+
+  /** Rows of a range as they were `behindMs` milliseconds ago. */
+  scanPast(table: string, part: string, from: string, until: string | undefined, behindMs: number): RowPage {
+    const momentMs = monotonicMs() - behindMs;
+    const rows = new Map(this.rows);
+    let { version } = this;
+    for (const change of [...this.past].reverse()) {
+      if (change.atMs <= momentMs) break;
+      if (change.before) rows.set(change.address, change.before);
+      else rows.delete(change.address);
+      version = change.version - 1;
+    }
+    return { rows: inRange(rows.values(), table, part, from, until), version };
   }
 
   /** Changes of a table after a version; `undefined` when that history is gone. */
@@ -106,8 +141,29 @@
   }
 
   private change(row: Row): void {
-    if (row.gone) this.rows.delete(identity(row));
-    else this.rows.set(identity(row), row);
+    const address = identity(row);
+    this.remember(address, row.ver);
+    if (row.gone) this.rows.delete(address);
+    else this.rows.set(address, row);
     this.history.push(row);
   }
+
+  private remember(address: string, version: number): void {
+    const atMs = monotonicMs();
+    while (this.past[0] && this.past[0].atMs < atMs - LONGEST_PAST_MS) this.past.shift();
+    this.past.push({ address, before: this.rows.get(address), version, atMs });
+  }
+}
+
+function inRange(
+  rows: Iterable<Row>,
+  table: string,
+  part: string,
+  from: string,
+  until: string | undefined,
+): Row[] {
+  return [...rows]
+    .filter((row) => row.table === table && row.part === part)
+    .filter((row) => row.key >= from && (until === undefined || row.key < until))
+    .sort((left, right) => Buffer.compare(Buffer.from(left.key), Buffer.from(right.key)));
 }
--- a/emulator/store/store-server.ts
+++ b/emulator/store/store-server.ts
@@ -10,6 +10,8 @@
 const MAX_ENTRIES = 100;
 const MAX_VALUE_BYTES = 65_536;
 const MAX_TRANSACTION_BYTES = 1_048_576;
+const MILLISECONDS_PER_SECOND = 1_000;
+const WRITING_PATHS = [STORE_PATH.transaction, STORE_PATH.putObject, STORE_PATH.dropObject];
 
 /** What happens to calls. */
 export type StoreMode =
@@ -34,10 +36,21 @@
   /** Transactions, from the next one, that are done after `lateMs` and never answered. */
   transactionsToDelay = 0;
   lateMs = 0;
+  /** Reads of ranges show the rows as they were this much earlier, milliseconds; feeds and transactions don't. */
+  readsBehindMs = 0;
+  /** Calls about this table are taken and never answered. */
+  silentTable: string | undefined;
+  /** Calls of all clients together that are taken in a second; further ones get 429. */
+  writesPerSecond = Number.POSITIVE_INFINITY;
+  readsPerSecond = Number.POSITIVE_INFINITY;
+  /** Calls that got 429. */
+  limitedCalls = 0;
   /** Called before each transaction. */
   onTransaction: ((transaction: Transaction) => void) | undefined;
   /** Transactions that were received. */
   transactionCount = 0;
+  private readonly writes = new SecondCounter();
+  private readonly reads = new SecondCounter();
   private readonly objects = new Map<string, Buffer>();
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
@@ -82,6 +95,8 @@
   private async route(request: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
     const path = (request as { originalUrl?: string }).originalUrl ?? request.url ?? '/';
     const url = new URL(path, 'http://store');
+    if (!this.isWithinRate(url.pathname)) return this.answer(response, 429, {});
+    if (this.silentTable !== undefined && url.searchParams.get('table') === this.silentTable) return;
     if (url.pathname === STORE_PATH.transaction) return this.transact(response, body);
     if (url.pathname === STORE_PATH.rows) return this.scan(response, url.searchParams);
     if (url.pathname === STORE_PATH.feed) return this.feed(response, url.searchParams);
@@ -89,6 +104,15 @@
     return this.serveObject(response, url.pathname, body);
   }
 
+  /** Counts a call; false when the second has no room for it. */
+  private isWithinRate(path: string): boolean {
+    const isWrite = WRITING_PATHS.some((writing) => path.startsWith(writing));
+    const rate = isWrite ? this.writes : this.reads;
+    const isTaken = rate.take(isWrite ? this.writesPerSecond : this.readsPerSecond);
+    if (!isTaken) this.limitedCalls += 1;
+    return isTaken;
+  }
+
   private async transact(response: ServerResponse, body: Buffer): Promise<void> {
     const transaction = JSON.parse(body.toString('utf8')) as Transaction;
     this.transactionCount += 1;
@@ -111,13 +135,17 @@
   private scan(response: ServerResponse, query: URLSearchParams): void {
     const limit = Math.min(PAGE_ROWS, Number(query.get('limit') ?? PAGE_ROWS));
     const until = query.get('targetVersion') ?? undefined;
-    const found = this.rows.scan(
+    const range = [
       query.get('table') ?? '',
       query.get('part') ?? '',
       query.get('from') ?? '',
       until,
-    );
-    this.answer(response, 200, { rows: found.slice(0, limit), more: found.length > limit });
+    ] as const;
+    const { rows, version } =
+      this.readsBehindMs > 0
+        ? this.rows.scanPast(...range, this.readsBehindMs)
+        : { rows: this.rows.scan(...range), version: this.rows.version };
+    this.answer(response, 200, { rows: rows.slice(0, limit), more: rows.length > limit, ver: version });
   }
 
   private async feed(response: ServerResponse, query: URLSearchParams): Promise<void> {
@@ -129,7 +157,7 @@
       if (rows === undefined) return this.answer(response, 410, {});
       if (rows.length > 0 || monotonicMs() >= deadline) return this.answer(response, 200, { rows });
       await this.untilChange(deadline - monotonicMs());
-      if (this.mode !== 'answering') return;
+      if (this.mode !== 'answering' || this.silentTable === table) return;
     }
   }
 
@@ -163,6 +191,21 @@
   }
 }
 
+/** Counts calls by the second. */
+class SecondCounter {
+  private second = 0;
+  private count = 0;
+
+  /** Takes one call if the second has room for it. */
+  take(limit: number): boolean {
+    const second = Math.floor(monotonicMs() / MILLISECONDS_PER_SECOND);
+    if (second !== this.second) this.count = 0;
+    this.second = second;
+    this.count += 1;
+    return this.count <= limit;
+  }
+}
+
 /** Why the store does not take a transaction, `undefined` when it does. */
 function problemOf(transaction: Transaction, bodyBytes: number): string | undefined {
   const { expected = [], put = [], remove = [] } = transaction;
--- /dev/null
+++ b/test/coordination/configuration/configuration-while-reads-are-old.test.ts
@@ -0,0 +1,93 @@
+/**
+ * What users saw: nodes refused routes with 404 that the operator had added, and ran requests by routes that had moved,
+ * for many seconds after the store had acknowledged the change.
+ *
+ * The order of events: the store drops the history of its tables, right after a change; every node must read the tables
+ * whole; reads of ranges show the rows as they were some seconds before, while transactions and questions for changes
+ * are answered from the newest rows.
+ *
+ * The cause: a whole read was the only way on, and it was taken only when it was as new as the newest answer that the
+ * process had had, about whatever table. The first table that was read whole was followed again, its answers were new, and
+ * from then on every read of the other tables was thrown away as too old. Meanwhile the node counted as in reach of the
+ * store, so that it said 404 with certainty.
+ *
+ * The evidence: with 84 nodes and reads that were 6 s old for 13 s, the change was in force after 6.0 s on the nodes whose
+ * question for the configuration was the first to be answered, and after 13.0 to 13.6 s on 13 to 23 others, until reads were
+ * new again; three runs. With more frequent changes of other tables two nodes of three were late.
+ */
+import { expect } from 'chai';
+import { TABLE } from '../../../platform/names.js';
+import { monotonicMs } from '../../../src/common/clock.js';
+import {
+  APPLICATION_SERVICE,
+  HOST,
+  type ServiceNodeProcess,
+  ServiceSystem,
+  usualConfiguration,
+} from '../../support/service-system.js';
+import { until } from '../../support/wait.js';
+
+const NODES = 6;
+/** The operator's bound for a change to be in force, milliseconds. */
+const BOUND_MS = 2_000;
+/** Reads show the rows as they were this much earlier, milliseconds: far beyond the bound. */
+const BEHIND_MS = 20_000;
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+
+describe('configuration while reads of the store are old', () => {
+  let system: ServiceSystem;
+  let asked = 0;
+
+  beforeEach(async () => {
+    system = await ServiceSystem.start();
+    for (let count = 0; count < 2; count += 1) await system.addApplication();
+    const names = Array.from({ length: NODES }, (_, at) => `node-${at}`);
+    const settings = { 'bounds.configApplyMs': String(BOUND_MS) };
+    const nodes = await Promise.all(names.map((name) => system.addNode(name, settings)));
+    await Promise.all(nodes.map((node) => system.untilReady(node)));
+  });
+  afterEach(() => system.stop());
+
+  /** Writes a configuration with one route that only it has. */
+  function addRoute(version: number): string {
+    const path = `/added-${version}/`;
+    const usual = usualConfiguration(version);
+    const added = { ...usual.routes[0], name: 'added', host: HOST, pathPrefix: path, kind: 'safe' };
+    system.configure({ ...usual, routes: [...usual.routes, { ...added, service: APPLICATION_SERVICE }] });
+    return path;
+  }
+
+  async function statusOf(node: ServiceNodeProcess, path: string): Promise<number | undefined> {
+    asked += 1;
+    return (await system.lookup(node, `asked-${asked}`, {}, path))?.status;
+  }
+
+  async function untilServedEverywhere(path: string): Promise<void> {
+    const isServed = async (node: ServiceNodeProcess) => (await statusOf(node, path)) === STATUS_OK;
+    await Promise.all(system.nodes.map((node) => until(`${node.name} serves`, () => isServed(node))));
+  }
+
+  it('is in force within its bound on every node, whether it changed as the history was lost or later', async () => {
+    system.store.readsBehindMs = BEHIND_MS;
+    for (const version of [2, 3]) {
+      const path = addRoute(version);
+      if (version === 2) system.store.rows.forgetHistory();
+      const writtenAtMs = monotonicMs();
+      await untilServedEverywhere(path);
+      expect(monotonicMs() - writtenAtMs, `version ${version}`).to.be.lessThan(BOUND_MS);
+    }
+  });
+
+  it('is not denied with certainty by a node whose question for it alone is not answered', async () => {
+    system.store.silentTable = TABLE.operator;
+    const path = addRoute(2);
+    const node = system.nodes[0] as ServiceNodeProcess;
+    await until('the node is not certain any more', async () => {
+      const status = await statusOf(node, path);
+      return status === STATUS_UNAVAILABLE;
+    });
+    system.store.silentTable = undefined;
+    await untilServedEverywhere(path);
+  });
+});
