Changes of the configuration are followed and judged by answers about it alone

Cause: after a loss of history a table was taken up again only by a read of the whole of it, as new as the newest answer about any table; the first feed that went on made the reads of all others too old, for as long as reads were behind. And any answer of the store counted as news of the configuration, so that a node which heard nothing of it said 404 with certainty and told others that there was nothing newer. Change: a feed takes what is as new as its own position; where a whole read is old, the records that it knows are read by a condition, which the store judges by its newest rows, and followed from there. Certainty, and the word given to other nodes, hang on the age of the question about the operator's table, within the operator's bound (read from the settings now).

--- a/emulator/job-demo.ts
+++ b/emulator/job-demo.ts
@@ -61,6 +61,7 @@
     stopGraceMs: 8_000,
     peerPort: 0,
     usage: undefined,
+    configurationBoundMs: 3_000,
     leaseMs: 3_000,
     resultRetentionMs: 120_000,
     memoryBytes: 256 * 1024 * 1024,
--- a/src/coordination/configuration/index.ts
+++ b/src/coordination/configuration/index.ts
@@ -1,3 +1,9 @@
 export { ConfigFollower } from './config-follower.js';
-export { type FeedHandler, type FeedObserver, RecordFeed, readPartition } from './record-feed.js';
+export {
+  FEED_WAIT_MS,
+  type FeedHandler,
+  type FeedObserver,
+  RecordFeed,
+  readPartition,
+} from './record-feed.js';
 export { SharedTable } from './shared-table.js';
--- a/src/coordination/membership/announcements.ts
+++ b/src/coordination/membership/announcements.ts
@@ -4,7 +4,7 @@
  */
 import type { DecisionLogger } from '../../common/decision-logger.js';
 import type { ServiceMetrics } from '../../common/service-metrics.js';
-import type { ChangedRecord, RecordStore, StoredRecord } from '../../protocol/record-store.js';
+import type { ChangedRecord, RecordAddress, RecordStore, StoredRecord } from '../../protocol/record-store.js';
 import type { Replica } from '../../protocol/replica.js';
 import type { RoutingConfiguration } from '../../protocol/routing-configuration.js';
 import type { RoutingTable } from '../../state/configuration/index.js';
@@ -16,6 +16,8 @@
   readonly operatorTable: string;
   readonly replicaTable: string;
   readonly configurationKey: string;
+  /** Key of the newest named version of a model. */
+  versionKey(model: string): string;
   parseConfiguration(value: Buffer): RoutingConfiguration | undefined;
   parseNamedVersion(key: string, value: Buffer): { model: string; version: number } | undefined;
   parseReplica(id: string, value: Buffer): Replica | undefined;
@@ -23,6 +25,11 @@
 
 type Content = StoredRecord[];
 
+/** Partition of all announcements. */
+const PARTITION = '';
+/** Announcements that are as new as those taken before are taken, also when the store has shown something newer. */
+const ALLOWS_OLD = true;
+
 /** Takes the configuration and the named versions. */
 export class OperatorAnnouncements implements FeedHandler<Content> {
   private configurationRecord: Buffer | undefined;
@@ -41,7 +48,15 @@
   }
 
   readAll() {
-    return readPartition(this.store, this.table, '');
+    return readPartition(this.store, this.table, PARTITION, ALLOWS_OLD);
+  }
+
+  /** The configuration, and the named version of each model that it has. */
+  knownAddresses(): RecordAddress[] {
+    const services = this.routing.current?.configuration.services ?? [];
+    const models = new Set([...services.flatMap((service) => service.models), ...this.versions.models]);
+    const keys = [this.format.configurationKey, ...[...models].map((model) => this.format.versionKey(model))];
+    return keys.map((key) => ({ table: this.table, partition: PARTITION, key }));
   }
 
   replaceAll(content: Content): void {
@@ -102,7 +117,11 @@
   }
 
   readAll() {
-    return readPartition(this.store, this.table, '');
+    return readPartition(this.store, this.table, PARTITION, ALLOWS_OLD);
+  }
+
+  knownAddresses(): RecordAddress[] {
+    return this.directory.ids.map((key) => ({ table: this.table, partition: PARTITION, key }));
   }
 
   replaceAll(content: Content): void {
--- a/src/coordination/membership/peer-configuration.ts
+++ b/src/coordination/membership/peer-configuration.ts
@@ -1,13 +1,14 @@
 /**
- * What a node that the store does not serve learns from nodes that it serves: the newest configuration, so that the operator's
- * changes take effect here too and a key that was taken away is not taken for longer; and that the store is there, so that
- * others will take this node's jobs over. Versions only rise, whoever brings them.
+ * What a node that does not hear of changes of the configuration learns from nodes that do: the newest configuration, so that
+ * the operator's changes take effect here too and a key that was taken away is not taken for longer. Where the store does not
+ * serve this node at all, also that it is there, so that others will take this node's jobs over. Versions only rise,
+ * whoever brings them.
  */
 import { type Clock, SYSTEM_CLOCK } from '../../common/clock.js';
 import type { DecisionLogger } from '../../common/decision-logger.js';
 import type { PeerConfigurationAnswer } from '../../protocol/configuration-peer.js';
 
-/** How often a node looks whether the store serves it, milliseconds. */
+/** How often a node looks whether it hears of changes, milliseconds. */
 const LOOK_MS = 400;
 /** Nodes that are asked in one turn, one after the other, until one is served. */
 const ASKED = 4;
@@ -22,6 +23,8 @@
 /** What the task works with. */
 export interface PeerConfigurationServices {
   readonly isStoreInReach: () => boolean;
+  /** Whether the store itself has told of changes lately. */
+  readonly isFollowed: () => boolean;
   /** Addresses of other nodes, the likeliest to be served first. */
   readonly peers: (count: number) => readonly string[];
   /** Version in force; 0 while none is known. */
@@ -38,6 +41,7 @@
 export class PeerConfiguration {
   private confirmedAtMs = Number.NEGATIVE_INFINITY;
   private turnsAway = 0;
+  private wasFollowed = true;
 
   constructor(
     private readonly services: PeerConfigurationServices,
@@ -49,18 +53,23 @@
     return this.clock.now() - this.confirmedAtMs < CONFIRMED_MS;
   }
 
-  /** Asks while the store is out of reach, until `signal` is aborted. */
+  /** Asks while the store tells of no changes, until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.services.isStoreInReach()) this.turnsAway = 0;
-      else await this.askInTurn();
+      this.reportFollowed();
+      if (!this.hearsOfChanges) await this.askInTurn();
       await this.clock.sleep(LOOK_MS, signal);
     }
   }
 
+  private get hearsOfChanges(): boolean {
+    return this.services.isStoreInReach() && this.services.isFollowed();
+  }
+
   private async askInTurn(): Promise<void> {
     for (const address of this.services.peers(ASKED)) {
-      if (this.services.isStoreInReach()) return;
+      if (this.hearsOfChanges) return;
       const askedAtMs = this.clock.now();
       const before = this.services.version();
       const answer = await this.services.ask(address, before);
@@ -74,9 +83,22 @@
   }
 
   private noteTurnedAway(): void {
+    if (this.services.isStoreInReach()) return;
     this.turnsAway += 1;
-    const isAway = this.turnsAway >= TURNED_AWAY_TURNS && !this.services.isStoreInReach();
-    if (isAway) this.services.onTurnedAway();
+    if (this.turnsAway >= TURNED_AWAY_TURNS) this.services.onTurnedAway();
+  }
+
+  private reportFollowed(): void {
+    const isFollowed = this.services.isFollowed();
+    if (isFollowed === this.wasFollowed) return;
+    this.wasFollowed = isFollowed;
+    this.services.logger.record({
+      event: 'belief-changed',
+      subject: 'configuration',
+      name: 'changes',
+      change: isFollowed ? 'the store tells of them' : 'the store has not told of them within their bound',
+      version: this.services.version(),
+    });
   }
 
   private report(address: string): void {
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -7,7 +7,12 @@
 import type { DecisionLogger } from '../common/decision-logger.js';
 import { uniqueId } from '../common/identifier.js';
 import type { ServiceMetrics } from '../common/service-metrics.js';
-import { type FeedObserver, RecordFeed, SharedTable } from '../coordination/configuration/index.js';
+import {
+  FEED_WAIT_MS,
+  type FeedObserver,
+  RecordFeed,
+  SharedTable,
+} from '../coordination/configuration/index.js';
 import { DutyLease } from '../coordination/duties/index.js';
 import type { SubmissionParser } from '../coordination/jobs/index.js';
 import { JobCalls, JobForwarding, JobOwnership } from '../coordination/jobs/index.js';
@@ -67,6 +72,8 @@
  */
 const CHANGE_PAUSE_PER_NODE_MS = 5;
 const LONGEST_CHANGE_PAUSE_MS = 1_000;
+/** Time that an answer about changes may take on top of the time for which it is held, milliseconds. */
+const FEED_ANSWER_MS = 500;
 /** Part of the time until the process is killed after which it ends by itself. */
 const END_FRACTION = 0.9;
 
@@ -120,6 +127,7 @@
   private readonly peerConfiguration: PeerConfiguration;
   /** `undefined` where no usage is reported. */
   private readonly usage: UsageAccounting | undefined;
+  private readonly operatorFeed: RecordFeed<unknown>;
   private readonly feeds: readonly RecordFeed<unknown>[];
   private readonly controller = new AbortController();
   private isDraining = false;
@@ -210,6 +218,7 @@
     this.operators = new OperatorAnnouncements(store, format, this.routing, this.versions, metrics, logger);
     this.peerConfiguration = new PeerConfiguration({
       isStoreInReach: () => store.isInReach(),
+      isFollowed: () => this.isConfigurationFollowed,
       peers: (count) => this.peers.likeliestPeers(count),
       version: () => this.routing.current?.version ?? 0,
       ask: parts.askForConfiguration,
@@ -226,8 +235,9 @@
     const replicas = new ReplicaAnnouncements(store, format, this.directory, logger);
     const observer = feedObserver(logger);
     const pause = (signal: AbortSignal) => this.pauseBetweenChanges(signal);
+    this.operatorFeed = new RecordFeed(store, this.operators, observer, pause);
     this.feeds = [
-      new RecordFeed(store, this.operators, observer, pause),
+      this.operatorFeed,
       new RecordFeed(store, replicas, observer, pause),
       new RecordFeed(
         store,
@@ -270,13 +280,23 @@
    * route that is not there from one that it has not heard of.
    */
   get isConfigurationCertain(): boolean {
-    return this.parts.store.isInReach() || this.peerConfiguration.isConfirmed;
+    return this.isConfigurationFollowed || this.peerConfiguration.isConfirmed;
+  }
+
+  /**
+   * Whether the store has told of changes of the configuration so lately that one which it does not know is within its bound.
+   * Answers about other tables prove nothing: beside them the operator's table may be unanswered, or old.
+   */
+  private get isConfigurationFollowed(): boolean {
+    const usualMs = FEED_WAIT_MS + FEED_ANSWER_MS + this.changePauseMs;
+    const boundMs = Math.max(this.parts.settings().configurationBoundMs, usualMs);
+    return this.parts.store.isInReach() && this.operatorFeed.ageMs < boundMs;
   }
 
   /** What another node is told that asks for a configuration newer than `version`. */
   configurationFor(version: number): PeerConfigurationAnswer {
     const { configuration } = this.operators;
-    if (!configuration || !this.parts.store.isInReach()) return { kind: 'unavailable' };
+    if (!configuration || !this.isConfigurationFollowed) return { kind: 'unavailable' };
     const isNewer = (this.routing.current?.version ?? 0) > version;
     return isNewer ? { kind: 'newer', value: configuration } : { kind: 'same' };
   }
@@ -366,8 +386,11 @@
   }
 
   private pauseBetweenChanges(signal: AbortSignal): Promise<void> {
-    const ms = Math.min(LONGEST_CHANGE_PAUSE_MS, this.peers.fleetSize * CHANGE_PAUSE_PER_NODE_MS);
-    return this.sessions.pauseUnlessHolder(ms, signal);
+    return this.sessions.pauseUnlessHolder(this.changePauseMs, signal);
+  }
+
+  private get changePauseMs(): number {
+    return Math.min(LONGEST_CHANGE_PAUSE_MS, this.peers.fleetSize * CHANGE_PAUSE_PER_NODE_MS);
   }
 
   private async waitUntil(condition: () => boolean, deadlineMs: number): Promise<void> {
--- a/src/node/service-process.ts
+++ b/src/node/service-process.ts
@@ -34,7 +34,7 @@
 }
 
 /** Settings that take effect while the process runs. */
-const RELOADABLE = ['stopGraceMs', 'leaseMs', 'resultRetentionMs'] as const;
+const RELOADABLE = ['stopGraceMs', 'configurationBoundMs', 'leaseMs', 'resultRetentionMs'] as const;
 
 /** What a new reading of the settings changes, one text a setting. */
 function changedSettings(before: ServiceSettings, after: ServiceSettings): string[] {
--- a/src/protocol/record-store.ts
+++ b/src/protocol/record-store.ts
@@ -45,6 +45,8 @@
   readonly until?: string;
   /** Records at most. Default: what the store gives at most. */
   readonly limit?: number;
+  /** Takes an answer that is older than one which the process had before it asked. Default: such a read fails as stale. */
+  readonly allowsOld?: boolean;
 }
 
 /** Records of a range as of one moment. `version` is the newest of the whole store at that moment. */
@@ -52,6 +54,8 @@
   readonly records: readonly StoredRecord[];
   readonly hasMore: boolean;
   readonly version: number;
+  /** Whether the process had a newer answer, about whatever table, before it asked. Default: false. */
+  readonly isOld?: boolean;
 }
 
 /** A record that has changed; `value` is `undefined` when it was removed. */
@@ -91,6 +95,8 @@
     message: string,
     /** With `conflict`: the records named in the conditions, as they are. */
     readonly current: readonly StoredRecord[] = [],
+    /** With `conflict`: the newest version of the store at that moment. */
+    readonly currentVersion = 0,
   ) {
     super(message);
   }
--- a/src/protocol/service-settings.ts
+++ b/src/protocol/service-settings.ts
@@ -32,6 +32,8 @@
   readonly objectBytes: number;
   /** Time from the signal to stop until the process is killed. */
   readonly stopGraceMs: number;
+  /** Time from the store's acknowledgement of a configuration until no node acts on an older one. */
+  readonly configurationBoundMs: number;
   /** Two holders of one duty never act on one replica within this time. */
   readonly leaseMs: number;
   /** How long results stay readable after a job was submitted. */
--- a/src/state/store/index.ts
+++ b/src/state/store/index.ts
@@ -1,3 +1,4 @@
+export { type CurrentRecords, readCurrent } from './current-records.js';
 export { FOLLOWED_TABLE } from './followed-table.js';
 export { InstrumentedStore } from './instrumented-store.js';
 export { readRange } from './read-range.js';
--- a/test/coordination/membership/peer-configuration.test.ts
+++ b/test/coordination/membership/peer-configuration.test.ts
@@ -10,6 +10,7 @@
   let clock: ManualClock;
   let controller: AbortController;
   let isInReach: boolean;
+  let isFollowed: boolean;
   let answers: Record<string, PeerConfigurationAnswer>;
   let asked: string[];
   let taken: string[];
@@ -20,6 +21,7 @@
     clock = new ManualClock(() => 0.5);
     controller = new AbortController();
     isInReach = false;
+    isFollowed = true;
     answers = { a: { kind: 'unavailable' }, b: { kind: 'same' } };
     asked = [];
     taken = [];
@@ -27,6 +29,7 @@
     peer = new PeerConfiguration(
       {
         isStoreInReach: () => isInReach,
+        isFollowed: () => isFollowed,
         peers: () => Object.keys(answers),
         version: () => 7,
         ask: async (address) => {
@@ -73,6 +76,20 @@
     expect(peer.isConfirmed).to.equal(false);
   });
 
+  it('asks others when the store serves it and tells of no changes, and does not count as turned away', async () => {
+    isInReach = true;
+    isFollowed = false;
+    answers = { a: { kind: 'newer', value: Buffer.from('record') } };
+    await run(LONG_MS);
+    expect(taken.at(0)).to.equal('record');
+    expect(peer.isConfirmed).to.equal(true);
+    expect(turnedAway).to.equal(0);
+    isFollowed = true;
+    const before = asked.length;
+    await clock.advance(LONG_MS);
+    expect(asked.length).to.equal(before);
+  });
+
   it('counts as turned away at the second turn, not after a pause of its own that ends before', async () => {
     await run(0);
     expect(turnedAway).to.equal(0);
