--- a/src/coordination/membership/peer-configuration.ts
+++ b/src/coordination/membership/peer-configuration.ts
@@ -41,7 +41,7 @@
 export class PeerConfiguration {
   private confirmedAtMs = Number.NEGATIVE_INFINITY;
   private turnsAway = 0;
-  private wasFollowed = true;
+  private wasFollowed = false;
 
   constructor(
     private readonly services: PeerConfigurationServices,
