--- a/bench/soak/records.ts
+++ b/bench/soak/records.ts
@@ -32,9 +32,24 @@
   readonly atMs: number;
 }
 
+/** A request that asks a node which configuration it has in force. */
+export interface ProbeHistory {
+  readonly id: string;
+  readonly node: string;
+  /** Which process of the node. */
+  readonly life: string;
+  readonly path: string;
+  readonly askedAtMs: number;
+  readonly answeredAtMs: number;
+  /** 0 stands for no answer. */
+  readonly status: number;
+}
+
 /** A span in which a trouble was on, milliseconds. */
 export interface FaultSpan {
   readonly kind: string;
+  /** Names of the nodes that it struck; none for a trouble elsewhere. */
+  readonly nodes?: readonly string[];
   readonly fromMs: number;
   readonly untilMs: number;
 }
@@ -45,6 +60,7 @@
   readonly lookups: LookupHistory[];
   readonly faults: FaultSpan[];
   readonly fatalEnds: FatalEnd[];
+  readonly probes: ProbeHistory[];
 }
 
 /** A fresh history of a job. */
--- /dev/null
+++ b/bench/soak/shape.ts
@@ -0,0 +1,51 @@
+/** What a soak plays: how many processes, and what the store and the operator's bounds are like. Times are in milliseconds. */
+
+/** One deployment. */
+export interface Shape {
+  readonly nodes: number;
+  readonly zones: number;
+  readonly engines: number;
+  readonly applications: number;
+  /** Routes that nobody asks for. */
+  readonly idleRoutes: number;
+  /** Time of an answer of the store, and calls that it takes in a second from all nodes together. */
+  readonly storeAnswerMs: number;
+  readonly storeReadsPerSecond: number;
+  readonly storeWritesPerSecond: number;
+  /** Time after which a change of the configuration is in force at a node in touch. */
+  readonly configurationBoundMs: number;
+  /** Time without trouble after which a node is in touch. */
+  readonly contactMs: number;
+  /** Nodes that are probed in a second. */
+  readonly probesPerSecond: number;
+}
+
+/** Shapes by name. */
+export const SHAPES: Readonly<Record<string, Shape>> = {
+  small: {
+    nodes: 4,
+    zones: 1,
+    engines: 4,
+    applications: 4,
+    idleRoutes: 4,
+    storeAnswerMs: 0,
+    storeReadsPerSecond: Number.POSITIVE_INFINITY,
+    storeWritesPerSecond: Number.POSITIVE_INFINITY,
+    configurationBoundMs: 2_000,
+    contactMs: 3_000,
+    probesPerSecond: 10,
+  },
+  fleet: {
+    nodes: 84,
+    zones: 4,
+    engines: 31,
+    applications: 5,
+    idleRoutes: 40,
+    storeAnswerMs: 4,
+    storeReadsPerSecond: 6_000,
+    storeWritesPerSecond: 1_500,
+    configurationBoundMs: 3_000,
+    contactMs: 4_000,
+    probesPerSecond: 60,
+  },
+};
--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -91,6 +91,9 @@
   /** Connections that were opened so far. */
   openedConnections = 0;
   private hasCrashed = false;
+  private isWithdrawn = false;
+  private state: 'ready' | 'draining' = 'ready';
+  private beats = 0;
   private orderCount = 0;
   private isLoading = false;
   private active = 0;
@@ -134,16 +137,25 @@
 
   /** Writes its row. */
   announce(state: 'ready' | 'draining'): void {
+    this.state = state;
     this.rows.put(TABLE.replicas, this.id, {
       service: this.options.service,
       addr: this.address,
       zone: this.options.zone ?? 'zone-a',
       slots: this.options.slots ?? 4,
       state,
+      seq: this.beats,
       models: this.modelList(),
     });
   }
 
+  /** Writes its row again, as a sign of life, while it is up. */
+  beat(): void {
+    if (this.hasCrashed || this.isWithdrawn) return;
+    this.beats += 1;
+    this.announce(this.state);
+  }
+
   /** Ends at once; its row stays until `withdraw`. */
   crash(): void {
     this.hasCrashed = true;
@@ -153,6 +165,7 @@
 
   /** Removes its row. */
   withdraw(): void {
+    this.isWithdrawn = true;
     this.rows.remove(TABLE.replicas, this.id);
   }
 
@@ -311,7 +324,7 @@
     setTimeout(() => {
       this.isLoading = false;
       this.versions.set(order.model, order.version);
-      this.announce('ready');
+      this.beat();
     }, this.loadMs);
     return 202;
   }
--- a/emulator/store/row-store.ts
+++ b/emulator/store/row-store.ts
@@ -124,7 +124,9 @@
   /** Changes of a table after a version; `undefined` when that history is gone. */
   changes(table: string, after: number): Row[] | undefined {
     if (after < this.historyStart) return undefined;
-    return this.history.filter((row) => row.table === table && row.ver > after);
+    let from = this.history.length;
+    while (from > 0 && (this.history[from - 1] as Row).ver > after) from -= 1;
+    return this.history.slice(from).filter((row) => row.table === table);
   }
 
   /** Forgets all history. */
--- a/test/bench/soak-checks.test.ts
+++ b/test/bench/soak-checks.test.ts
@@ -80,6 +80,7 @@
       lookups: [{ id: 'l-1', tenant: undefined, status: 200, body: 'answer to l-1' }],
       faults: [],
       fatalEnds: [],
+      probes: [],
     };
     received = [request('job-1-item-0', 500), request('job-1-item-1', 3_900), request('l-1', 100)];
     orders = [order('a', 1, 0), order('a', 1, 100), order('b', 2, 1_200)];
