--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -6,6 +6,7 @@
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { parseArgs } from 'node:util';
 import { eventData, type ReplicaServer } from '../../emulator/replica/replica-server.js';
 import { monotonicMs, sleep } from '../../src/common/clock.js';
@@ -40,6 +41,7 @@
 /** Time without trouble at the end, in which steps must become whole again, milliseconds. */
 const CALM_MS = 12_000;
 const MS_PER_MINUTE = 60_000;
+const NANOSECONDS_PER_MS = 1e6;
 const SMALL = SHAPES.small as Shape;
 const STATUS_FAILURE = 500;
 /** Length of a window of usage, and when its report is due, milliseconds. */
@@ -67,6 +69,8 @@
   readonly tellingProbes: number;
   /** Calls that the store refused because of its rates. */
   readonly limitedCalls: number;
+  /** Longest time for which this process, with the stand-ins in it, answered nobody, milliseconds. */
+  readonly longestStandstillMs: number;
   readonly violations: number;
 }
 
@@ -86,17 +90,22 @@
 export async function soak(options: SoakOptions): Promise<{ summary: Summary; found: string[] }> {
   const system = await ServiceSystem.start();
   try {
-    const outcome = await play(system, options);
-    if (options.logFolder && outcome.found.length > 0) keepLogs(system, options.logFolder);
-    return outcome;
+    const { summary, found, history, written } = await play(system, options);
+    if (options.logFolder && found.length > 0)
+      keepLogs(system, options.logFolder, { found, history, written });
+    return { summary, found };
   } finally {
     await system.stop();
   }
 }
 
-/** Writes the lines of each process into a file of its own. */
-function keepLogs(system: ServiceSystem, folder: string): void {
+/** Writes what the soak remembers, and the lines of each process into a file of its own. */
+function keepLogs(system: ServiceSystem, folder: string, remembered: object): void {
   mkdirSync(folder, { recursive: true });
+  writeFileSync(
+    join(folder, 'history.json'),
+    JSON.stringify({ startedAtMs: performance.timeOrigin, ...remembered }),
+  );
   for (const { name, child, log } of system.nodes)
     writeFileSync(
       join(folder, `${name}-${child.pid}.jsonl`),
@@ -118,6 +127,8 @@
     signal: stop.signal,
   };
   const beats = setInterval(() => beat(stage), BEAT_MS);
+  const delays = monitorEventLoopDelay();
+  delays.enable();
   const probing = probeNodes({
     system,
     series: stage.configurations,
@@ -168,9 +179,10 @@
     probes: history.probes.length,
     tellingProbes: history.probes.filter(({ status }) => status === 200 || status === 404).length,
     limitedCalls: system.store.limitedCalls,
+    longestStandstillMs: Math.round(delays.max / NANOSECONDS_PER_MS),
     violations: found.length,
   };
-  return { summary, found };
+  return { summary, found, history, written: stage.configurations.written };
 }
 
 const times = (count: number) => Array.from({ length: count }, (_, at) => at);
