That a job is not there is proved by a condition, not by a read that may be old

A node that knew nothing newer answered 404 for a job that another had accepted; others said 503 for as long as reads were old, since they knew that theirs was too old. Ruled out: the feed of jobs (its changes bring the head where history is kept). A 404 costs one more call; a configuration that cannot be read gets a line.

--- a/src/coordination/membership/announcements.ts
+++ b/src/coordination/membership/announcements.ts
@@ -77,7 +77,10 @@
   /** Takes the operator's record of the configuration, from the store or from another node. */
   takeConfiguration(value: Buffer): void {
     const configuration = this.format.parseConfiguration(value);
-    if (!configuration) return;
+    if (!configuration) {
+      this.reportUnreadable(value);
+      return;
+    }
     const isInForce = this.routing.install(configuration);
     if (isInForce) this.configurationRecord = value;
     this.metrics.configVersion.set({}, this.routing.current?.version ?? 0);
@@ -90,6 +93,16 @@
     });
   }
 
+  private reportUnreadable(value: Buffer): void {
+    this.logger.record({
+      event: 'belief-changed',
+      subject: 'configuration',
+      name: `${value.length} bytes`,
+      change: 'unreadable, the one in force stays',
+      version: this.routing.current?.version ?? 0,
+    });
+  }
+
   private takeVersion(key: string, value: Buffer): void {
     const named = this.format.parseNamedVersion(key, value);
     if (!named || !this.versions.note(named.model, named.version)) return;
--- a/src/state/jobs/job-repository.ts
+++ b/src/state/jobs/job-repository.ts
@@ -6,7 +6,7 @@
 import { monotonicMs } from '../../common/clock.js';
 import type { RecordStore, RecordWrite, StoredRecord } from '../../protocol/record-store.js';
 import { StateError } from '../state-error.js';
-import { ConflictError, readRange, settle } from '../store/index.js';
+import { ConflictError, readCurrent, readRange, settle } from '../store/index.js';
 import { JobContents } from './job-contents.js';
 import {
   belongsTo,
@@ -74,12 +74,16 @@
     return this.insert(job.jobId, record, stored.value.writes, deadlineMs);
   }
 
-  /** The head of a job, `undefined` when there is none. */
+  /**
+   * The head of a job, `undefined` when there is none. That there is none is proved by a condition: reads may be old, and another
+   * node may have accepted the job since.
+   */
   async read(jobId: string): Promise<Result<JobHead | undefined, StateError>> {
     const page = await this.store.scan({ ...headAddress(jobId), from: jobId, limit: 1 });
-    if (page.isErr()) return err(new StateError('unavailable', 'none', page.error.message));
-    const [record] = page.value.records;
-    return ok(record?.key === jobId ? toJobHead(record) : undefined);
+    if (page.isErr() && page.error.failure !== 'stale')
+      return err(new StateError('unavailable', 'none', page.error.message));
+    const [record] = page.isOk() ? page.value.records : [];
+    return record?.key === jobId ? ok(toJobHead(record)) : this.readNow(jobId);
   }
 
   /** All jobs. */
@@ -143,6 +147,11 @@
     });
   }
 
+  private async readNow(jobId: string): Promise<Result<JobHead | undefined, StateError>> {
+    const current = await readCurrent(this.store, [headAddress(jobId)]);
+    return current.map(({ records: [record] }) => record && toJobHead(record));
+  }
+
   private async insert(
     jobId: string,
     record: JobRecord,
--- a/test/support/faulty-platform.ts
+++ b/test/support/faulty-platform.ts
@@ -54,7 +54,15 @@
     });
     if (this.fails()) return err(lost());
     if ('ver' in outcome) return ok(outcome.ver);
-    return err(new RecordStoreError('conflict', 'none', 'a condition did not hold'));
+    const current = outcome.rows.map((row) => ({
+      table: row.table,
+      partition: row.part,
+      key: row.key,
+      value: Buffer.from(row.value ?? '', 'base64'),
+      version: row.ver,
+    }));
+    const { version } = this.rows;
+    return err(new RecordStoreError('conflict', 'none', 'a condition did not hold', current, version));
   }
 
   async scan(range: RecordRange): Promise<Result<RecordPage, RecordStoreError>> {
