--- a/emulator/store/row-store.ts
+++ b/emulator/store/row-store.ts
@@ -37,7 +37,7 @@
 
 /** What a change has put something else in the place of. */
 interface PastRow {
-  readonly address: string;
+  readonly address: RowAddress;
   /** `undefined` when the row was not there. */
   readonly before: Row | undefined;
   /** Version of the change. */
@@ -49,13 +49,16 @@
 const LONGEST_PAST_MS = 30_000;
 const SEPARATOR = '\u0000';
 
-function identity(address: RowAddress): string {
-  return [address.table, address.part ?? '', address.key].join(SEPARATOR);
+/** Rows of one part of a table, by key. */
+type Part = Map<string, Row>;
+
+function partOf({ table, part = '' }: Pick<RowAddress, 'table' | 'part'>): string {
+  return table + SEPARATOR + part;
 }
 
 /** The rows. */
 export class RowStore {
-  private readonly rows = new Map<string, Row>();
+  private readonly parts = new Map<string, Part>();
   /** Oldest first. */
   private readonly past: PastRow[] = [];
   private readonly history: Row[] = [];
@@ -72,10 +75,8 @@
   /** Carries out a transaction whole or not at all. */
   transact(transaction: Transaction): TransactionResult {
     const expected = transaction.expected ?? [];
-    const holds = expected.every(
-      (condition) => (this.rows.get(identity(condition))?.ver ?? 0) === condition.ver,
-    );
-    if (!holds) return { rows: expected.flatMap((condition) => this.rows.get(identity(condition)) ?? []) };
+    const holds = expected.every((condition) => (this.find(condition)?.ver ?? 0) === condition.ver);
+    if (!holds) return { rows: expected.flatMap((condition) => this.find(condition) ?? []) };
     this.counter += 1;
     for (const { table, part = '', key, value } of transaction.put ?? [])
       this.change({ table, part, key, value, ver: this.counter });
@@ -100,27 +101,29 @@
 
   /** The JSON value of a row. */
   read<T>(table: string, key: string, part = ''): T | undefined {
-    const row = this.rows.get(identity({ table, part, key }));
+    const row = this.find({ table, part, key });
     return row && (JSON.parse(Buffer.from(row.value ?? '', 'base64').toString('utf8')) as T);
   }
 
   /** Rows of a range in the order of their keys. */
   scan(table: string, part: string, from: string, until: string | undefined): Row[] {
-    return inRange(this.rows.values(), table, part, from, until);
+    return inRange(this.part({ table, part }), from, until);
   }
 
   /** Rows of a range as they were `behindMs` milliseconds ago. */
   scanPast(table: string, part: string, from: string, until: string | undefined, behindMs: number): RowPage {
     const momentMs = monotonicMs() - behindMs;
-    const rows = new Map(this.rows);
+    const rows = new Map(this.part({ table, part }));
     let { version } = this;
-    for (const change of [...this.past].reverse()) {
-      if (change.atMs <= momentMs) break;
-      if (change.before) rows.set(change.address, change.before);
-      else rows.delete(change.address);
-      version = change.version - 1;
+    for (let at = this.past.length - 1; at >= 0; at -= 1) {
+      const { address, before, version: changedIn, atMs } = this.past[at] as PastRow;
+      if (atMs <= momentMs) break;
+      version = changedIn - 1;
+      if (address.table !== table || (address.part ?? '') !== part) continue;
+      if (before) rows.set(address.key, before);
+      else rows.delete(address.key);
     }
-    return { rows: inRange(rows.values(), table, part, from, until), version };
+    return { rows: inRange(rows, from, until), version };
   }
 
   /** Changes of a table after a version; `undefined` when that history is gone. */
@@ -150,29 +153,34 @@
   }
 
   private change(row: Row): void {
-    const address = identity(row);
-    this.remember(address, row.ver);
-    if (row.gone) this.rows.delete(address);
-    else this.rows.set(address, row);
+    this.remember(row);
+    if (row.gone) this.part(row).delete(row.key);
+    else this.part(row).set(row.key, row);
     this.history.push(row);
   }
 
-  private remember(address: string, version: number): void {
+  private remember(row: Row): void {
     const atMs = monotonicMs();
     while (this.past[0] && this.past[0].atMs < atMs - LONGEST_PAST_MS) this.past.shift();
-    this.past.push({ address, before: this.rows.get(address), version, atMs });
+    this.past.push({ address: row, before: this.find(row), version: row.ver, atMs });
+  }
+
+  private find(address: RowAddress): Row | undefined {
+    return this.part(address).get(address.key);
+  }
+
+  private part(address: Pick<RowAddress, 'table' | 'part'>): Part {
+    const name = partOf(address);
+    const existing = this.parts.get(name);
+    if (existing) return existing;
+    const created: Part = new Map();
+    this.parts.set(name, created);
+    return created;
   }
 }
 
-function inRange(
-  rows: Iterable<Row>,
-  table: string,
-  part: string,
-  from: string,
-  until: string | undefined,
-): Row[] {
-  return [...rows]
-    .filter((row) => row.table === table && row.part === part)
+function inRange(rows: Part, from: string, until: string | undefined): Row[] {
+  return [...rows.values()]
     .filter((row) => row.key >= from && (until === undefined || row.key < until))
     .sort((left, right) => Buffer.compare(Buffer.from(left.key), Buffer.from(right.key)));
 }
