A node that starts while reads are old does not deny what it has not read

Ruled out: the feed (it brings the change, or 410, with its next answer). Change: a whole read confirms nothing; the first question after it is answered without waiting, and confirms. A whole read that shows no more than the position at which the history was lost is old. A node is ready once it has followed. A short pause before the table is read again. Before: a node that starts with reads 4 s behind answers 404, then 200; the test fails. After: 503, then 200; it passes.

--- a/src/coordination/configuration/record-feed.ts
+++ b/src/coordination/configuration/record-feed.ts
@@ -53,6 +53,10 @@
   /** When the question was asked whose answer is the newest. */
   private currentAsOfMs = Number.NEGATIVE_INFINITY;
   private position = 0;
+  /** Position at which the history was lost last: a whole read that shows no more is old. */
+  private lostAt = -1;
+  /** Whether a whole read may be old, since no answer about changes has followed it. */
+  private isDoubtful = true;
   /** Whether records may be there that are not known, because no whole read was new. */
   private isPartial = false;
   private readAtMs = Number.NEGATIVE_INFINITY;
@@ -69,7 +73,10 @@
     return this.handler.table;
   }
 
-  /** Time since the question was asked whose answer is the newest, milliseconds: what changed before it is known. */
+  /**
+   * Time since the question was asked whose answer is the newest, milliseconds: what changed before it is known. Whole reads
+   * don't count, since they may be old; infinite before the first answer that does.
+   */
   get ageMs(): number {
     return monotonicMs() - this.currentAsOfMs;
   }
@@ -79,11 +86,12 @@
     return this.position;
   }
 
-  /** Runs until `signal` is aborted. */
+  /** Runs until `signal` is aborted. Nodes that lose the history together don't read again in the same moment. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (!(await this.readWhole(signal))) return;
       await this.followChanges(signal);
+      await sleep(FIRST_PAUSE_MS * (0.5 + Math.random()), signal);
     }
   }
 
@@ -99,23 +107,22 @@
 
   /** Returns whether changes can be followed from now on. */
   private async tryToRead(): Promise<boolean> {
-    const askedAtMs = monotonicMs();
-    this.readAtMs = askedAtMs;
+    this.readAtMs = monotonicMs();
     const read = await this.handler.readAll();
     if (read.isErr()) return false;
     const { content, version, isOld = false } = read.value;
-    const isUsable = version >= this.position;
-    if (isUsable) {
+    if (version >= this.position) {
       this.handler.replaceAll(content);
       this.position = version;
     }
-    if (isUsable && !isOld) {
+    const canFollow = version >= this.position && version > this.lostAt;
+    if (canFollow && !isOld) {
       this.isPartial = false;
-      this.noteAnswer(askedAtMs);
+      this.isDoubtful = true;
       this.report('read whole');
       return true;
     }
-    return (await this.readKnown(version)) || isUsable;
+    return (await this.readKnown(version)) || canFollow;
   }
 
   /** Reads what is known as it is now, since the whole read shows `oldVersion`. */
@@ -131,6 +138,7 @@
       this.handler.apply(found.get(address.key) ?? { ...address, value: undefined, version });
     this.position = Math.max(this.position, version);
     this.isPartial = true;
+    this.isDoubtful = false;
     this.noteAnswer(askedAtMs);
     this.report(`read in part: a whole read shows version ${oldVersion}`);
     return true;
@@ -152,8 +160,10 @@
     let pauseMs = FIRST_PAUSE_MS;
     while (!signal.aborted) {
       const askedAtMs = monotonicMs();
-      const outcome = await this.store.changes(this.handler.table, this.position, FEED_WAIT_MS, signal);
+      const waitMs = this.isDoubtful ? 0 : FEED_WAIT_MS;
+      const outcome = await this.store.changes(this.handler.table, this.position, waitMs, signal);
       if (outcome.isOk()) {
+        this.isDoubtful = false;
         this.take(outcome.value.changes, outcome.value.version, askedAtMs);
         pauseMs = FIRST_PAUSE_MS;
         if (this.isPartial && monotonicMs() - this.readAtMs > REREAD_MS) await this.complete();
@@ -161,6 +171,7 @@
         continue;
       }
       if (outcome.error.failure === 'history-lost' || outcome.error.failure === 'refused') {
+        if (outcome.error.failure === 'history-lost') this.lostAt = this.position;
         this.report(`history lost: ${outcome.error.message}`);
         return;
       }
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -271,8 +271,9 @@
    */
   get isReady(): boolean {
     const isInformed = this.routing.current !== undefined && this.directory.ids.length > 0;
+    const hasFollowed = Number.isFinite(this.operatorFeed.ageMs);
     const knowsFatalRuns = this.quarantine.isInformed || monotonicMs() - this.startedAtMs > UNINFORMED_MS;
-    return !this.isDraining && isInformed && knowsFatalRuns && this.parts.store.isInReach();
+    return !this.isDraining && isInformed && hasFollowed && knowsFatalRuns && this.parts.store.isInReach();
   }
 
   /**
--- a/test/coordination/configuration/configuration-while-reads-are-old.test.ts
+++ b/test/coordination/configuration/configuration-while-reads-are-old.test.ts
@@ -32,7 +32,10 @@
 const BOUND_MS = 2_000;
 /** Reads show the rows as they were this much earlier, milliseconds: far beyond the bound. */
 const BEHIND_MS = 20_000;
+/** How far reads are behind while a node starts, milliseconds: they show the replicas, and not the change. */
+const STARTED_BEHIND_MS = 4_000;
 const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
 const STATUS_UNAVAILABLE = 503;
 
 describe('configuration while reads of the store are old', () => {
@@ -79,6 +82,23 @@
     }
   });
 
+  it('is not denied by a node that starts meanwhile', async () => {
+    const versionBefore = system.store.rows.version;
+    const readsShow = () => system.store.rows.scanPast(TABLE.operator, '', '', undefined, STARTED_BEHIND_MS);
+    await until('old reads show the replicas', () => readsShow().version >= versionBefore);
+    system.store.readsBehindMs = STARTED_BEHIND_MS;
+    const path = addRoute(2);
+    system.store.rows.forgetHistory();
+    const newcomer = await system.addNode('newcomer');
+    const statuses = new Set<number | undefined>();
+    await until('the newcomer serves', async () => {
+      const status = await statusOf(newcomer, path);
+      statuses.add(status);
+      return status === STATUS_OK;
+    });
+    expect([...statuses]).not.to.include(STATUS_NOT_FOUND);
+  });
+
   it('is not denied with certainty by a node whose question for it alone is not answered', async () => {
     system.store.silentTable = TABLE.operator;
     const path = addRoute(2);
