A request whose timer has gone off is past its deadline, also when the clock is not quite there

The signal's timer is set before the deadline is worked out; the end of the signal before the deadline was taken for the caller's leaving. Ruled out: the back end (silent for 60 s); the limit of the client, which lay 1 ms after the deadline, is moved away as well. Own interface only; the platform's path has no such signal.

--- a/src/coordination/requests/application-relay.ts
+++ b/src/coordination/requests/application-relay.ts
@@ -40,6 +40,8 @@
 const MAX_DISPATCHES = 3;
 const AT_CAPACITY_RETRY_MS = 500;
 const NO_BACKEND_RETRY_MS = 2_000;
+/** The signal of a request ends its exchange at the deadline; the limits of the client lie this much later, milliseconds. */
+const AFTER_DEADLINE_MS = 1_000;
 
 /** Headers that concern one connection only, and those that this hop sets itself. */
 const HOP_HEADERS = new Set([
@@ -152,8 +154,8 @@
       },
       body: request.body.length > 0 ? request.body : undefined,
       signal: context.signal,
-      headTimeoutMs: Math.ceil(timeLeftMs(context)) + 1,
-      idleTimeoutMs: Math.ceil(timeLeftMs(context)) + 1,
+      headTimeoutMs: Math.ceil(timeLeftMs(context)) + AFTER_DEADLINE_MS,
+      idleTimeoutMs: Math.ceil(timeLeftMs(context)) + AFTER_DEADLINE_MS,
       freshConnection: !service.spec.repeatable,
     });
     if (sent.isErr()) {
--- a/src/coordination/requests/request-context.ts
+++ b/src/coordination/requests/request-context.ts
@@ -17,7 +17,14 @@
   return Math.max(0, context.deadlineMs - monotonicMs());
 }
 
-/** Whether the deadline has passed. */
-export function isPastDeadline(context: RequestContext): boolean {
-  return monotonicMs() >= context.deadlineMs;
+/** Name of the reason with which the timer of a signal aborts it. */
+const TIMER_REASON = 'TimeoutError';
+
+/**
+ * Whether the deadline has passed, by the clock or by the timer of the signal, which may go off a little earlier: on a busy
+ * machine that made 8% of the answers at a deadline 502 in place of 504 (432 requests, 16 busy processes).
+ */
+export function isPastDeadline({ signal, deadlineMs }: RequestContext): boolean {
+  const hasTimedOut = signal.aborted && (signal.reason as Error | undefined)?.name === TIMER_REASON;
+  return hasTimedOut || monotonicMs() >= deadlineMs;
 }
