--- a/src/coordination/requests/application-relay.ts
+++ b/src/coordination/requests/application-relay.ts
@@ -41,7 +41,7 @@
 const AT_CAPACITY_RETRY_MS = 500;
 const NO_BACKEND_RETRY_MS = 2_000;
 /** The signal of a request ends its exchange at the deadline; the limits of the client lie this much later, milliseconds. */
-const AFTER_DEADLINE_MS = 1_000;
+const AFTER_DEADLINE_MS = 100;
 
 /** Headers that concern one connection only, and those that this hop sets itself. */
 const HOP_HEADERS = new Set([
@@ -190,7 +190,7 @@
     this.metrics.attempts.inc({ service: service.metadata.name, outcome: error.failure });
     const executed = error.requestSent ? 'unknown' : 'no';
     const message = `${backend.name}: ${error.message}`;
-    if (context.signal.aborted) {
+    if (context.signal.aborted || isPastDeadline(context)) {
       const code = isPastDeadline(context) ? 'deadline-passed' : 'outcome-unknown';
       return { failure: new CoordinationError(code, executed, message), mayRetry: false };
     }
