A replica that starts again under its id is another life, and a record that is no announcement names no replica

Cause: what is believed of a replica (speed, failures, requests in flight, weight versions, loads, where a group was placed) hung on its id alone, and rows were read with fallbacks: slots of any number, no zone, any address. So the word of a former life could make a draining replica ready, a request to a life that has ended was waited for, and an entry of another writer was served.

Change: a life is told by id and moment of the start (replica-life.ts); a later one takes the place of the known state, which ends what ran there (502 for what may not be repeated, another attempt for what may, items elsewhere). A row that seems to be of an earlier life settles within three beats: the living one writes again, or the time of day was set back; until then neither is used. Reports tell the life too. Rows are checked by a schema; one that does not hold takes its replica away until the next good one: "it names no replica to use", so nothing says that the replica is still there. A report no longer brings back a replica whose row is gone. Zones that the operator takes out of use (evacuations) get nothing; that was not read at all before.

Ruled out: trusting the version of the row alone: a late write is as new in the store as any. Using the greater start alone: a clock that was set back would hide the living replica for good.

--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -41,6 +41,12 @@
 /** Engines whose times are multiplied now. */
 const altered = { workMs: new Set<ReplicaServer>(), loadMs: new Set<ReplicaServer>() };
 
+/** Replicas that are starting again now. */
+const restarting = new Set<ReplicaServer>();
+/** How often it is looked whether an engine loads, and how long strange records stay, milliseconds. */
+const LOADING_POLL_MS = 20;
+const STRANGE_MS = 1_000;
+
 /** Requests with bodies that begin like this end application replicas. */
 export const FATAL_PREFIX = 'fatal-';
 /** Times as long as other troubles that one of them comes again, and the pause between, milliseconds. */
@@ -202,6 +208,66 @@
   engine.crash();
 }
 
+/** Time for which a replica that starts again is down at most, and steps of its time of day, milliseconds. */
+const LONGEST_DOWN_MS = 600;
+const CLOCK_STEPS_MS = [0, 0, 0, 2_000, -2_000];
+/** Times that one replica starts again in a row at most. */
+const LONGEST_SERIES = 3;
+
+/** Replicas start again under their ids, one a few times in a row; connections of before break or stay silent. */
+const startedAgain =
+  (pick: (stage: Stage) => ReplicaServer): Fault =>
+  async (stage, forMs) => {
+    const { random } = stage;
+    const replica = pick(stage);
+    if (restarting.has(replica)) return;
+    restarting.add(replica);
+    const lives = 1 + random.integer(LONGEST_SERIES);
+    for (let life = 0; life < lives; life += 1) {
+      const downMs = random.integer(LONGEST_DOWN_MS);
+      const clockStepMs = random.pick(CLOCK_STEPS_MS);
+      await replica.startAgain({ downMs, clockStepMs, isDark: random.integer(2) === 0 });
+      await sleep(forMs / lives);
+    }
+    restarting.delete(replica);
+  };
+
+/** An engine starts again while it loads or is about to. */
+async function startedAgainWhileLoading(stage: Stage, forMs: number): Promise<void> {
+  const untilMs = monotonicMs() + forMs;
+  const loading = () => [...stage.engines].find((engine) => engine.isBusy);
+  while (!loading() && monotonicMs() < untilMs) await sleep(LOADING_POLL_MS);
+  const engine = loading();
+  if (engine) await startedAgain(() => engine)(stage, 0);
+}
+
+/** A replica that drains starts again, says so, and drains on. */
+async function startedAgainWhileDraining(stage: Stage, forMs: number): Promise<void> {
+  const engine = stage.random.pick([...stage.engines]);
+  if (restarting.has(engine)) return;
+  stage.engines.delete(engine);
+  stage.engines.add(await stage.addEngine());
+  engine.announce('draining');
+  await sleep(forMs / 2);
+  await engine.startAgain();
+  engine.announce('draining');
+  await sleep(Math.max(forMs, 2_000));
+  engine.withdraw();
+  engine.crash();
+}
+
+/** Another writer leaves records in the table of replicas, one in the place of an engine's. */
+async function strangeRecords({ system, engines, random }: Stage, forMs: number): Promise<void> {
+  const engine = random.pick([...engines]);
+  const { rows } = system.store;
+  const row = engine.row();
+  rows.put(TABLE.replicas, 'strange-1', { ...row, state: 'broken' });
+  rows.put(TABLE.replicas, 'strange-2', { ...row, addr: 'nowhere', slots: 1e300 });
+  rows.put(TABLE.replicas, engine.id, { ...row, slots: -1 });
+  await sleep(Math.min(forMs, STRANGE_MS));
+  for (const key of ['strange-1', 'strange-2']) rows.remove(TABLE.replicas, key);
+}
+
 async function silentEngine(stage: Stage, forMs: number): Promise<void> {
   const engine = stage.random.pick([...stage.engines]);
   engine.isSilent = true;
@@ -323,6 +389,13 @@
   'store-operator-table-silent': silentOperatorTable,
   'engine-crash': crashEngine,
   'engine-drain': drainEngine,
+  'engine-restart': startedAgain(({ engines, random }) => random.pick([...engines])),
+  'engine-restart-loading': startedAgainWhileLoading,
+  'engine-restart-draining': startedAgainWhileDraining,
+  'application-restart': startedAgain(({ applications, random }) =>
+    random.pick(applications.filter((one) => one.isUp)),
+  ),
+  'records-strange': strangeRecords,
   'engine-silent': silentEngine,
   'engine-slow': slowed('workMs', SLOW_WORK),
   'engine-loads-slow': slowed('loadMs', SLOW_LOAD),
--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -21,6 +21,18 @@
   readonly events?: number;
   /** Time of a load, milliseconds. */
   readonly loadMs?: number;
+  /** Whether it says when it started. Default true. */
+  readonly saysBorn?: boolean;
+}
+
+/** How a replica starts again. */
+export interface RestartOptions {
+  /** Time for which it is down, milliseconds. Default 0. */
+  readonly downMs?: number;
+  /** What its time of day is moved by meanwhile, milliseconds. Default 0. */
+  readonly clockStepMs?: number;
+  /** Whether connections of before stay open and silent. Default false: they break. */
+  readonly isDark?: boolean;
 }
 
 /** A request that was received. */
@@ -90,6 +102,8 @@
   loadMs: number;
   /** Connections that were opened so far. */
   openedConnections = 0;
+  /** When this life began, as it says, milliseconds since 1970. */
+  bornMs = 0;
   private hasCrashed = false;
   private isWithdrawn = false;
   private state: 'ready' | 'draining' = 'ready';
@@ -97,7 +111,9 @@
   private orderCount = 0;
   private isLoading = false;
   private active = 0;
-  private readonly server: Server;
+  /** Lives so far: what was begun in one is not gone on with in another. */
+  private life = 0;
+  private server: Server;
   private readonly sockets = new Set<Socket>();
 
   constructor(
@@ -107,12 +123,17 @@
     this.versions = new Map(Object.entries(options.models ?? {}));
     this.workMs = options.workMs ?? 5;
     this.loadMs = options.loadMs ?? 50;
-    this.server = createServer((request, response) => void this.serve(request, response));
-    this.server.on('connection', (socket) => {
+    this.server = this.createServer();
+  }
+
+  private createServer(): Server {
+    const server = createServer((request, response) => void this.serve(request, response));
+    server.on('connection', (socket) => {
       this.sockets.add(socket);
       this.openedConnections += 1;
       socket.on('close', () => this.sockets.delete(socket));
     });
+    return server;
   }
 
   /** Requests that it works on now. */
@@ -120,6 +141,16 @@
     return this.active;
   }
 
+  /** Whether a load is under way. */
+  get isBusy(): boolean {
+    return this.isLoading;
+  }
+
+  /** Whether it is there and announced. */
+  get isUp(): boolean {
+    return !this.hasCrashed && !this.isWithdrawn;
+  }
+
   /** Connections that are open. */
   connectionCount(): number {
     return this.sockets.size;
@@ -131,22 +162,60 @@
     nextReplica += 1;
     this.id = `replica-${nextReplica}`;
     this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    this.bornMs = Date.now();
     this.announce('ready');
     return this;
   }
 
+  /**
+   * Ends at once and starts again under its id, at its address: it knows nothing of before, but has the weights that it had.
+   * Connections of before break, or stay silent for good.
+   */
+  async startAgain({ downMs = 0, clockStepMs = 0, isDark = false }: RestartOptions = {}): Promise<void> {
+    if (isDark) this.server.close();
+    else this.crash();
+    this.life += 1;
+    await sleep(downMs);
+    this.server = this.createServer();
+    await new Promise<void>((resolve) => this.server.listen(this.port, '127.0.0.1', resolve));
+    this.hasCrashed = false;
+    this.isSilent = false;
+    this.isLoading = false;
+    this.active = 0;
+    this.beats = 0;
+    this.orderCount = 0;
+    this.bornMs = Date.now() + clockStepMs;
+    this.announce('ready');
+  }
+
+  private get port(): number {
+    return Number(this.address.slice(this.address.lastIndexOf(':') + 1));
+  }
+
   /** Writes its row. */
   announce(state: 'ready' | 'draining'): void {
     this.state = state;
-    this.rows.put(TABLE.replicas, this.id, {
+    this.rows.put(TABLE.replicas, this.id, this.row());
+  }
+
+  /** What it says of itself in its row. */
+  row() {
+    return {
       service: this.options.service,
       addr: this.address,
       zone: this.options.zone ?? 'zone-a',
+      version: 'v1',
       slots: this.options.slots ?? 4,
-      state,
+      state: this.state,
+      coldLeftMs: 0,
       seq: this.beats,
+      ...this.birth(),
       models: this.modelList(),
-    });
+    };
+  }
+
+  private birth(): { born?: number } {
+    return this.options.saysBorn === false ? {} : { born: this.bornMs };
   }
 
   /** Writes its row again, as a sign of life, while it is up. */
@@ -206,22 +275,25 @@
       response.writeHead(503, { ...echo, [HEADER.notExecuted]: '1' }).end();
       return;
     }
+    const { life } = this;
     this.active += 1;
     received.beganAtMs = Date.now();
     const text = body.toString('utf8');
     if (this.fatalPrefix !== undefined && text.startsWith(this.fatalPrefix)) await this.endUnder(text);
     else await this.work(request, response, id);
-    this.active -= 1;
+    if (life === this.life) this.active -= 1;
   }
 
   private async endUnder(body: string): Promise<void> {
+    const { life } = this;
     await sleep(this.workMs);
-    if (this.hasCrashed) return;
+    if (this.hasCrashed || life !== this.life) return;
     this.crash();
     this.onFatal(body);
   }
 
   private async work(request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
+    const { life } = this;
     if (this.failWith !== undefined) {
       response
         .writeHead(this.failWith, { [HEADER.requestId]: id, [HEADER.signature]: 'failure' })
@@ -246,13 +318,14 @@
     const allowedMs = numeric(request, HEADER.deadlineMs) ?? Number.POSITIVE_INFINITY;
     const isInTime = this.workMs <= allowedMs;
     await sleep(isInTime ? this.workMs : allowedMs);
-    if (response.destroyed) return;
+    if (response.destroyed || life !== this.life) return;
     response
       .writeHead(isInTime ? 200 : 504, { [HEADER.requestId]: id, [HEADER.signature]: `signed-${id}` })
       .end(`answer to ${id}`);
   }
 
   private async stream(request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
+    const { life } = this;
     const model = String(request.headers.model ?? [...this.versions.keys()][0]);
     let version = this.versions.get(model) ?? 0;
     const first = Number(request.headers[HEADER.lastEventId] ?? 0) + 1;
@@ -275,7 +348,7 @@
     response.writeHead(200, head);
     for (let number = first; number <= (this.options.events ?? 5); number += 1) {
       await sleep(this.workMs);
-      if (response.destroyed) return;
+      if (response.destroyed || life !== this.life) return;
       if (this.isSilent) return;
       if (isUnframed && number - first >= this.breakAfterEvents) break;
       if (breaks && number - first >= this.breakAfterEvents) {
@@ -296,6 +369,7 @@
     response.writeHead(200, { 'content-type': 'application/json' }).end(
       JSON.stringify({
         stage: 'both',
+        ...this.birth(),
         models: this.modelList(),
         busy: this.isLoading,
         seq: this.orderCount,
@@ -321,7 +395,9 @@
     if (this.isLoading || order.expected !== this.orderCount) return 409;
     this.orderCount += 1;
     this.isLoading = true;
+    const { life } = this;
     setTimeout(() => {
+      if (life !== this.life) return;
       this.isLoading = false;
       this.versions.set(order.model, order.version);
       this.beat();
--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -125,7 +125,7 @@
 /** The node's belief about configuration or replicas changed. */
 export interface BeliefChanged {
   readonly event: 'belief-changed';
-  readonly subject: 'configuration' | 'replica' | 'weight-version' | 'session' | 'feed' | 'peers';
+  readonly subject: 'configuration' | 'replica' | 'zone' | 'weight-version' | 'session' | 'feed' | 'peers';
   readonly name: string;
   readonly change: string;
   readonly version: number;
--- a/src/common/service-metrics.ts
+++ b/src/common/service-metrics.ts
@@ -51,6 +51,12 @@
   );
   /** Requests that were not sent to a replica because replicas have ended under them. */
   readonly heldRequests = this.counter('thymecove_held_requests_total', 'Requests held back', ['service']);
+  /** Records in the place of announcements of replicas that name none. */
+  readonly unreadableReplicas = this.counter(
+    'thymecove_unreadable_replicas_total',
+    'Records that name no replica',
+    [],
+  );
   /** Orders to replicas by outcome. */
   readonly orders = this.counter('thymecove_orders_total', 'Orders to replicas', ['outcome']);
   /** Reports of usage by outcome. */
--- a/src/coordination/jobs/item-run.ts
+++ b/src/coordination/jobs/item-run.ts
@@ -50,7 +50,7 @@
   /** Time of acceptance on the monotonic clock, milliseconds. */
   readonly acceptedAtMs: number;
   /** Replica that each group was placed at. */
-  readonly groupReplicas: Map<string, string>;
+  readonly groupReplicas: Map<string, ReplicaState>;
   readonly signal: AbortSignal;
 }
 
@@ -146,7 +146,7 @@
     if (!state) return undefined;
     const startedAt = monotonicMs();
     const eventsBefore = this.text.eventCount;
-    this.job.groupReplicas.set(this.item.group, state.replica.id);
+    this.job.groupReplicas.set(this.item.group, state);
     this.isBegun = true;
     this.attempts += 1;
     let wasTaken = false;
@@ -187,7 +187,7 @@
   /** Whether the replica was found to have ended under the item; `undefined` when its connection did not break. */
   private async hasEnded(state: ReplicaState, outcome: GenerationOutcome): Promise<boolean | undefined> {
     if (outcome.kind !== 'broken' || !outcome.isConnectionLost) return undefined;
-    return this.services.endCheck.hasEnded(state.replica);
+    return this.services.endCheck.hasEnded(state);
   }
 
   /** What the item asks of a replica. The service stays while the route leads to it. */
@@ -199,7 +199,7 @@
       service: () => (leadsToChosen() ? chosen : this.currentTarget()),
       slots: (candidate) => this.slotsOf(candidate),
       accepts: (candidate) => this.fits(candidate) && !this.moves.hasJustLeft(candidate),
-      preferredId: () => this.job.groupReplicas.get(this.item.group),
+      preferred: () => this.job.groupReplicas.get(this.item.group),
       expectedEvents: this.services.lengths.remaining(this.item, this.text.eventCount),
       rank: this.isBegun ? RANK_INTERRUPTED : RANK_NEW,
       signal: this.job.signal,
--- a/src/coordination/membership/announcements.ts
+++ b/src/coordination/membership/announcements.ts
@@ -1,7 +1,9 @@
 /**
- * What operators, trainers and replicas announce through the store: the configuration, the newest weight version of
- * each model, and the replicas. An adapter reads the records; this module keeps what they say.
+ * What operators and trainers announce through the store: the configuration, the newest weight version of each model, and
+ * zones whose replicas are to get nothing. An adapter reads the records; this module keeps what they say.
  */
+
+import type { Result } from 'neverthrow';
 import type { DecisionLogger } from '../../common/decision-logger.js';
 import type { ServiceMetrics } from '../../common/service-metrics.js';
 import type { ChangedRecord, RecordAddress, RecordStore, StoredRecord } from '../../protocol/record-store.js';
@@ -20,18 +22,23 @@
   versionKey(model: string): string;
   parseConfiguration(value: Buffer): RoutingConfiguration | undefined;
   parseNamedVersion(key: string, value: Buffer): { model: string; version: number } | undefined;
-  parseReplica(id: string, value: Buffer): Replica | undefined;
+  /** The zone that a record takes out of use while it is there; `undefined` when the record is of another kind. */
+  evacuatedZoneOf(key: string): string | undefined;
+  evacuationKey(zone: string): string;
+  /** The replica in a record, or what is wrong with the record. */
+  parseReplica(id: string, value: Buffer): Result<Replica, string>;
 }
 
-type Content = StoredRecord[];
+/** Records of announcements, as they are read whole. */
+export type Announced = StoredRecord[];
 
 /** Partition of all announcements. */
-const PARTITION = '';
+export const ANNOUNCED_PARTITION = '';
 /** Announcements that are as new as those taken before are taken, also when the store has shown something newer. */
-const ALLOWS_OLD = true;
+export const ALLOWS_OLD = true;
 
-/** Takes the configuration and the named versions. */
-export class OperatorAnnouncements implements FeedHandler<Content> {
+/** Takes the configuration, the named versions and the zones out of use. */
+export class OperatorAnnouncements implements FeedHandler<Announced> {
   private configurationRecord: Buffer | undefined;
 
   constructor(
@@ -39,6 +46,7 @@
     private readonly format: AnnouncementFormat,
     private readonly routing: RoutingTable,
     private readonly versions: WeightVersions,
+    private readonly directory: ReplicaDirectory,
     private readonly metrics: ServiceMetrics,
     private readonly logger: DecisionLogger,
   ) {}
@@ -48,23 +56,32 @@
   }
 
   readAll() {
-    return readPartition(this.store, this.table, PARTITION, ALLOWS_OLD);
+    return readPartition(this.store, this.table, ANNOUNCED_PARTITION, ALLOWS_OLD);
   }
 
-  /** The configuration, and the named version of each model that it has. */
+  /** The configuration, the named version of each model that it has, and each zone's being out of use. */
   knownAddresses(): RecordAddress[] {
     const services = this.routing.current?.configuration.services ?? [];
     const models = new Set([...services.flatMap((service) => service.models), ...this.versions.models]);
-    const keys = [this.format.configurationKey, ...[...models].map((model) => this.format.versionKey(model))];
-    return keys.map((key) => ({ table: this.table, partition: PARTITION, key }));
-  }
-
-  replaceAll(content: Content): void {
+    const keys = [
+      this.format.configurationKey,
+      ...[...models].map((model) => this.format.versionKey(model)),
+      ...this.directory.zones.map((zone) => this.format.evacuationKey(zone)),
+    ];
+    return keys.map((key) => ({ table: this.table, partition: ANNOUNCED_PARTITION, key }));
+  }
+
+  replaceAll(content: Announced): void {
+    const present = new Set(content.map(({ key }) => this.format.evacuatedZoneOf(key)));
+    for (const zone of this.directory.evacuatedZones)
+      if (!present.has(zone)) this.noteEvacuation(zone, false, 0);
     for (const record of content) this.apply(record);
   }
 
   apply(change: ChangedRecord): void {
-    if (change.value === undefined) return;
+    const zone = this.format.evacuatedZoneOf(change.key);
+    if (zone !== undefined) this.noteEvacuation(zone, change.value !== undefined, change.version);
+    if (zone !== undefined || change.value === undefined) return;
     if (change.key === this.format.configurationKey) this.takeConfiguration(change.value);
     else this.takeVersion(change.key, change.value);
   }
@@ -93,6 +110,12 @@
     });
   }
 
+  private noteEvacuation(zone: string, isEvacuated: boolean, version: number): void {
+    if (!this.directory.setEvacuated(zone, isEvacuated)) return;
+    const change = isEvacuated ? 'out of use' : 'in use again';
+    this.logger.record({ event: 'belief-changed', subject: 'zone', name: zone, change, version });
+  }
+
   private reportUnreadable(value: Buffer): void {
     this.logger.record({
       event: 'belief-changed',
@@ -115,54 +138,3 @@
     });
   }
 }
-
-/** Takes the replicas. */
-export class ReplicaAnnouncements implements FeedHandler<Content> {
-  constructor(
-    private readonly store: RecordStore,
-    private readonly format: AnnouncementFormat,
-    private readonly directory: ReplicaDirectory,
-    private readonly logger: DecisionLogger,
-  ) {}
-
-  get table(): string {
-    return this.format.replicaTable;
-  }
-
-  readAll() {
-    return readPartition(this.store, this.table, PARTITION, ALLOWS_OLD);
-  }
-
-  knownAddresses(): RecordAddress[] {
-    return this.directory.ids.map((key) => ({ table: this.table, partition: PARTITION, key }));
-  }
-
-  replaceAll(content: Content): void {
-    const present = new Set(content.map((record) => record.key));
-    for (const id of this.directory.ids) if (!present.has(id)) this.removeReplica(id, 0);
-    for (const record of content) this.apply(record);
-  }
-
-  apply(change: ChangedRecord): void {
-    if (change.value === undefined) {
-      this.removeReplica(change.key, change.version);
-      return;
-    }
-    const replica = this.format.parseReplica(change.key, change.value);
-    if (!replica) return;
-    const before = this.directory.get(replica.id)?.replica;
-    this.directory.set(replica);
-    if (!before) this.report(replica.id, `joined ${replica.service} at ${replica.address}`, change.version);
-    else if (before.isDraining !== replica.isDraining) this.report(replica.id, 'draining', change.version);
-  }
-
-  private removeReplica(id: string, version: number): void {
-    if (!this.directory.get(id)) return;
-    this.directory.remove(id);
-    this.report(id, 'gone', version);
-  }
-
-  private report(name: string, change: string, version: number): void {
-    this.logger.record({ event: 'belief-changed', subject: 'replica', name, change, version });
-  }
-}
--- a/src/coordination/membership/index.ts
+++ b/src/coordination/membership/index.ts
@@ -1,6 +1,7 @@
-export { type AnnouncementFormat, OperatorAnnouncements, ReplicaAnnouncements } from './announcements.js';
+export { type AnnouncementFormat, OperatorAnnouncements } from './announcements.js';
 export { MachineWatch } from './machine-watch.js';
 export { NodeRegistry } from './node-registry.js';
 export { PeerAddresses } from './peer-addresses.js';
 export { PeerConfiguration } from './peer-configuration.js';
+export { ReplicaAnnouncements } from './replica-announcements.js';
 export { SESSION_TABLE, SessionMonitor } from './session-monitor.js';
--- a/src/coordination/requests/replica-end-check.ts
+++ b/src/coordination/requests/replica-end-check.ts
@@ -1,9 +1,10 @@
 /**
  * Tells a replica that has ended from a connection that was cut. Both look the same to the request that was under way; but
- * where a process has ended nothing listens any more, until its successor has started seconds later.
+ * where a process has ended nothing listens any more, until its successor has started seconds later. One that starts again at
+ * the same address is known by its announcement.
  */
 import type { ServiceMetrics } from '../../common/service-metrics.js';
-import type { Replica } from '../../protocol/replica.js';
+import type { ReplicaState } from '../../state/replicas/index.js';
 import { type ListenerState, probeListener } from '../../transport/listener-probe.js';
 
 /** Longest wait for the machine's word, milliseconds: a caller may be waiting for the next attempt. */
@@ -20,10 +21,11 @@
   ) {}
 
   /** Whether the replica under a broken request has certainly ended. In doubt it has not. */
-  async hasEnded({ service, address }: Replica): Promise<boolean> {
-    const state = await this.look(address);
-    this.metrics.brokenRuns.inc({ service, listener: state });
-    return state === 'refused';
+  async hasEnded(replica: ReplicaState): Promise<boolean> {
+    const { service, address } = replica.replica;
+    const listener = await this.look(address);
+    this.metrics.brokenRuns.inc({ service, listener });
+    return listener === 'refused' || replica.hasRestarted;
   }
 
   private look(address: string): Promise<ListenerState> {
--- a/src/coordination/requests/replica-exchange.ts
+++ b/src/coordination/requests/replica-exchange.ts
@@ -72,7 +72,7 @@
   ): Promise<AttemptOutcome> {
     const startedAt = monotonicMs();
     state.inFlight += 1;
-    const outcome = await this.exchange(state, request);
+    const outcome = await this.exchangeWhileAlive(state, request);
     state.inFlight -= 1;
     const tookMs = monotonicMs() - startedAt;
     this.noteOutcome(state, outcome, tookMs);
@@ -80,6 +80,23 @@
     return outcome;
   }
 
+  /** A replica that has started again runs nothing of before: what was sent to it may have run, and is not waited for. */
+  private async exchangeWhileAlive(state: ReplicaState, request: ReplicaRequest): Promise<AttemptOutcome> {
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    const forget = state.onRestart(abort);
+    request.signal.addEventListener('abort', abort, { once: true });
+    if (request.signal.aborted) abort();
+    try {
+      const outcome = await this.exchange(state, { ...request, signal: controller.signal });
+      if (outcome.kind !== 'cancelled' || request.signal.aborted) return outcome;
+      return { kind: 'unknown', reason: 'the replica has started again', replicaEnded: true };
+    } finally {
+      forget();
+      request.signal.removeEventListener('abort', abort);
+    }
+  }
+
   private async exchange(state: ReplicaState, request: ReplicaRequest): Promise<AttemptOutcome> {
     const sent = await this.client.dispatch(state.replica, request);
     if (sent.isErr()) {
@@ -109,12 +126,12 @@
   }
 
   private async broken(
-    { replica }: ReplicaState,
+    state: ReplicaState,
     { failure }: TransportError,
     reason: string,
   ): Promise<AttemptOutcome> {
     if (failure !== 'connection-lost') return { kind: 'unknown', reason };
-    return { kind: 'unknown', reason, replicaEnded: await this.endCheck.hasEnded(replica) };
+    return { kind: 'unknown', reason, replicaEnded: await this.endCheck.hasEnded(state) };
   }
 
   private noteOutcome(state: ReplicaState, outcome: AttemptOutcome, tookMs: number): void {
--- a/src/coordination/requests/request-quarantine.ts
+++ b/src/coordination/requests/request-quarantine.ts
@@ -14,7 +14,6 @@
   type FatalRun,
   FatalRuns,
   parseFatalRunReport,
-  type ReplicaDirectory,
   type ReplicaState,
   toFatalRunRecord,
   toServedRecord,
@@ -31,7 +30,6 @@
 /** What the quarantine works with. */
 export interface QuarantineServices {
   readonly store: RecordStore;
-  readonly directory: ReplicaDirectory;
   readonly metrics: Pick<ServiceMetrics, 'heldRequests' | 'suspectRequests'>;
   readonly logger: DecisionLogger;
 }
@@ -65,7 +63,7 @@
 
   /** A replica has ended while it ran the request. One that was leaving has ended by plan. */
   noteEnd(request: IdentifiedRequest, state: ReplicaState): void {
-    if (!this.services.directory.isAvailable(state)) return;
+    if (state.isLeaving) return;
     const { id, address } = state.replica;
     const run = { digest: digestOf(request), address, endedAtMs: this.services.store.nowMs() };
     if (this.take(run, 'here', id)) this.reports.share(toFatalRunRecord(run, id));
--- a/src/coordination/samples/generation-attempt.ts
+++ b/src/coordination/samples/generation-attempt.ts
@@ -76,6 +76,7 @@
   private readonly controller = new AbortController();
   private readonly timer: NodeJS.Timeout;
   private readonly onAbort = () => this.controller.abort();
+  private readonly forgetRestart: () => void;
   private heardAtMs = monotonicMs();
   /** Times of the last events, the oldest first. */
   private readonly eventTimes: number[] = [];
@@ -88,6 +89,9 @@
     this.timer = setInterval(() => this.check(), WATCH_MS);
     terms.signal.addEventListener('abort', this.onAbort, { once: true });
     if (terms.signal.aborted) this.controller.abort();
+    this.forgetRestart = state.onRestart(() =>
+      this.breakOff({ kind: 'broken', reason: 'the replica has started again', isConnectionLost: true }),
+    );
   }
 
   get signal(): AbortSignal {
@@ -116,6 +120,7 @@
   stop(): void {
     clearInterval(this.timer);
     this.terms.signal.removeEventListener('abort', this.onAbort);
+    this.forgetRestart();
   }
 
   private check(): void {
--- a/src/coordination/samples/placement.ts
+++ b/src/coordination/samples/placement.ts
@@ -23,7 +23,7 @@
   readonly slots: (state: ReplicaState) => number;
   readonly accepts: (state: ReplicaState) => boolean;
   /** Replica that is likely to have read the prompt. */
-  readonly preferredId: () => string | undefined;
+  readonly preferred: () => ReplicaState | undefined;
   /** Events that the request will probably take. */
   readonly expectedEvents: number;
   /** Lower ranks are placed first. */
@@ -154,7 +154,7 @@
     const fittest = this.directory.select({
       service,
       zone: this.zone,
-      preferredId: request.preferredId(),
+      preferred: request.preferred(),
       allowsSuspected: false,
       accepts: (state) => state.admitsMore && state.inFlight < request.slots(state) && request.accepts(state),
       cost: (state, zone, fastestMs) => generationCost(state, zone, fastestMs, request.expectedEvents),
--- a/src/coordination/samples/sample-moves.ts
+++ b/src/coordination/samples/sample-moves.ts
@@ -18,19 +18,19 @@
 /** The moves of one sample. */
 export class SampleMoves {
   private count = 0;
-  private leftId: string | undefined;
+  private left: ReplicaState | undefined;
   private leftAtMs = 0;
 
   /** The sample has left `state` for a faster replica. */
   note(state: ReplicaState): void {
     this.count += 1;
-    this.leftId = state.id;
+    this.left = state;
     this.leftAtMs = monotonicMs();
   }
 
   /** Whether the sample has left this replica a moment ago: it waits for another rather than go back at once. */
-  hasJustLeft({ id }: ReplicaState): boolean {
-    return this.leftId === id && monotonicMs() - this.leftAtMs < SLOT_WAIT_MS;
+  hasJustLeft(state: ReplicaState): boolean {
+    return this.left === state && monotonicMs() - this.leftAtMs < SLOT_WAIT_MS;
   }
 
   /** Whether another move is allowed. */
--- a/src/coordination/weights/weight-orders.ts
+++ b/src/coordination/weights/weight-orders.ts
@@ -5,7 +5,7 @@
 import { monotonicMs, sleep } from '../../common/clock.js';
 import type { DecisionLogger } from '../../common/decision-logger.js';
 import type { ServiceMetrics } from '../../common/service-metrics.js';
-import type { LoadMode, OrderOutcome, ReplicaClient } from '../../protocol/replica.js';
+import type { LoadMode, OrderOutcome, ReplicaClient, ReplicaReport } from '../../protocol/replica.js';
 import type { RoutingTable } from '../../state/configuration/index.js';
 import type { ReplicaDirectory, ReplicaState, WeightVersions } from '../../state/replicas/index.js';
 import type { DutyLease } from '../duties/index.js';
@@ -63,11 +63,11 @@
 
 /** The giver of orders of one node; it acts only while the lease is held. */
 export class WeightOrders {
-  /** Loads under way by the replica's identifier. */
-  private readonly loading = new Map<string, OpenLoad>();
+  /** Loads under way, by the life of the replica that loads. */
+  private readonly loading = new Map<ReplicaState, OpenLoad>();
   /** Times of the newest loads, milliseconds. */
   private readonly loadTimes: number[] = [];
-  private readonly notBeforeMs = new Map<string, number>();
+  private readonly notBeforeMs = new WeakMap<ReplicaState, number>();
   /** When the lease may be confirmed again. */
   private confirmFromMs = 0;
 
@@ -105,9 +105,8 @@
     for (const load of this.wantedLoads(states, targets)) {
       if (loadingCount >= room) return;
       loadingCount += 1;
-      const { id } = load.state.replica;
-      this.loading.set(id, { model: load.model, sinceMs: monotonicMs() });
-      void this.load(load, signal).finally(() => this.loading.delete(id));
+      this.loading.set(load.state, { model: load.model, sinceMs: monotonicMs() });
+      void this.load(load, signal).finally(() => this.loading.delete(load.state));
     }
   }
 
@@ -142,7 +141,7 @@
       .map((state) => ({
         id: state.replica.id,
         version: state.versionOf(model),
-        isLoading: this.loading.get(state.replica.id)?.model === model,
+        isLoading: this.loading.get(state)?.model === model,
       }));
     return { model, newest: this.services.versions.newestOf(model), replicas };
   }
@@ -156,8 +155,8 @@
    * A load is known to be over only some time afterwards. The next one need not wait for that: it begins when a load is
    * usually over.
    */
-  private isProbablyLoading({ id }: ReplicaState): boolean {
-    const sinceMs = this.loading.get(id)?.sinceMs;
+  private isProbablyLoading(state: ReplicaState): boolean {
+    const sinceMs = this.loading.get(state)?.sinceMs;
     return sinceMs !== undefined && monotonicMs() - sinceMs < this.usualLoadMs;
   }
 
@@ -167,9 +166,8 @@
   }
 
   private isFree(state: ReplicaState): boolean {
-    const { id } = state.replica;
-    const isPaused = monotonicMs() < (this.notBeforeMs.get(id) ?? 0);
-    return !this.loading.has(id) && !isPaused && this.services.lease.mayActOn(targetOf(state));
+    const isPaused = monotonicMs() < (this.notBeforeMs.get(state) ?? 0);
+    return !this.loading.has(state) && !isPaused && this.services.lease.mayActOn(targetOf(state));
   }
 
   /** One order and the wait until the replica has carried it out. */
@@ -180,6 +178,7 @@
     if (!confirmation) return this.delayAll();
     const report = await client.report(state.replica, CALL_TIMEOUT_MS);
     if (report.isErr() || report.value.isBusy) return this.delay(state);
+    if (!this.isOf(state, report.value)) return this.takeLife(state, report.value);
     if ((report.value.modelVersions.get(model) ?? 0) >= version)
       return this.noteVersions(state, report.value.modelVersions);
     if (!confirmation.isFresh() || !this.services.directory.isAvailable(state)) return this.delay(state);
@@ -214,6 +213,7 @@
       if (!this.services.directory.isAvailable(state)) return;
       if (state.versionOf(model) >= version) return this.noteLoad(monotonicMs() - startedAt);
       const report = await this.services.client.report(state.replica, CALL_TIMEOUT_MS);
+      if (report.isOk() && !this.isOf(state, report.value)) return this.takeLife(state, report.value);
       if (report.isOk() && (report.value.modelVersions.get(model) ?? 0) >= version) {
         this.noteLoad(monotonicMs() - startedAt);
         return this.noteVersions(state, report.value.modelVersions);
@@ -224,8 +224,21 @@
     }
   }
 
+  /** Whether a report is of the life that is known; one that doesn't say is taken for it. */
+  private isOf({ replica }: ReplicaState, { bornMs }: ReplicaReport): boolean {
+    return bornMs === undefined || bornMs === replica.bornMs;
+  }
+
+  /** A report may tell of a later life before the announcement does; the word of an earlier one changes nothing. */
+  private takeLife(state: ReplicaState, { bornMs, modelVersions }: ReplicaReport): void {
+    this.delay(state);
+    if (this.services.directory.isAvailable(state))
+      this.services.directory.set({ ...state.replica, bornMs, modelVersions });
+  }
+
   /** A report may be newer than the announcement. */
   private noteVersions(state: ReplicaState, modelVersions: ReadonlyMap<string, number>): void {
+    if (!this.services.directory.isAvailable(state)) return;
     this.services.directory.set({ ...state.replica, modelVersions });
   }
 
@@ -235,7 +248,7 @@
   }
 
   private delay(state: ReplicaState): void {
-    this.notBeforeMs.set(state.replica.id, monotonicMs() + RETRY_MS);
+    this.notBeforeMs.set(state, monotonicMs() + RETRY_MS);
   }
 
   private report(
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -128,6 +128,7 @@
   /** `undefined` where no usage is reported. */
   private readonly usage: UsageAccounting | undefined;
   private readonly operatorFeed: RecordFeed<unknown>;
+  private readonly replicaFeed: RecordFeed<unknown>;
   private readonly feeds: readonly RecordFeed<unknown>[];
   private readonly controller = new AbortController();
   private isDraining = false;
@@ -144,7 +145,7 @@
     const exchange = new ReplicaExchange(client, endCheck, metrics, logger);
     const repository = new JobRepository(store);
     const cache = new ResultCache(settings.memoryBytes * RESULT_CACHE_FRACTION);
-    this.quarantine = new RequestQuarantine({ store, directory: this.directory, metrics, logger });
+    this.quarantine = new RequestQuarantine({ store, metrics, logger });
     this.relay = new ServiceRelay(
       this.directory,
       splitter,
@@ -215,7 +216,15 @@
       metrics,
       logger,
     });
-    this.operators = new OperatorAnnouncements(store, format, this.routing, this.versions, metrics, logger);
+    this.operators = new OperatorAnnouncements(
+      store,
+      format,
+      this.routing,
+      this.versions,
+      this.directory,
+      metrics,
+      logger,
+    );
     this.peerConfiguration = new PeerConfiguration({
       isStoreInReach: () => store.isInReach(),
       isFollowed: () => this.isConfigurationFollowed,
@@ -232,13 +241,22 @@
       peers: (count) => this.peers.likeliestPeers(count),
       ask: parts.exchangeFatalRuns,
     });
-    const replicas = new ReplicaAnnouncements(store, format, this.directory, logger);
+    const replicas = new ReplicaAnnouncements({
+      store,
+      format,
+      directory: this.directory,
+      beatMs: () => parts.settings().replicaBeatMs,
+      isFollowed: () => this.isFollowing(this.replicaFeed),
+      metrics,
+      logger,
+    });
     const observer = feedObserver(logger);
     const pause = (signal: AbortSignal) => this.pauseBetweenChanges(signal);
     this.operatorFeed = new RecordFeed(store, this.operators, observer, pause);
+    this.replicaFeed = new RecordFeed(store, replicas, observer, pause);
     this.feeds = [
       this.operatorFeed,
-      new RecordFeed(store, replicas, observer, pause),
+      this.replicaFeed,
       new RecordFeed(
         store,
         new SharedTable(this.ownership, { partition: FATAL_RUN_PARTITION, handler: this.quarantine }),
@@ -289,11 +307,19 @@
    * Answers about other tables prove nothing: beside them the operator's table may be unanswered, or old.
    */
   private get isConfigurationFollowed(): boolean {
-    const usualMs = FEED_WAIT_MS + FEED_ANSWER_MS + this.changePauseMs;
-    const boundMs = Math.max(this.parts.settings().configurationBoundMs, usualMs);
+    const boundMs = Math.max(this.parts.settings().configurationBoundMs, this.usualFeedAgeMs);
     return this.parts.store.isInReach() && this.operatorFeed.ageMs < boundMs;
   }
 
+  /** Whether a feed goes on as usual: its newest answer is to the question before the one that is open. */
+  private isFollowing(feed: RecordFeed<unknown>): boolean {
+    return this.parts.store.isInReach() && feed.ageMs < FEED_WAIT_MS + this.usualFeedAgeMs;
+  }
+
+  private get usualFeedAgeMs(): number {
+    return FEED_WAIT_MS + FEED_ANSWER_MS + this.changePauseMs;
+  }
+
   /** What another node is told that asks for a configuration newer than `version`. */
   configurationFor(version: number): PeerConfigurationAnswer {
     const { configuration } = this.operators;
--- a/src/protocol/replica.ts
+++ b/src/protocol/replica.ts
@@ -3,9 +3,11 @@
 import type { Result } from 'neverthrow';
 import type { TransportError } from '../transport/transport-error.js';
 
-/** A replica as it announces itself. Each start of a replica is a new `id`. */
+/** A replica as it announces itself. One that starts again may keep its `id`; `bornMs` tells its lives apart. */
 export interface Replica {
   readonly id: string;
+  /** When it started, by its own time of day, milliseconds since 1970; `undefined` where replicas don't say. */
+  readonly bornMs: number | undefined;
   readonly service: string;
   /** `IP:PORT`. */
   readonly address: string;
@@ -13,6 +15,8 @@
   /** Requests it works on at once. */
   readonly slots: number;
   readonly isDraining: boolean;
+  /** Time for which it is still slow after its start, as of the announcement, milliseconds. */
+  readonly coldMs: number;
   /** Weight version by model; empty for application services. */
   readonly modelVersions: ReadonlyMap<string, number>;
 }
@@ -62,6 +66,8 @@
 
 /** What a model replica tells of itself. */
 export interface ReplicaReport {
+  /** Start of the life that reports, as in `Replica`. */
+  readonly bornMs: number | undefined;
   readonly modelVersions: ReadonlyMap<string, number>;
   /** Whether an order is under way. */
   readonly isBusy: boolean;
--- a/src/state/replicas/index.ts
+++ b/src/state/replicas/index.ts
@@ -10,5 +10,7 @@
 } from './fatal-run-record.js';
 export { FATAL_RUN_EXPIRY_MS, type FatalRun, FatalRuns, type Verdict } from './fatal-runs.js';
 export { partitionOf, rankByRendezvous } from './rendezvous.js';
-export { ReplicaDirectory, ReplicaState } from './replica-directory.js';
+export { ReplicaDirectory } from './replica-directory.js';
+export { type LifeOrder, nameOfLife, orderOfLives, type ReplicaLife } from './replica-life.js';
+export { ReplicaState } from './replica-state.js';
 export { WeightVersions } from './weight-versions.js';
--- /dev/null
+++ b/src/state/replicas/replica-life.ts
@@ -0,0 +1,37 @@
+/**
+ * Lives of a replica. A replica may start again under the id that it had; it then holds and knows nothing of before, so what is
+ * believed of one life says nothing of another. A life is told by the id and the moment of its start.
+ */
+
+/** What tells the lives of replicas apart. */
+export interface ReplicaLife {
+  readonly id: string;
+  /** When this life began, by the replica's own time of day, milliseconds since 1970; `undefined` where it doesn't say. */
+  readonly bornMs: number | undefined;
+}
+
+/** How a life that was heard of stands to the one that is known. */
+export type LifeOrder =
+  | 'same'
+  /** The known life has ended. */
+  | 'next'
+  /**
+   * It says that it began before the known one. Either its word is late, or the time of day was set back between the two
+   * starts; which of them it is shows only later (`replica-announcements.ts`).
+   */
+  | 'earlier'
+  /** It does not say when it began, though the known one did. */
+  | 'untold';
+
+/** Compares two lives of one replica. */
+export function orderOfLives(known: ReplicaLife, heard: ReplicaLife): LifeOrder {
+  if (known.bornMs === heard.bornMs) return 'same';
+  if (heard.bornMs === undefined) return 'untold';
+  if (known.bornMs === undefined) return 'next';
+  return heard.bornMs > known.bornMs ? 'next' : 'earlier';
+}
+
+/** A text that names one life, for logs. */
+export function nameOfLife({ id, bornMs }: ReplicaLife): string {
+  return bornMs === undefined ? id : `${id} born ${bornMs}`;
+}
--- /dev/null
+++ b/test/coordination/membership/replica-announcements.test.ts
@@ -0,0 +1,195 @@
+/** What announcements make known of replicas whose lives follow each other under one id, and of zones out of use. */
+import { expect } from 'chai';
+import { err, ok, type Result } from 'neverthrow';
+import { ServiceMetrics } from '../../../src/common/service-metrics.js';
+import type { AnnouncementFormat } from '../../../src/coordination/membership/announcements.js';
+import { ReplicaAnnouncements } from '../../../src/coordination/membership/replica-announcements.js';
+import type { RecordStore } from '../../../src/protocol/record-store.js';
+import type { Replica } from '../../../src/protocol/replica.js';
+import { ReplicaDirectory } from '../../../src/state/replicas/replica-directory.js';
+import type { ReplicaState } from '../../../src/state/replicas/replica-state.js';
+import { ManualClock } from '../../support/manual-clock.js';
+import { replicaWith } from '../../support/replicas.js';
+
+const BEAT_MS = 1_000;
+const BORN_MS = 1_790_000_000_000;
+
+describe('announcements of replicas', () => {
+  let directory: ReplicaDirectory;
+  let announcements: ReplicaAnnouncements;
+  let clock: ManualClock;
+  let isFollowed: boolean;
+  let lines: string[];
+  let metrics: ServiceMetrics;
+  let version: number;
+
+  beforeEach(() => {
+    directory = new ReplicaDirectory();
+    clock = new ManualClock(() => 0.5);
+    isFollowed = true;
+    lines = [];
+    metrics = new ServiceMetrics();
+    version = 0;
+    announcements = new ReplicaAnnouncements(
+      {
+        store: {} as RecordStore,
+        format: {
+          replicaTable: 'replicas',
+          parseReplica: (_: string, value: Buffer): Result<Replica, string> => {
+            const text = value.toString();
+            return text === 'bad' ? err('it is bad') : ok(rows[Number(text)] as Replica);
+          },
+        } as AnnouncementFormat,
+        directory,
+        beatMs: () => BEAT_MS,
+        isFollowed: () => isFollowed,
+        metrics,
+        logger: { record: (record) => lines.push(JSON.stringify(record)) },
+      },
+      clock,
+    );
+    rows.length = 0;
+  });
+
+  const rows: Replica[] = [];
+
+  function announce(fields: Partial<Replica> = {}): void {
+    version += 1;
+    rows.push(replicaWith({ bornMs: BORN_MS, ...fields }));
+    const value = Buffer.from(String(rows.length - 1));
+    announcements.apply({ table: 'replicas', partition: '', key: 'r1', value, version });
+  }
+
+  const announceBytes = (value: Buffer | undefined) =>
+    announcements.apply({ table: 'replicas', partition: '', key: 'r1', value, version: 99 });
+
+  const known = () => directory.get('r1') as ReplicaState;
+  const isUsed = () => directory.availableOf('s').length === 1;
+
+  it('keep what is known while the same life is announced again', () => {
+    announce();
+    const state = known();
+    state.noteSuccess(40);
+    announce({ slots: 6 });
+    expect(known()).to.equal(state);
+    expect(state.averageMs).to.equal(40);
+  });
+
+  it('keep what is known of a life whose announcement was gone for a while', () => {
+    announce();
+    const state = known();
+    state.inFlight = 2;
+    announceBytes(undefined);
+    expect(isUsed()).to.equal(false);
+    expect(state.isLeaving).to.equal(true);
+    announce();
+    expect(known()).to.equal(state);
+    expect(state.isLeaving).to.equal(false);
+  });
+
+  it('end what was believed of a life when a later one is announced, and what ran there', () => {
+    announce({ modelVersions: new Map([['m', 3]]) });
+    const former = known();
+    former.noteSuccess(40);
+    former.noteFailure();
+    former.inFlight = 3;
+    let ends = 0;
+    former.onRestart(() => {
+      ends += 1;
+    });
+    announce({ bornMs: BORN_MS + 1, modelVersions: new Map([['m', 2]]) });
+    expect(known()).to.not.equal(former);
+    expect(known().averageMs).to.equal(0);
+    expect(known().isSuspected).to.equal(false);
+    expect(known().inFlight).to.equal(0);
+    expect(known().versionOf('m')).to.equal(2);
+    expect(ends).to.equal(1);
+    expect(directory.isAvailable(former)).to.equal(false);
+    expect(lines.at(-1)).to.contain('started again');
+  });
+
+  it('end a life that was absent when a later one is announced', () => {
+    announce();
+    const former = known();
+    announceBytes(undefined);
+    announce({ bornMs: BORN_MS + 1 });
+    expect(known()).to.not.equal(former);
+    expect(former.hasRestarted).to.equal(true);
+  });
+
+  it('are not undone by the late word of a former life: the living one writes again within a beat', async () => {
+    announce();
+    announce({ bornMs: BORN_MS + 500, isDraining: true });
+    const living = known();
+    announce({ modelVersions: new Map([['m', 9]]) });
+    expect(isUsed()).to.equal(false);
+    await clock.advance(BEAT_MS);
+    announce({ bornMs: BORN_MS + 500, isDraining: true });
+    await clock.advance(10 * BEAT_MS);
+    expect(known()).to.equal(living);
+    expect(living.versionOf('m')).to.equal(0);
+    expect(isUsed()).to.equal(false);
+  });
+
+  it('tell a life that began with an earlier time of day: its word stays', async () => {
+    announce();
+    const former = known();
+    announce({ bornMs: BORN_MS - 60_000 });
+    expect(isUsed(), 'neither is used before it is settled').to.equal(false);
+    await clock.advance(2 * BEAT_MS);
+    expect(isUsed()).to.equal(false);
+    await clock.advance(2 * BEAT_MS);
+    expect(isUsed()).to.equal(true);
+    expect(known().replica.bornMs).to.equal(BORN_MS - 60_000);
+    expect(former.hasRestarted).to.equal(true);
+  });
+
+  it('settle nothing while changes would not be heard', async () => {
+    announce();
+    isFollowed = false;
+    announce({ bornMs: BORN_MS - 60_000 });
+    await clock.advance(9 * BEAT_MS);
+    expect(isUsed()).to.equal(false);
+    isFollowed = true;
+    await clock.advance(4 * BEAT_MS);
+    expect(isUsed()).to.equal(true);
+  });
+
+  it('that name no replica take away the one that was known, until its own next word', () => {
+    announce();
+    const state = known();
+    announceBytes(Buffer.from('bad'));
+    expect(isUsed()).to.equal(false);
+    expect(lines.some((line) => line.includes('it is bad'))).to.equal(true);
+    announce();
+    expect(known()).to.equal(state);
+    expect(isUsed()).to.equal(true);
+  });
+
+  it('without the moment of a start name no replica where one was told', () => {
+    announce();
+    announce({ bornMs: undefined });
+    expect(isUsed()).to.equal(false);
+    announce();
+    expect(isUsed()).to.equal(true);
+  });
+
+  it('of replicas that never tell when they started are taken as they come', () => {
+    announce({ bornMs: undefined });
+    const state = known();
+    announce({ bornMs: undefined, slots: 9 });
+    expect(known()).to.equal(state);
+    announce({ bornMs: BORN_MS });
+    expect(known()).to.not.equal(state);
+  });
+
+  it('leave replicas of a zone out of use alone until it is in use again', () => {
+    announce();
+    directory.setEvacuated('z', true);
+    expect(isUsed()).to.equal(false);
+    announce({ slots: 5 });
+    expect(isUsed()).to.equal(false);
+    directory.setEvacuated('z', false);
+    expect(isUsed()).to.equal(true);
+  });
+});
--- /dev/null
+++ b/test/platform/replica-rows.test.ts
@@ -0,0 +1,115 @@
+/** Rows of replicas, whoever wrote them: a row that is not wholly as described names no replica. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { parseReplica } from '../../platform/replica-rows.js';
+
+const SEED = 20_261_203;
+const RUNS = 2_000;
+const GOOD = {
+  service: 'application',
+  addr: '10.0.0.1:8080',
+  zone: 'zone-a',
+  version: 'v1',
+  slots: 6,
+  state: 'ready',
+  coldLeftMs: 0,
+  seq: 4,
+  born: 1_790_000_000_000,
+  models: [{ name: 'model-a', version: 3, adapters: [] }],
+};
+const FIELDS = Object.keys(GOOD) as (keyof typeof GOOD)[];
+const REQUIRED = FIELDS.filter((field) => field !== 'born' && field !== 'models');
+
+const parse = (row: unknown) => parseReplica('r1', Buffer.from(JSON.stringify(row), 'utf8'));
+
+const anything = fc.letrec((tie) => ({
+  value: fc.oneof(
+    { maxDepth: 6 },
+    fc.constantFrom(null, true, false, 0, -1, 1.5, 1e308, -1e308, 2 ** 53, '', 'x', '127.0.0.1:0', 'a:1'),
+    fc.string({ maxLength: 300 }),
+    fc.double(),
+    fc.array(tie('value'), { maxLength: 3 }),
+    fc.dictionary(fc.constantFrom(...FIELDS, '__proto__', 'x'), tie('value'), { maxKeys: 4 }),
+  ),
+})).value;
+
+describe('rows of replicas', () => {
+  it('are read as described, with and without the moment of the start', () => {
+    const replica = parse(GOOD)._unsafeUnwrap();
+    expect(replica).to.deep.equal({
+      id: 'r1',
+      bornMs: GOOD.born,
+      service: GOOD.service,
+      address: GOOD.addr,
+      zone: GOOD.zone,
+      slots: GOOD.slots,
+      isDraining: false,
+      coldMs: 0,
+      modelVersions: new Map([['model-a', 3]]),
+    });
+    const { born, ...before } = GOOD;
+    expect(parse(before)._unsafeUnwrap().bornMs, `not ${born}`).to.equal(undefined);
+    expect(parse({ ...GOOD, state: 'draining', later: 1 })._unsafeUnwrap().isDraining).to.equal(true);
+  });
+
+  for (const field of REQUIRED)
+    it(`name no replica without ${field}`, () => {
+      const { [field]: _, ...rest } = GOOD;
+      expect(parse(rest)._unsafeUnwrapErr()).to.contain(field);
+    });
+
+  const wrong: readonly [field: keyof typeof GOOD, value: unknown][] = [
+    ['service', 7],
+    ['addr', 'host.example:80'],
+    ['addr', '10.0.0.1'],
+    ['addr', '10.0.0.1:99999'],
+    ['addr', '10.0.0.1:0'],
+    ['addr', '10.0.0.1:8080/path'],
+    ['zone', ''],
+    ['slots', 0],
+    ['slots', -3],
+    ['slots', 2.5],
+    ['slots', 1e300],
+    ['slots', '6'],
+    ['state', 'broken'],
+    ['coldLeftMs', -1],
+    ['born', 1.5],
+    ['born', 'yesterday'],
+    ['models', [{ name: 'model-a', version: 'x' }]],
+    ['models', 7],
+  ];
+  for (const [field, value] of wrong)
+    it(`name no replica with ${field} ${JSON.stringify(value)}`, () => {
+      expect(parse({ ...GOOD, [field]: value })._unsafeUnwrapErr()).to.contain(field);
+    });
+
+  it('name no replica when their bytes cannot be read', () => {
+    const broken = Buffer.from(JSON.stringify({ ...GOOD, zone: 'zone-?' }), 'utf8');
+    broken[broken.indexOf(0x3f)] = 0xff;
+    for (const bytes of [broken, Buffer.from([]), Buffer.from('['.repeat(50_000)), Buffer.from('null')])
+      expect(parseReplica('r1', bytes).isErr()).to.equal(true);
+  });
+
+  it('are read or refused, whatever stands in them, and never read with a field of another kind', () => {
+    const damaged = fc.tuple(fc.constantFrom(...FIELDS), anything).map(([field, value]) => ({
+      ...GOOD,
+      [field]: value,
+    }));
+    const bytes = fc.oneof(
+      fc.uint8Array({ maxLength: 200 }).map((array) => Buffer.from(array)),
+      fc.oneof(anything, damaged).map((row) => Buffer.from(JSON.stringify(row) ?? '', 'utf8')),
+    );
+    fc.assert(
+      fc.property(bytes, (value) => {
+        const parsed = parseReplica('r1', value);
+        if (parsed.isErr()) return;
+        const { slots, address, bornMs, modelVersions } = parsed.value;
+        expect(Number.isInteger(slots) && slots > 0 && slots <= 10_000).to.equal(true);
+        expect(address).to.match(/^[0-9a-f.:[\]]+:\d{1,5}$/);
+        expect(bornMs === undefined || Number.isSafeInteger(bornMs)).to.equal(true);
+        for (const version of modelVersions.values()) expect(Number.isSafeInteger(version)).to.equal(true);
+      }),
+      { numRuns: RUNS, seed: SEED },
+    );
+  });
+});
