--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -216,11 +216,11 @@
 
 /** Replicas start again under their ids, one a few times in a row; connections of before break or stay silent. */
 const startedAgain =
-  (pick: (stage: Stage) => ReplicaServer): Fault =>
+  (pick: (stage: Stage) => ReplicaServer | undefined): Fault =>
   async (stage, forMs) => {
     const { random } = stage;
     const replica = pick(stage);
-    if (restarting.has(replica)) return;
+    if (!replica || restarting.has(replica)) return;
     restarting.add(replica);
     const lives = 1 + random.integer(LONGEST_SERIES);
     for (let life = 0; life < lives; life += 1) {
--- a/emulator/job-demo.ts
+++ b/emulator/job-demo.ts
@@ -65,6 +65,7 @@
     leaseMs: 3_000,
     replicaBeatMs: 1_200,
     resultRetentionMs: 120_000,
+    processorCores: 1,
     memoryBytes: 256 * 1024 * 1024,
   };
 }
--- a/scripts/layer-rules.ts
+++ b/scripts/layer-rules.ts
@@ -26,12 +26,13 @@
 
 /** Rooms of a layer; each may import those before it. */
 const ROOMS: Readonly<Record<string, readonly string[]>> = {
-  'src/state': ['store', 'leases', 'configuration', 'replicas', 'usage', 'jobs', 'samples'],
+  'src/state': ['store', 'leases', 'configuration', 'replicas', 'admission', 'usage', 'jobs', 'samples'],
   'src/coordination': [
     'configuration',
     'membership',
     'duties',
     'usage',
+    'dispatch',
     'requests',
     'weights',
     'samples',
--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -125,7 +125,15 @@
 /** The node's belief about configuration or replicas changed. */
 export interface BeliefChanged {
   readonly event: 'belief-changed';
-  readonly subject: 'configuration' | 'replica' | 'zone' | 'weight-version' | 'session' | 'feed' | 'peers';
+  readonly subject:
+    | 'configuration'
+    | 'replica'
+    | 'zone'
+    | 'home'
+    | 'weight-version'
+    | 'session'
+    | 'feed'
+    | 'peers';
   readonly name: string;
   readonly change: string;
   readonly version: number;
@@ -149,6 +157,24 @@
   readonly ageMs: number;
 }
 
+/** A request was refused by the node that deals out the places of its service's replicas, before it ran. */
+export interface RequestRefused {
+  readonly event: 'request-refused';
+  readonly requestId: string;
+  readonly service: string;
+  /** Who is charged for its use. */
+  readonly party: string;
+  readonly rank: number;
+  readonly reason: string;
+  readonly waitedMs: number;
+  readonly leftMs: number;
+  readonly retryAfterMs: number;
+  /** What it was compared with: requests that wait, and places that are free, of all. */
+  readonly waiting: number;
+  readonly free: number;
+  readonly slots: number;
+}
+
 /** A duty was taken, lost or carried out. */
 export interface DutyChanged {
   readonly event: 'duty-changed';
@@ -229,6 +255,7 @@
   | ResultsListed
   | BeliefChanged
   | RequestSuspected
+  | RequestRefused
   | DutyChanged
   | OrderGiven
   | UsageDecided
--- a/src/coordination/requests/replica-exchange.ts
+++ b/src/coordination/dispatch/replica-exchange.ts
@@ -71,9 +71,9 @@
     context: AttemptContext,
   ): Promise<AttemptOutcome> {
     const startedAt = monotonicMs();
-    state.inFlight += 1;
+    state.noteGiven();
     const outcome = await this.exchangeWhileAlive(state, request);
-    state.inFlight -= 1;
+    state.noteReturned(outcome.kind === 'answered' || outcome.kind === 'declined');
     const tookMs = monotonicMs() - startedAt;
     this.noteOutcome(state, outcome, tookMs);
     this.report(state, request, outcome, tookMs, context);
@@ -106,6 +106,7 @@
       return this.broken(state, sent.error, `${failure}: ${message}`);
     }
     const answer = sent.value;
+    if (answer.load && answer.isForRequest) state.noteLoad(answer.load);
     const defect = defectOf(answer);
     if (defect && !answer.isNotExecuted) {
       answer.body.destroy();
--- /dev/null
+++ b/src/coordination/dispatch/service-queue.ts
@@ -0,0 +1,364 @@
+/**
+ * The requests for one service at the node that deals out the places of its replicas. A request goes to the replica that answers it
+ * soonest; where all are full it waits in order, in memory, bounded in count, bytes and time; one that cannot be served in its time
+ * is refused before it has run.
+ *
+ * What waits is judged again before it is sent: by then its caller may have left, its time may be over, or the configuration
+ * may not allow it any more.
+ */
+import { monotonicMs } from '../../common/clock.js';
+import type { DecisionLogger } from '../../common/decision-logger.js';
+import type { ServiceMetrics } from '../../common/service-metrics.js';
+import {
+  type AdmissionTerms,
+  admit,
+  ExtraAttempts,
+  type OrderTerms,
+  PartyUse,
+  retryAfterMs,
+  type Waiting,
+  type WaitingBounds,
+  WaitingList,
+} from '../../state/admission/index.js';
+import {
+  type ChoiceTerms,
+  chooseReplica,
+  drainRate,
+  type ReplicaDirectory,
+  type ReplicaState,
+  roomOf,
+} from '../../state/replicas/index.js';
+import type { DispatchCall, DispatchResult, ServiceRoom } from './dispatch-call.js';
+import type { AttemptOutcome, ReplicaExchange } from './replica-exchange.js';
+
+/** How often those that wait are looked at without a reason: pauses of replicas end in silence, milliseconds. */
+const LOOK_MS = 20;
+/** Replicas that may decline one request before it is refused: each decline tells that the view of them was wrong. */
+const MAX_DECLINES = 4;
+/** Usual time of a request before any was measured, milliseconds. */
+const UNMEASURED_MS = 50;
+/** Part of the places that must be free for a second attempt: beyond, it would take the place of a first one. */
+const FREE_FOR_EXTRA = 0.1;
+
+/** What the queues of a node work with. */
+export interface ServiceQueueServices {
+  readonly directory: ReplicaDirectory;
+  readonly exchange: ReplicaExchange;
+  /** Requests that a replica runs at once. */
+  readonly slotsOf: (state: ReplicaState) => number;
+  /** What one more replica's distance adds, milliseconds. */
+  readonly distanceMs: (state: ReplicaState) => number;
+  /** Whether the configuration in force still allows a request that has waited. */
+  readonly isAllowed: (call: DispatchCall) => boolean;
+  readonly bounds: WaitingBounds;
+  readonly metrics: Pick<ServiceMetrics, 'refusedRequests' | 'waitedSeconds'>;
+  readonly logger: DecisionLogger;
+}
+
+/** One request that waits or runs. */
+interface Entry extends Waiting {
+  readonly call: DispatchCall;
+  readonly startedAtMs: number;
+  /** Replicas that are not to be taken for it. */
+  readonly excluded: Set<string>;
+  declines: number;
+  lastReason: string;
+  readonly resolve: (result: DispatchResult) => void;
+  readonly onAbort: () => void;
+}
+
+const CANCELLED: DispatchResult = { outcome: { kind: 'cancelled' }, hasEndedReplica: false };
+
+/** The queue of one service. */
+export class ServiceQueue {
+  private readonly use = new PartyUse();
+  private readonly waiting: WaitingList<Entry>;
+  private readonly extras = new ExtraAttempts();
+  /** Replicas at which a request runs, by its identifier: a second attempt goes elsewhere. */
+  private readonly running = new Map<string, Set<string>>();
+  private timer: NodeJS.Timeout | undefined;
+  private isScheduled = false;
+
+  constructor(
+    private readonly service: string,
+    private readonly services: ServiceQueueServices,
+  ) {
+    this.waiting = new WaitingList(this.use, services.bounds);
+    services.directory.onChange(() => this.schedule());
+  }
+
+  /** Requests that wait. */
+  get waitingCount(): number {
+    return this.waiting.size;
+  }
+
+  /** Second attempts that may be made now. */
+  get extrasLeft(): number {
+    return this.extras.left;
+  }
+
+  /** How full the replicas are. */
+  get room(): ServiceRoom {
+    const { free, all } = roomOf(this.states(), this.choiceTerms(0));
+    return { free, slots: all, waiting: this.waiting.size };
+  }
+
+  /** Sends a request or lets it wait. Never rejects. */
+  dispatch(call: DispatchCall): Promise<DispatchResult> {
+    if (call.signal.aborted) return Promise.resolve(CANCELLED);
+    return new Promise((resolve) => this.enter(call, resolve));
+  }
+
+  /** Refuses all that wait: this node deals out no places any more. */
+  close(reason: string): void {
+    for (const entry of [...this.waiting]) this.refuse(entry, reason, 0);
+  }
+
+  private enter(call: DispatchCall, resolve: (result: DispatchResult) => void): void {
+    const entry = this.entryOf(call, resolve);
+    if (call.isExtra) this.enterExtra(entry);
+    else if (call.isRetry && !this.extras.take())
+      this.refuse(entry, 'no second attempts left', this.comeBackMs(entry));
+    else this.enterFirst(entry);
+  }
+
+  private enterFirst(entry: Entry): void {
+    if (!entry.call.isRetry) this.extras.noteFirst();
+    const admission = this.judge(entry);
+    if (admission.kind === 'refused') {
+      this.refuse(entry, 'no place in its time', admission.retryAfterMs);
+      return;
+    }
+    this.addWaiting(entry);
+    this.placeWaiting();
+  }
+
+  /** A second attempt takes a place that is free now, or is none. */
+  private enterExtra(entry: Entry): void {
+    const { free, slots } = this.room;
+    const hasRoom = this.waiting.size === 0 && free >= slots * FREE_FOR_EXTRA;
+    const choice = hasRoom ? chooseReplica(this.fitting(entry), this.choiceTerms(0)) : undefined;
+    if (choice?.kind !== 'send') this.refuse(entry, 'no room for a second attempt', 0);
+    else if (!this.extras.take()) this.refuse(entry, 'no second attempts left', 0);
+    else this.send(entry, choice.state, choice.expectedMs);
+  }
+
+  private entryOf(call: DispatchCall, resolve: (result: DispatchResult) => void): Entry {
+    const startedAtMs = monotonicMs();
+    const entry: Entry = {
+      call,
+      startedAtMs,
+      rank: call.rank,
+      party: call.party,
+      isPatient: call.isPatient,
+      sinceMs: startedAtMs,
+      aimAtMs: call.aimAtMs,
+      endsAtMs: call.endsAtMs,
+      bytes: call.request.body.length,
+      excluded: new Set([...call.excluded, ...(this.running.get(call.request.id) ?? [])]),
+      declines: 0,
+      lastReason: '',
+      resolve,
+      onAbort: () => this.cancel(entry),
+    };
+    return entry;
+  }
+
+  /** Whether a request can be served in its time, as far as known. One that finds no replica is refused at once. */
+  private judge(entry: Entry) {
+    const terms = this.admissionTerms(entry, this.waiting.countBefore(entry, this.orderTerms()));
+    if (this.fitting(entry).length === 0) entry.excluded.clear();
+    if (this.fitting(entry).length === 0)
+      return { kind: 'refused' as const, retryAfterMs: retryAfterMs(terms, Math.random()) };
+    return admit(terms, Math.random());
+  }
+
+  private addWaiting(entry: Entry): void {
+    entry.call.signal.addEventListener('abort', entry.onAbort, { once: true });
+    const displaced = this.waiting.add(entry, this.orderTerms());
+    if (displaced) this.refuse(displaced, 'too many wait', this.comeBackMs(displaced));
+  }
+
+  private cancel(entry: Entry): void {
+    if (this.waiting.remove(entry)) this.end(entry, CANCELLED);
+  }
+
+  private end(entry: Entry, result: DispatchResult): void {
+    entry.call.signal.removeEventListener('abort', entry.onAbort);
+    entry.resolve(result);
+  }
+
+  private refuse(entry: Entry, reason: string, afterMs: number): void {
+    this.waiting.remove(entry);
+    const detail = entry.lastReason === '' ? reason : `${reason}; before: ${entry.lastReason}`;
+    if (!entry.call.isExtra) this.reportRefusal(entry, detail, afterMs);
+    this.end(entry, {
+      outcome: { kind: 'declined', reason: detail, isFull: true },
+      hasEndedReplica: false,
+      retryAfterMs: afterMs > 0 ? afterMs : undefined,
+      room: this.room,
+    });
+  }
+
+  private comeBackMs(entry: Entry): number {
+    return retryAfterMs(this.admissionTerms(entry, this.waiting.size), Math.random());
+  }
+
+  /** Looks at those that wait, once in this turn of the event loop. */
+  private schedule(): void {
+    if (this.isScheduled || this.waiting.size === 0) return;
+    this.isScheduled = true;
+    setImmediate(() => {
+      this.isScheduled = false;
+      this.placeWaiting();
+    });
+  }
+
+  private placeWaiting(): void {
+    this.dropOverdue();
+    const stuck = new Set<Entry>();
+    while (this.waiting.size > stuck.size) {
+      const entry = this.waiting.next(this.orderTerms(), (one) => !stuck.has(one));
+      if (!entry) break;
+      const choice = chooseReplica(this.fitting(entry), this.choiceTerms(stuck.size));
+      if (choice.kind === 'send') this.place(entry, choice.state, choice.expectedMs);
+      else if (choice.kind === 'none') this.refuse(entry, 'no replica', this.comeBackMs(entry));
+      else if (entry.excluded.size === 0) break;
+      else stuck.add(entry);
+    }
+    this.armTimer();
+  }
+
+  private place(entry: Entry, state: ReplicaState, expectedMs: number): void {
+    this.waiting.remove(entry);
+    this.waiting.noteServed();
+    const waitedMs = monotonicMs() - entry.startedAtMs;
+    this.services.metrics.waitedSeconds.observe({ service: this.service }, waitedMs / 1_000);
+    if (!this.services.isAllowed(entry.call)) {
+      this.refuse(entry, 'the configuration does not allow it any more', 0);
+      return;
+    }
+    this.send(entry, state, expectedMs);
+  }
+
+  /** What can no longer be served in its time has not run, and its caller is told. */
+  private dropOverdue(): void {
+    const nowMs = monotonicMs();
+    for (const entry of [...this.waiting])
+      if (entry.endsAtMs - nowMs < this.workMs / 2) this.refuse(entry, 'its time is over', 0);
+  }
+
+  private send(entry: Entry, state: ReplicaState, expectedMs: number): void {
+    const { call } = entry;
+    const sentAtMs = monotonicMs();
+    this.use.add(call.party, expectedMs, sentAtMs);
+    const request = {
+      ...call.request,
+      deadlineMs: entry.endsAtMs - sentAtMs,
+      signal: call.signal,
+    };
+    this.noteRunning(call.request.id, state.id, true);
+    void this.services.exchange
+      .attempt(state, request, { configVersion: call.configVersion })
+      .then((outcome) => {
+        this.noteRunning(call.request.id, state.id, false);
+        this.use.add(call.party, monotonicMs() - sentAtMs - expectedMs, monotonicMs());
+        this.finish(entry, state, outcome);
+        this.schedule();
+      });
+  }
+
+  private finish(entry: Entry, state: ReplicaState, outcome: AttemptOutcome): void {
+    if (outcome.kind === 'declined' && this.goesOnWaiting(entry, outcome.reason, state.id)) return;
+    const hasEndedReplica = outcome.kind === 'unknown' && outcome.replicaEnded === true && !state.isLeaving;
+    const { id, address } = state.replica;
+    const retryMs = outcome.kind === 'declined' ? this.comeBackMs(entry) : undefined;
+    this.end(entry, {
+      outcome,
+      replica: { id, address },
+      hasEndedReplica,
+      retryAfterMs: retryMs,
+      room: this.room,
+    });
+  }
+
+  /** A request that a replica has declined keeps its place among those that wait. */
+  private goesOnWaiting(entry: Entry, reason: string, replicaId: string): boolean {
+    entry.declines += 1;
+    entry.lastReason = reason;
+    if (entry.call.isExtra || entry.declines >= MAX_DECLINES || entry.call.signal.aborted) return false;
+    entry.excluded.add(replicaId);
+    if (this.fitting(entry).length === 0) entry.excluded.clear();
+    this.addWaiting(entry);
+    return true;
+  }
+
+  private noteRunning(requestId: string, replicaId: string, isRunning: boolean): void {
+    const replicas = this.running.get(requestId) ?? new Set();
+    if (isRunning) replicas.add(replicaId);
+    else replicas.delete(replicaId);
+    if (replicas.size === 0) this.running.delete(requestId);
+    else this.running.set(requestId, replicas);
+  }
+
+  private states(): ReplicaState[] {
+    return this.services.directory.availableOf(this.service);
+  }
+
+  private fitting({ excluded }: Entry): ReplicaState[] {
+    const states = this.states();
+    return excluded.size === 0 ? states : states.filter(({ id }) => !excluded.has(id));
+  }
+
+  private choiceTerms(waitingBefore: number): ChoiceTerms {
+    const { slotsOf, distanceMs } = this.services;
+    return { slotsOf, distanceMs, waitingBefore, unmeasuredMs: UNMEASURED_MS };
+  }
+
+  private get workMs(): number {
+    const measured = this.states().flatMap(({ averageMs }) => (averageMs > 0 ? averageMs : []));
+    return measured.length > 0 ? Math.min(...measured) : UNMEASURED_MS;
+  }
+
+  private orderTerms(): OrderTerms {
+    return { nowMs: monotonicMs(), workMs: this.workMs };
+  }
+
+  private admissionTerms(entry: Entry, waitingBefore: number): AdmissionTerms {
+    return {
+      waitingBefore,
+      waitingCount: this.waiting.size,
+      drainPerMs: drainRate(this.states(), this.choiceTerms(0)),
+      workMs: this.workMs,
+      leftMs: entry.endsAtMs - monotonicMs(),
+    };
+  }
+
+  private armTimer(): void {
+    if (this.timer || this.waiting.size === 0) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.placeWaiting();
+    }, LOOK_MS);
+  }
+
+  private reportRefusal(entry: Entry, reason: string, retryMs: number): void {
+    const { service } = this;
+    this.services.metrics.refusedRequests.inc({ service, rank: String(entry.rank) });
+    const { free, slots, waiting } = this.room;
+    this.services.logger.record({
+      event: 'request-refused',
+      requestId: entry.call.request.id,
+      service,
+      party: entry.party,
+      rank: entry.rank,
+      reason,
+      waitedMs: Math.round(monotonicMs() - entry.startedAtMs),
+      leftMs: Math.round(entry.endsAtMs - monotonicMs()),
+      retryAfterMs: Math.round(retryMs),
+      waiting,
+      free,
+      slots,
+    });
+  }
+}
--- a/src/coordination/jobs/item-run.ts
+++ b/src/coordination/jobs/item-run.ts
@@ -7,12 +7,8 @@
 import type { Route } from '../../protocol/routing-configuration.js';
 import type { RoutingSnapshot, RoutingTable, TargetSplitter } from '../../state/configuration/index.js';
 import type { ReplicaDirectory, ReplicaState, WeightVersions } from '../../state/replicas/index.js';
-import {
-  digestOf,
-  type IdentifiedRequest,
-  type ReplicaEndCheck,
-  type RequestQuarantine,
-} from '../requests/index.js';
+import { digestOf, type IdentifiedRequest, type ReplicaEndCheck } from '../dispatch/index.js';
+import type { RequestQuarantine } from '../requests/index.js';
 import type { Placement, PlacementRequest, SampleLengths, SampleScorer } from '../samples/index.js';
 import {
   type AttemptPace,
@@ -159,7 +155,8 @@
     const took = { waitedMs: startedAt - queuedAt, tookMs: monotonicMs() - startedAt };
     const replicaEnded = await this.hasEnded(state, outcome);
     const events = this.text.eventCount - eventsBefore;
-    if (replicaEnded && events === 0) this.services.quarantine.noteEnd(this.identified, state);
+    if (replicaEnded && events === 0 && !state.isLeaving)
+      this.services.quarantine.noteEnd(this.identified, state.replica);
     if (outcome.kind === 'whole') this.services.quarantine.noteServed(this.identified);
     this.noteOutcome(state, outcome, took, events, replicaEnded);
     return outcome;
--- /dev/null
+++ b/src/coordination/membership/fleet-directory.ts
@@ -0,0 +1,56 @@
+/**
+ * All nodes at work, from their announcements in the store. Each node follows the table, so that all hear of one that comes or
+ * leaves within a second. A node that was lost without a word is in the table until its announcement is old; who calls it finds out.
+ */
+import type { ChangedRecord, RecordStore, StoredRecord } from '../../protocol/record-store.js';
+import type { FleetMember } from '../../state/replicas/index.js';
+import { type FeedHandler, readPartition } from '../configuration/index.js';
+import { type Announcement, isExpired, parseAnnouncement, SERVING_NODES } from './node-announcement.js';
+
+const ALLOWS_OLD = true;
+
+/** The nodes that one node knows. */
+export class FleetDirectory implements FeedHandler<readonly StoredRecord[]> {
+  readonly table = SERVING_NODES;
+  private readonly announcements = new Map<string, Announcement>();
+  private readonly listeners = new Set<() => void>();
+
+  constructor(private readonly store: RecordStore) {}
+
+  /** Called after each change. */
+  onChange(listener: () => void): void {
+    this.listeners.add(listener);
+  }
+
+  /** Nodes that answer others, this one among them once it has announced itself. */
+  get members(): FleetMember[] {
+    const nowMs = this.store.nowMs();
+    return [...this.announcements].flatMap(([name, announcement]) => {
+      const { peerAddress, zone, capacity } = announcement;
+      if (peerAddress === undefined || isExpired(announcement, nowMs)) return [];
+      return { name, peerAddress, zone: zone ?? '', capacity: capacity ?? 1 };
+    });
+  }
+
+  readAll() {
+    return readPartition(this.store, this.table, '', ALLOWS_OLD);
+  }
+
+  replaceAll(content: readonly StoredRecord[]): void {
+    const present = new Set(content.map(({ key }) => key));
+    for (const name of [...this.announcements.keys()])
+      if (!present.has(name)) this.announcements.delete(name);
+    for (const record of content) this.announcements.set(record.key, parseAnnouncement(record.value));
+    this.notify();
+  }
+
+  apply({ key, value }: ChangedRecord): void {
+    if (value === undefined) this.announcements.delete(key);
+    else this.announcements.set(key, parseAnnouncement(value));
+    this.notify();
+  }
+
+  private notify(): void {
+    for (const listener of this.listeners) listener();
+  }
+}
--- a/src/coordination/membership/peer-addresses.ts
+++ b/src/coordination/membership/peer-addresses.ts
@@ -8,31 +8,22 @@
 import type { RecordAddress, RecordStore, StoredRecord } from '../../protocol/record-store.js';
 import { readPartition } from '../configuration/index.js';
 import { FleetTime } from './fleet-time.js';
+import { type Announcement, isExpired, parseAnnouncement, SERVING_NODES } from './node-announcement.js';
 
-const TABLE = 'serving-nodes';
+const TABLE = SERVING_NODES;
 /** Looks after which all announcements are counted again; first with the second look. */
 const COUNT_LOOKS = 12;
 /** Other nodes that are remembered. */
 const REMEMBERED = 8;
-/** How often a node announces itself, and after what time it is no longer believed, milliseconds. */
+/** How often a node announces itself, milliseconds. */
 const ANNOUNCE_MS = 60_000;
-const EXPIRY_MS = 200_000;
 /** Time between two looks, milliseconds; the first ones come sooner, while all nodes start. */
 const LOOK_MS = 10_000;
 const FIRST_LOOK_MS = 1_500;
 const LOOK_SPREAD = 0.2;
 
-/** What an announcement says. */
-interface Announcement {
-  /** Where callers are served. */
-  readonly address: string;
-  /** Where other nodes are answered; nodes of the build before do not say it. */
-  readonly peerAddress?: string;
-  /** What the node's time of day adds to the store's clock, milliseconds; nodes of the build before do not say it. */
-  readonly timeOffsetMs?: number;
-  /** On the store's clock, milliseconds. */
-  readonly announcedAtMs: number;
-}
+/** What a node says of itself besides its addresses. */
+export type NodeTraits = Pick<Announcement, 'zone' | 'capacity'>;
 
 /** The addresses that one node knows. */
 export class PeerAddresses {
@@ -42,12 +33,14 @@
   private count = 1;
   /** Nodes that carried out the last call that was passed on to them, or failed to. */
   private readonly hasServed = new Map<string, boolean>();
+  private isWithdrawn = false;
 
   constructor(
     private readonly store: RecordStore,
     private readonly nodeName: string,
     private readonly logger: DecisionLogger,
     private readonly clock: Clock = SYSTEM_CLOCK,
+    private readonly traits: NodeTraits = {},
   ) {
     this.time = new FleetTime(store);
   }
@@ -76,6 +69,12 @@
     this.hasServed.set(address, hasServed);
   }
 
+  /** Takes this node's announcement away: it is leaving. */
+  async withdraw(): Promise<void> {
+    this.isWithdrawn = true;
+    await this.store.transact({ conditions: [], writes: [], removals: [recordAddress(this.nodeName)] });
+  }
+
   /** Announces this node, which serves callers and other nodes at these addresses (`IP:PORT`), and looks for others. */
   async run(address: string, signal: AbortSignal, peerAddress?: string): Promise<void> {
     await this.untilAnswered(signal);
@@ -94,7 +93,7 @@
     signal: AbortSignal,
   ): Promise<void> {
     let isAnnounced = false;
-    while (!signal.aborted) {
+    while (!signal.aborted && !this.isWithdrawn) {
       isAnnounced = await this.announce(address, peerAddress);
       await this.clock.sleep(isAnnounced ? ANNOUNCE_MS : FIRST_LOOK_MS, signal);
     }
@@ -104,6 +103,7 @@
     const announcement: Announcement = {
       address,
       peerAddress,
+      ...this.traits,
       timeOffsetMs: Math.round(this.time.ownOffsetMs),
       announcedAtMs: Math.round(this.store.nowMs()),
     };
@@ -170,7 +170,7 @@
   }
 
   private isExpired(record: StoredRecord): boolean {
-    return this.store.nowMs() - parse(record).announcedAtMs > EXPIRY_MS;
+    return isExpired(parse(record), this.store.nowMs());
   }
 
   /** Nodes that are gone for good leave their announcements behind. */
@@ -186,5 +186,5 @@
 }
 
 function parse({ value }: StoredRecord): Announcement {
-  return JSON.parse(value.toString('utf8')) as Announcement;
+  return parseAnnouncement(value);
 }
--- a/src/coordination/membership/replica-announcements.ts
+++ b/src/coordination/membership/replica-announcements.ts
@@ -11,7 +11,7 @@
 import type { ServiceMetrics } from '../../common/service-metrics.js';
 import type { ChangedRecord, RecordStore } from '../../protocol/record-store.js';
 import type { Replica } from '../../protocol/replica.js';
-import { type LifeOrder, nameOfLife, type ReplicaDirectory } from '../../state/replicas/index.js';
+import type { LifeOrder, ReplicaDirectory } from '../../state/replicas/index.js';
 import { type FeedHandler, readPartition } from '../configuration/index.js';
 import { ALLOWS_OLD, ANNOUNCED_PARTITION, type Announced, type AnnouncementFormat } from './announcements.js';
 
@@ -89,9 +89,9 @@
     version: number,
   ): void {
     this.unsettled.delete(replica.id);
-    const name = nameOfLife(replica);
+    const name = replica.id;
     if (order === 'first') this.report(name, `joined ${replica.service} at ${replica.address}`, version);
-    else if (order === 'next') this.report(name, 'started again', version);
+    else if (order === 'next') this.report(name, `started again, born ${replica.bornMs}`, version);
     else if (before?.isDraining !== replica.isDraining)
       this.report(name, replica.isDraining ? 'draining' : 'not draining any more', version);
   }
@@ -99,7 +99,7 @@
   private doubt(replica: Replica, version: number): void {
     this.unsettled.set(replica.id, replica);
     this.services.directory.doubt(replica.id);
-    this.report(nameOfLife(replica), 'may be a late word of before', version);
+    this.report(replica.id, `may be a late word of before, born ${replica.bornMs}`, version);
     void this.settle(replica, version);
   }
 
@@ -110,7 +110,7 @@
     if (this.unsettled.get(replica.id) !== replica) return;
     this.unsettled.delete(replica.id);
     directory.replace(replica);
-    this.report(nameOfLife(replica), 'started again with an earlier time of day', version);
+    this.report(replica.id, `started again with an earlier time of day, born ${replica.bornMs}`, version);
   }
 
   private refuse(id: string, problem: string, version: number): void {
--- a/src/coordination/requests/index.ts
+++ b/src/coordination/requests/index.ts
@@ -9,10 +9,7 @@
   writeRelayedHead,
 } from './application-relay.js';
 export { QuarantineExchange } from './quarantine-exchange.js';
-export { ReplicaEndCheck } from './replica-end-check.js';
-export { defectOf, ReplicaExchange } from './replica-exchange.js';
 export { isPastDeadline, type RequestContext, timeLeftMs } from './request-context.js';
-export { digestOf, type IdentifiedRequest } from './request-digest.js';
 export { RequestQuarantine } from './request-quarantine.js';
 export { isAllowedZone, type RouteQuery, Router } from './router.js';
 export { type RelayedRequest, type RelayOutcome, ServiceRelay } from './service-relay.js';
--- a/src/coordination/requests/request-quarantine.ts
+++ b/src/coordination/requests/request-quarantine.ts
@@ -14,15 +14,14 @@
   type FatalRun,
   FatalRuns,
   parseFatalRunReport,
-  type ReplicaState,
   toFatalRunRecord,
   toServedRecord,
   type Verdict,
 } from '../../state/replicas/index.js';
 import { FOLLOWED_TABLE } from '../../state/store/index.js';
 import { type FeedHandler, readPartition } from '../configuration/index.js';
+import { digestOf, type IdentifiedRequest, type UsedReplica } from '../dispatch/index.js';
 import { FatalRunReports } from './fatal-run-reports.js';
-import { digestOf, type IdentifiedRequest } from './request-digest.js';
 
 const CLEAR: Verdict = { kind: 'clear' };
 const FATAL_RUN_ADDRESS = { table: FOLLOWED_TABLE, partition: FATAL_RUN_PARTITION } as const;
@@ -61,10 +60,8 @@
     this.services.metrics.heldRequests.inc({ service });
   }
 
-  /** A replica has ended while it ran the request. One that was leaving has ended by plan. */
-  noteEnd(request: IdentifiedRequest, state: ReplicaState): void {
-    if (state.isLeaving) return;
-    const { id, address } = state.replica;
+  /** A replica has ended while it ran the request, and was not leaving: one that leaves has ended by plan. */
+  noteEnd(request: IdentifiedRequest, { id, address }: UsedReplica): void {
     const run = { digest: digestOf(request), address, endedAtMs: this.services.store.nowMs() };
     if (this.take(run, 'here', id)) this.reports.share(toFatalRunRecord(run, id));
   }
--- a/src/coordination/requests/service-relay.ts
+++ b/src/coordination/requests/service-relay.ts
@@ -5,11 +5,10 @@
  * a request that ends replicas no more of them are put at risk than it takes to tell.
  */
 import { monotonicMs } from '../../common/clock.js';
-import type { ReplicaRequest } from '../../protocol/replica.js';
 import type { Route } from '../../protocol/routing-configuration.js';
 import type { RoutingSnapshot, TargetSplitter } from '../../state/configuration/index.js';
-import type { ReplicaDirectory, ReplicaState, Verdict } from '../../state/replicas/index.js';
-import type { AttemptOutcome, ReplicaExchange, WholeAnswer } from './replica-exchange.js';
+import type { Verdict } from '../../state/replicas/index.js';
+import type { DispatchCall, DispatchResult, WholeAnswer } from '../dispatch/index.js';
 import type { RequestQuarantine } from './request-quarantine.js';
 
 /** A request to relay. */
@@ -30,8 +29,19 @@
   readonly signal: AbortSignal;
   /** Whether a second replica is asked while the first is silent. */
   readonly isHedged: boolean;
+  /** Rank; 0 is the most urgent. */
+  readonly rank: number;
+  /** Who is charged for its use of replicas. */
+  readonly party: string;
+  /** Whether it is work in the background, which gives way to callers. */
+  readonly isPatient: boolean;
+  /** When its caller wants the answer, on the monotonic clock, milliseconds. */
+  readonly aimAtMs: number;
 }
 
+/** Sends an attempt; `isRepeatable` says whether the request may run more than once. Never rejects. */
+export type SendAttempt = (call: DispatchCall, isRepeatable: boolean) => Promise<DispatchResult>;
+
 /** What the caller is told. */
 export type RelayOutcome =
   | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly attempts: readonly string[] }
@@ -51,10 +61,8 @@
     }
   | { readonly kind: 'cancelled'; readonly attempts: readonly string[] };
 
-/** When a refused caller should come back, milliseconds. */
+/** When a refused caller should come back where nothing else is known, milliseconds. */
 const RETRY_AFTER_MS = 100;
-/** Replicas that may decline one request before it is refused. */
-const MAX_DECLINES = 6;
 /** A silent replica is doubled after this part of the target latency, but not before `MIN_HEDGE_MS`. */
 const HEDGE_FRACTION = 0.5;
 const MIN_HEDGE_MS = 60;
@@ -72,11 +80,9 @@
 /** Relays requests. */
 export class ServiceRelay {
   constructor(
-    private readonly directory: ReplicaDirectory,
     private readonly splitter: TargetSplitter,
-    private readonly exchange: ReplicaExchange,
+    private readonly send: SendAttempt,
     private readonly quarantine: RequestQuarantine,
-    private readonly zone: string,
     private readonly countRun: RunCounter = () => () => {},
   ) {}
 
@@ -87,27 +93,28 @@
       const reason = 'the route has no service';
       return Promise.resolve({ kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS, attempts: [] });
     }
-    const run = new RelayRun(
-      request,
-      target.service,
-      this.directory,
-      this.exchange,
-      this.quarantine,
-      this.zone,
-      this.countRun,
-    );
-    return run.run();
+    return new RelayRun(request, target.service, this.send, this.quarantine, this.countRun).run();
   }
 }
 
+/** An attempt that has come back; `isExtra` says whether it was made beside another. */
+interface Attempt {
+  readonly result: DispatchResult;
+  readonly isExtra: boolean;
+}
+
 /** One request on its way. */
 class RelayRun {
   private readonly endsAtMs: number;
   private readonly tried = new Set<string>();
   private readonly controller = new AbortController();
   private runs = 0;
-  private declines = 0;
+  /** Whether no place was found for it: then it is not sent again. */
+  private isDeclined = false;
+  private comeBackMs = RETRY_AFTER_MS;
   private mayHaveRun = false;
+  /** Before this time no second attempt is made beside a silent one, on the monotonic clock. */
+  private hedgeFromMs = 0;
   private lastFailure: WholeAnswer | undefined;
   private lastReason = 'none available';
   /** Attempts that run or may have run: the request counts once for its tenant while there is any. */
@@ -117,10 +124,8 @@
   constructor(
     private readonly request: RelayedRequest,
     private readonly service: string,
-    private readonly directory: ReplicaDirectory,
-    private readonly exchange: ReplicaExchange,
+    private readonly send: SendAttempt,
     private readonly quarantine: RequestQuarantine,
-    private readonly zone: string,
     private readonly countRun: RunCounter,
   ) {
     this.endsAtMs = Math.min(request.deadlineMs, monotonicMs() + request.route.timeoutMs);
@@ -138,13 +143,13 @@
   }
 
   private async runAttempts(): Promise<RelayOutcome> {
-    const pending = new Set<Promise<AttemptOutcome>>();
+    const pending = new Set<Promise<Attempt>>();
     for (;;) {
       if (this.request.signal.aborted) return this.finish({ kind: 'cancelled', attempts: this.attempts });
       if (monotonicMs() >= this.endsAtMs - MIN_ATTEMPT_MS && pending.size === 0)
         return this.finish(this.timedOut());
-      const hasStarted = this.mayStart(pending.size) && this.start(pending);
-      if (!hasStarted && pending.size === 0) return this.finish(this.exhausted());
+      if (this.mayStart(pending.size)) this.start(pending);
+      else if (pending.size === 0) return this.finish(this.exhausted());
       const outcome = await this.nextOutcome(pending);
       if (outcome === 'timeout') return this.finish(this.timedOut());
       if (outcome === 'hedge') continue;
@@ -153,34 +158,38 @@
     }
   }
 
+  /** Whether another attempt may be made now. */
+  private mayStart(pendingCount: number): boolean {
+    if (pendingCount > 0 && monotonicMs() < this.hedgeFromMs) return false;
+    return this.mayHedge(pendingCount);
+  }
+
   /**
    * Whether another attempt may run beside the pending ones. Where a replica has ended under the request, a second one is not
    * put at risk while the first is silent.
    */
-  private mayStart(pendingCount: number): boolean {
-    if (this.declines >= MAX_DECLINES) return false;
+  private mayHedge(pendingCount: number): boolean {
+    if (this.isDeclined) return false;
     if (this.runs + pendingCount >= this.request.route.maxAttempts) return false;
     const verdict = this.quarantine.judge(this.request);
     if (verdict.kind === 'held') return false;
     return pendingCount === 0 || (this.request.isHedged && verdict.kind === 'clear');
   }
 
-  private start(pending: Set<Promise<AttemptOutcome>>): boolean {
-    const state = this.choose();
-    if (!state) return false;
-    this.tried.add(state.replica.id);
-    const attempt = this.exchange.attempt(state, this.toReplicaRequest(), {
-      configVersion: this.request.snapshot.version,
-    });
+  private start(pending: Set<Promise<Attempt>>): void {
+    const isExtra = pending.size > 0;
+    const sent = this.send(this.toCall(isExtra), this.isRepeatable);
     this.noteSent();
-    const tracked: Promise<AttemptOutcome> = attempt.then((outcome) => {
+    this.hedgeFromMs = monotonicMs() + this.hedgeDelayMs();
+    const tracked: Promise<Attempt> = sent.then((result) => {
       pending.delete(tracked);
+      const { outcome, replica, hasEndedReplica } = result;
+      if (replica) this.tried.add(replica.id);
       if (outcome.kind === 'declined') this.noteNotRun();
-      if (outcome.kind === 'unknown' && outcome.replicaEnded) this.quarantine.noteEnd(this.request, state);
-      return outcome;
+      if (hasEndedReplica && replica) this.quarantine.noteEnd(this.request, replica);
+      return { result, isExtra };
     });
     pending.add(tracked);
-    return true;
   }
 
   private noteSent(): void {
@@ -194,25 +203,31 @@
     if (this.countedAttempts === 0) this.uncount();
   }
 
-  private choose(): ReplicaState | undefined {
-    const criteria = { service: this.service, zone: this.zone };
-    const fresh = this.directory.select({ ...criteria, excluded: this.tried });
-    if (fresh) return fresh;
-    return this.runs > 0 || this.declines > 0 ? this.directory.select(criteria) : undefined;
-  }
-
-  private toReplicaRequest(): ReplicaRequest {
-    const { id, method, path, host, tenant, headers, body } = this.request;
-    const deadlineMs = this.endsAtMs - monotonicMs();
-    return { id, method, path, host, tenant, headers, body, deadlineMs, signal: this.controller.signal };
+  private toCall(isExtra: boolean): DispatchCall {
+    const { id, method, path, host, tenant, headers, body, rank, party, isPatient, aimAtMs } = this.request;
+    return {
+      service: this.service,
+      request: { id, method, path, host, tenant, headers, body },
+      rank,
+      party,
+      isPatient,
+      aimAtMs,
+      endsAtMs: this.endsAtMs,
+      isExtra,
+      isRetry: this.runs > 0,
+      excluded: this.tried,
+      configVersion: this.request.snapshot.version,
+      signal: this.controller.signal,
+    };
   }
 
   /** The next outcome of a pending attempt, the moment to hedge, or the end of the time. */
-  private async nextOutcome(
-    pending: ReadonlySet<Promise<AttemptOutcome>>,
-  ): Promise<AttemptOutcome | 'timeout' | 'hedge'> {
-    const leftMs = Math.max(0, this.endsAtMs - monotonicMs());
-    const hedgeMs = this.mayStart(pending.size) ? this.hedgeDelayMs() : Number.POSITIVE_INFINITY;
+  private async nextOutcome(pending: ReadonlySet<Promise<Attempt>>): Promise<Attempt | 'timeout' | 'hedge'> {
+    const nowMs = monotonicMs();
+    const leftMs = Math.max(0, this.endsAtMs - nowMs);
+    const hedgeMs = this.mayHedge(pending.size)
+      ? Math.max(0, this.hedgeFromMs - nowMs)
+      : Number.POSITIVE_INFINITY;
     const waitMs = Math.min(leftMs, hedgeMs);
     let timer: NodeJS.Timeout | undefined;
     const timeout = new Promise<'timeout' | 'hedge'>((resolve) => {
@@ -230,12 +245,15 @@
   }
 
   /** The final outcome, or `undefined` to go on. */
-  private judge(outcome: AttemptOutcome): RelayOutcome | undefined {
+  private judge({ result, isExtra }: Attempt): RelayOutcome | undefined {
+    const { outcome, retryAfterMs } = result;
     if (outcome.kind === 'answered') return this.judgeAnswer(outcome.answer);
     if (outcome.kind === 'cancelled') return undefined;
+    if (outcome.kind === 'declined' && isExtra) return undefined;
     this.lastReason = outcome.reason;
     if (outcome.kind === 'declined') {
-      this.declines += 1;
+      this.isDeclined = true;
+      this.comeBackMs = retryAfterMs ?? RETRY_AFTER_MS;
       return undefined;
     }
     this.runs += 1;
@@ -268,7 +286,7 @@
     if (verdict.kind === 'held') return this.heldBack(verdict);
     if (this.mayHaveRun) return this.failed(false);
     const reason = this.lastReason;
-    return { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS, attempts: this.attempts };
+    return { kind: 'refused', reason, retryAfterMs: this.comeBackMs, attempts: this.attempts };
   }
 
   /** A caller whose request has not run is told when it may; one whose request has run here is promised nothing. */
@@ -280,8 +298,8 @@
   }
 
   private timedOut(): RelayOutcome {
-    if (this.tried.size === 0) return this.exhausted();
-    this.lastReason = `the time is over; ${this.tried.size} replica(s) asked; before: ${this.lastReason}`;
+    if (this.countedAttempts === 0) return this.exhausted();
+    this.lastReason = `the time is over; ${this.countedAttempts} attempt(s) made; before: ${this.lastReason}`;
     return this.failed(true);
   }
 
--- a/src/coordination/samples/generation-attempt.ts
+++ b/src/coordination/samples/generation-attempt.ts
@@ -6,7 +6,7 @@
 import type { ReplicaState } from '../../state/replicas/index.js';
 import { readWhole } from '../../transport/http-client.js';
 import { toTransportError } from '../../transport/transport-error.js';
-import { defectOf } from '../requests/index.js';
+import { defectOf } from '../dispatch/index.js';
 import type { SampleText } from './sample-text.js';
 
 /** What an attempt must heed. */
--- a/src/coordination/samples/sample-scorer.ts
+++ b/src/coordination/samples/sample-scorer.ts
@@ -2,7 +2,6 @@
 import { monotonicMs, sleep } from '../../common/clock.js';
 import type { ScoringCall } from '../../protocol/batch-job.js';
 import type { RoutingTable } from '../../state/configuration/index.js';
-import type { ReplicaDirectory } from '../../state/replicas/index.js';
 import type { ServiceRelay } from '../requests/index.js';
 
 /** How scoring ended. */
@@ -19,19 +18,14 @@
 
 const FIRST_PAUSE_MS = 20;
 const LONGEST_PAUSE_MS = 400;
-/** Part of a service's slots that one node's scoring calls take at most; the rest is left to callers. */
-const SLOT_FRACTION = 0.5;
-const MIN_CONCURRENT = 2;
+/** Who is charged for the use of replicas by scoring calls. */
+const SCORING_PARTY = 'scoring';
 const ROUTE_GONE_MS = 3_000;
 
-/** Scores samples, few at a time. */
+/** Scores samples. How many calls run at once is decided where the places of the service's replicas are dealt out. */
 export class SampleScorer {
-  private running = 0;
-  private readonly queue: (() => void)[] = [];
-
   constructor(
     private readonly routing: RoutingTable,
-    private readonly directory: ReplicaDirectory,
     private readonly relay: ServiceRelay,
   ) {}
 
@@ -45,22 +39,24 @@
       const route = snapshot?.match(call.host, call.path);
       if (snapshot && route) {
         routeSeenAtMs = monotonicMs();
-        await this.enter(route.targets.map((target) => target.service));
-        const outcome = await this.relay
-          .relay({
-            id: call.id,
-            method: 'POST',
-            path: call.path,
-            host: call.host,
-            headers: {},
-            body: call.body,
-            route: { ...route, maxAttempts: 1 },
-            snapshot,
-            deadlineMs: monotonicMs() + route.timeoutMs,
-            signal: job.signal,
-            isHedged: false,
-          })
-          .finally(() => this.leave());
+        const deadlineMs = monotonicMs() + route.timeoutMs;
+        const outcome = await this.relay.relay({
+          id: call.id,
+          method: 'POST',
+          path: call.path,
+          host: call.host,
+          headers: {},
+          body: call.body,
+          route: { ...route, maxAttempts: 1 },
+          snapshot,
+          deadlineMs,
+          signal: job.signal,
+          isHedged: false,
+          rank: route.priority,
+          party: SCORING_PARTY,
+          isPatient: true,
+          aimAtMs: deadlineMs,
+        });
         const answer = outcome.kind === 'answered' ? outcome.answer : undefined;
         const isSuccess = answer !== undefined && answer.status < 300;
         if (isSuccess && answer.isFramed && answer.signature)
@@ -76,20 +72,4 @@
     }
     return { kind: 'cancelled' };
   }
-
-  private limit(services: readonly string[]): number {
-    const replicas = services.flatMap((service) => this.directory.availableOf(service));
-    const slots = replicas.reduce((sum, state) => sum + state.replica.slots, 0);
-    return Math.max(MIN_CONCURRENT, Math.floor(slots * SLOT_FRACTION));
-  }
-
-  private async enter(services: readonly string[]): Promise<void> {
-    if (this.running >= this.limit(services)) await new Promise<void>((resolve) => this.queue.push(resolve));
-    this.running += 1;
-  }
-
-  private leave(): void {
-    this.running -= 1;
-    this.queue.shift()?.();
-  }
 }
--- /dev/null
+++ b/src/node/dispatch-parts.ts
@@ -0,0 +1,116 @@
+/** Puts together how requests of callers and scoring calls reach replicas: queues here, homes elsewhere, the fleet they are found in. */
+import type { DecisionLogger } from '../common/decision-logger.js';
+import type { ServiceMetrics } from '../common/service-metrics.js';
+import {
+  type DispatchCall,
+  HomeDispatch,
+  type ReplicaExchange,
+  ServiceQueues,
+  toCall,
+  toOutcomeMessage,
+} from '../coordination/dispatch/index.js';
+import { FleetDirectory } from '../coordination/membership/index.js';
+import type {
+  DispatchMessage,
+  DispatchOutcomeMessage,
+  Framed,
+  PeerDispatch,
+  PeerDispatchOptions,
+} from '../protocol/dispatch-peer.js';
+import type { RecordStore } from '../protocol/record-store.js';
+import type { ServiceSettings } from '../protocol/service-settings.js';
+import type { RoutingTable } from '../state/configuration/index.js';
+import type { ReplicaDirectory, ReplicaState } from '../state/replicas/index.js';
+
+/** Requests that may wait at one node, and the part of its memory that their bodies may take. */
+const MAX_WAITING = 2_000;
+const WAITING_FRACTION = 0.05;
+/** What a replica in another zone costs where no home deals out its places, milliseconds. */
+const OTHER_ZONE_MS = 5;
+
+/** Gives a call to another node. */
+export type PeerCall = (
+  address: string,
+  framed: Framed<DispatchMessage>,
+  options: PeerDispatchOptions,
+) => Promise<PeerDispatch>;
+
+/** What the dispatch is made of. */
+export interface DispatchServices {
+  readonly store: RecordStore;
+  readonly settings: ServiceSettings;
+  readonly routing: RoutingTable;
+  readonly directory: ReplicaDirectory;
+  readonly exchange: ReplicaExchange;
+  readonly callPeer: PeerCall;
+  readonly metrics: ServiceMetrics;
+  readonly logger: DecisionLogger;
+}
+
+/** The dispatch of one node. */
+export class DispatchParts {
+  readonly fleet: FleetDirectory;
+  readonly homes: HomeDispatch;
+  private readonly queues: ServiceQueues;
+
+  constructor(private readonly services: DispatchServices) {
+    const { store, settings, directory, exchange, callPeer, metrics, logger } = services;
+    this.fleet = new FleetDirectory(store);
+    this.queues = new ServiceQueues({
+      directory,
+      exchange,
+      slotsOf: (state) => this.slotsOf(state),
+      distanceMs: ({ replica }) => (replica.zone === settings.zone ? 0 : OTHER_ZONE_MS),
+      isAllowed: (call) => this.isAllowed(call),
+      bounds: { count: MAX_WAITING, bytes: settings.memoryBytes * WAITING_FRACTION },
+      metrics,
+      logger,
+    });
+    this.homes = new HomeDispatch({
+      nodeName: settings.nodeName,
+      zone: settings.zone,
+      members: () => this.fleet.members,
+      directory,
+      queues: this.queues,
+      call: callPeer,
+      metrics,
+      logger,
+    });
+    this.fleet.onChange(() => this.homes.noteChange());
+    directory.onChange(() => this.homes.noteChange());
+  }
+
+  /** A call of another node, whose outcome it is told; `undefined` when this node takes none. */
+  forPeer(
+    framed: Framed<DispatchMessage>,
+    signal: AbortSignal,
+  ): Promise<Framed<DispatchOutcomeMessage>> | undefined {
+    if (this.queues.areClosed) return undefined;
+    return this.queues.dispatch(toCall(framed, signal)).then(toOutcomeMessage);
+  }
+
+  /** Deals out no places any more: what waits is refused, and goes to other nodes. */
+  close(): void {
+    this.queues.close();
+  }
+
+  /** Brings the gauges up to date. */
+  measure(): void {
+    const { metrics } = this.services;
+    for (const [service, queue] of this.queues.all) {
+      metrics.waitingRequests.set({ service }, queue.waitingCount);
+      metrics.freePlaces.set({ service }, queue.room.free);
+      metrics.extraAttemptsLeft.set({ service }, queue.extrasLeft);
+    }
+  }
+
+  private slotsOf(state: ReplicaState): number {
+    return this.services.routing.current?.slotsOf(state.replica) ?? state.replica.slots;
+  }
+
+  /** A request that has waited must still have a route that leads to its service. */
+  private isAllowed({ service, request }: DispatchCall): boolean {
+    const route = this.services.routing.current?.match(request.host, request.path);
+    return route?.targets.some((target) => target.service === service) ?? false;
+  }
+}
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -3,7 +3,7 @@
  * the replicas' wire format and the operators' records, and translates its callers' requests into the calls below.
  */
 import { setMaxListeners } from 'node:events';
-import { monotonicMs, sleep } from '../common/clock.js';
+import { monotonicMs, SYSTEM_CLOCK, sleep } from '../common/clock.js';
 import type { DecisionLogger } from '../common/decision-logger.js';
 import { uniqueId } from '../common/identifier.js';
 import type { ServiceMetrics } from '../common/service-metrics.js';
@@ -13,6 +13,7 @@
   RecordFeed,
   SharedTable,
 } from '../coordination/configuration/index.js';
+import { ReplicaEndCheck, ReplicaExchange } from '../coordination/dispatch/index.js';
 import { DutyLease } from '../coordination/duties/index.js';
 import type { SubmissionParser } from '../coordination/jobs/index.js';
 import { JobCalls, JobForwarding, JobOwnership } from '../coordination/jobs/index.js';
@@ -24,17 +25,12 @@
   ReplicaAnnouncements,
   SessionMonitor,
 } from '../coordination/membership/index.js';
-import {
-  QuarantineExchange,
-  ReplicaEndCheck,
-  ReplicaExchange,
-  RequestQuarantine,
-  ServiceRelay,
-} from '../coordination/requests/index.js';
+import { QuarantineExchange, RequestQuarantine, ServiceRelay } from '../coordination/requests/index.js';
 import { Placement, SampleLengths, SampleScorer } from '../coordination/samples/index.js';
 import { UsageAccounting } from '../coordination/usage/index.js';
 import { WeightOrders } from '../coordination/weights/index.js';
 import type { PeerConfigurationAnswer } from '../protocol/configuration-peer.js';
+import type { DispatchMessage, DispatchOutcomeMessage, Framed } from '../protocol/dispatch-peer.js';
 import type { FatalRunAnswer, FatalRunMessage } from '../protocol/fatal-run-peer.js';
 import type { JobPeer } from '../protocol/job-calls.js';
 import type { RecordStore } from '../protocol/record-store.js';
@@ -46,6 +42,7 @@
 import { JobRepository } from '../state/jobs/index.js';
 import { FATAL_RUN_PARTITION, ReplicaDirectory, WeightVersions } from '../state/replicas/index.js';
 import { ResultCache } from '../state/samples/index.js';
+import { DispatchParts, type PeerCall } from './dispatch-parts.js';
 
 /** Duty of giving orders to model replicas. */
 const ORDERS_DUTY = 'weight-orders';
@@ -95,6 +92,8 @@
     address: string,
     reports: readonly FatalRunMessage[],
   ) => Promise<FatalRunAnswer | undefined>;
+  /** Gives a request to the node that deals out the places of its service. */
+  readonly dispatchAtPeer: PeerCall;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
@@ -115,6 +114,7 @@
   readonly relay: ServiceRelay;
   readonly jobs: JobCalls;
   private readonly versions = new WeightVersions();
+  private readonly dispatch: DispatchParts;
   private readonly quarantine: RequestQuarantine;
   private readonly quarantineExchange: QuarantineExchange;
   private readonly placement: Placement;
@@ -146,12 +146,20 @@
     const repository = new JobRepository(store);
     const cache = new ResultCache(settings.memoryBytes * RESULT_CACHE_FRACTION);
     this.quarantine = new RequestQuarantine({ store, metrics, logger });
+    this.dispatch = new DispatchParts({
+      store,
+      settings,
+      routing: this.routing,
+      directory: this.directory,
+      exchange,
+      callPeer: parts.dispatchAtPeer,
+      metrics,
+      logger,
+    });
     this.relay = new ServiceRelay(
-      this.directory,
       splitter,
-      exchange,
+      (call, isRepeatable) => this.dispatch.homes.dispatch(call, isRepeatable),
       this.quarantine,
-      settings.zone,
       (tenant) => this.usage?.counter.begin(tenant) ?? (() => {}),
     );
     this.sessions = new SessionMonitor(store, self, {
@@ -172,7 +180,7 @@
         endCheck,
         quarantine: this.quarantine,
         lengths: new SampleLengths(),
-        scorer: new SampleScorer(this.routing, this.directory, this.relay),
+        scorer: new SampleScorer(this.routing, this.relay),
         metrics,
         logger,
         repository,
@@ -184,7 +192,10 @@
       },
       self,
     );
-    this.peers = new PeerAddresses(store, settings.nodeName, logger);
+    this.peers = new PeerAddresses(store, settings.nodeName, logger, SYSTEM_CLOCK, {
+      zone: settings.zone,
+      capacity: settings.processorCores,
+    });
     this.jobs = new JobCalls({
       repository,
       ownership: this.ownership,
@@ -257,6 +268,7 @@
     this.feeds = [
       this.operatorFeed,
       this.replicaFeed,
+      new RecordFeed(store, this.dispatch.fleet, observer, pause),
       new RecordFeed(
         store,
         new SharedTable(this.ownership, { partition: FATAL_RUN_PARTITION, handler: this.quarantine }),
@@ -335,6 +347,14 @@
     return { isServed: this.parts.store.isInReach(), reports: [...known] };
   }
 
+  /** A request of another node for a service whose places this one deals out; `undefined` when it takes none. */
+  dispatchForPeer(
+    framed: Framed<DispatchMessage>,
+    signal: AbortSignal,
+  ): Promise<Framed<DispatchOutcomeMessage>> | undefined {
+    return this.dispatch.forPeer(framed, signal);
+  }
+
   /** Whether the node is on its way out. */
   get isLeaving(): boolean {
     return this.isDraining;
@@ -359,6 +379,7 @@
     metrics.dutiesHeld.set({}, this.leases.filter((lease) => lease.isHeld).length);
     this.usage?.measure();
     this.quarantine.measure();
+    this.dispatch.measure();
     for (const feed of this.feeds)
       metrics.feedAge.set({ table: feed.table }, feed.ageMs / MILLISECONDS_PER_SECOND);
   }
@@ -375,6 +396,8 @@
     const startedAt = monotonicMs();
     const { stopGraceMs } = this.parts.settings();
     this.ownership.stopClaiming();
+    void this.peers.withdraw();
+    this.dispatch.close();
     await Promise.all([this.sessions.announceLeaving(), ...this.leases.map((lease) => lease.resign())]);
     await this.waitUntil(() => this.ownership.ownedCount === 0, startedAt + stopGraceMs * FINISH_FRACTION);
     await this.ownership.handOver();
--- a/src/node/service-process.ts
+++ b/src/node/service-process.ts
@@ -4,9 +4,15 @@
 import type { StandardOutputLogger } from '../common/decision-logger.js';
 import type { ServiceMetrics } from '../common/service-metrics.js';
 import { CONFIGURATION_PATH, NEWER_THAN } from '../protocol/configuration-peer.js';
+import {
+  DISPATCH_PATH,
+  MAX_DISPATCH_BYTES,
+  parseDispatch,
+  renderDispatchOutcome,
+} from '../protocol/dispatch-peer.js';
 import { FATAL_RUNS_PATH, MAX_MESSAGE_BYTES, parseFatalRunQuestion } from '../protocol/fatal-run-peer.js';
 import type { ServiceSettings } from '../protocol/service-settings.js';
-import { HttpServer, readRequestBody, sendJson } from '../transport/http-server.js';
+import { callerGone, HttpServer, readRequestBody, sendJson } from '../transport/http-server.js';
 import type { ServiceNode } from './service-node.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -17,6 +23,8 @@
 const MILLISECONDS_PER_SECOND = 1000;
 /** Kept longer than callers may reuse an idle connection, milliseconds. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
+/** How long an idle connection of another node is kept, milliseconds. */
+const PEER_KEEP_ALIVE_MS = 60_000;
 
 /** What the process works with. */
 export interface ServiceProcessParts {
@@ -66,10 +74,13 @@
       notFound: async (_, response) => sendJson(response, 404, {}),
     });
     this.readiness.route('GET', parts.readyPath, async (_, response) => this.answerReady(response));
-    this.peers = new HttpServer({
-      ...fallbacks,
-      notFound: async (_, response) => sendJson(response, 404, {}),
-    });
+    this.peers = new HttpServer(
+      { ...fallbacks, notFound: async (_, response) => sendJson(response, 404, {}) },
+      { keepAliveTimeoutMs: PEER_KEEP_ALIVE_MS },
+    );
+    this.peers.route('POST', DISPATCH_PATH, (request, response) =>
+      this.parts.node.track(() => this.dispatchForPeer(request, response)),
+    );
     this.peers.route('GET', CONFIGURATION_PATH, async (request, response) =>
       this.answerPeer(request, response),
     );
@@ -123,6 +134,25 @@
     else sendJson(response, 400, { error: 'no reports' });
   }
 
+  /** Another node gives a request. The head of the answer says that it is taken, long before the outcome. */
+  private async dispatchForPeer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readRequestBody(request, MAX_DISPATCH_BYTES).catch(() => undefined);
+    const framed = body && parseDispatch(body);
+    if (!framed) {
+      sendJson(response, 400, { error: 'no request' });
+      return;
+    }
+    const outcome = this.parts.node.dispatchForPeer(framed, callerGone(response));
+    if (!outcome) {
+      sendJson(response, 503, { error: 'this node is leaving' });
+      return;
+    }
+    response.writeHead(200, { 'content-type': 'application/octet-stream' });
+    response.flushHeaders();
+    const { message, body: answer } = await outcome;
+    if (!response.destroyed) response.end(renderDispatchOutcome(message, answer));
+  }
+
   private answerReady(response: ServerResponse): void {
     const { isReady } = this.parts.node;
     sendJson(response, isReady ? 200 : 503, { ready: isReady });
--- /dev/null
+++ b/src/protocol/dispatch-peer.ts
@@ -0,0 +1,161 @@
+/**
+ * Requests that one node gives to another, which deals out the places of a service's replicas: TypeBox with JSON, over the port that
+ * only nodes reach. A message is one line of JSON and then the bytes of the body. The head of the answer comes as soon as the
+ * other node has taken the request, long before the outcome, so that a node that says nothing is told from a slow replica.
+ */
+import type { Readable } from 'node:stream';
+import { err, ok, type Result } from 'neverthrow';
+import Type, { type Static } from 'typebox';
+import { type HttpClient, readWhole } from '../transport/http-client.js';
+import { TransportError } from '../transport/transport-error.js';
+import { Validator } from './validation.js';
+
+/** Path of the exchange. */
+export const DISPATCH_PATH = '/dispatch';
+/** Requests with larger bodies go to replicas without a detour, bytes. */
+export const MAX_DISPATCHED_BODY_BYTES = 256 * 1024;
+/** A message with its line at most, bytes. */
+export const MAX_DISPATCH_BYTES = 17 * 1024 * 1024;
+
+const MAX_NAME = 512;
+const MAX_EXCLUDED = 64;
+const LINE_END = 0x0a;
+const STATUS_OK = 200;
+
+const HeadersSchema = Type.Record(Type.String(), Type.Union([Type.String(), Type.Array(Type.String())]));
+
+const CallSchema = Type.Object({
+  service: Type.String({ maxLength: MAX_NAME }),
+  id: Type.String({ maxLength: MAX_NAME }),
+  method: Type.String({ maxLength: MAX_NAME }),
+  path: Type.String(),
+  host: Type.String({ maxLength: MAX_NAME }),
+  headers: HeadersSchema,
+  tenant: Type.Optional(Type.String({ maxLength: MAX_NAME })),
+  rank: Type.Number(),
+  party: Type.String({ maxLength: MAX_NAME }),
+  isPatient: Type.Boolean(),
+  isExtra: Type.Boolean(),
+  isRetry: Type.Boolean(),
+  /** Time until the answer is wanted, and until it is of no use, milliseconds. */
+  aimMs: Type.Number(),
+  leftMs: Type.Number({ minimum: 0 }),
+  excluded: Type.Array(Type.String({ maxLength: MAX_NAME }), { maxItems: MAX_EXCLUDED }),
+  configVersion: Type.Number(),
+});
+export type DispatchMessage = Static<typeof CallSchema>;
+
+const ReplicaSchema = Type.Object({ id: Type.String(), address: Type.String() });
+const RoomSchema = Type.Object({ free: Type.Number(), slots: Type.Number(), waiting: Type.Number() });
+
+const OutcomeSchema = Type.Object({
+  kind: Type.Union([
+    Type.Literal('answered'),
+    Type.Literal('declined'),
+    Type.Literal('unknown'),
+    Type.Literal('cancelled'),
+  ]),
+  reason: Type.Optional(Type.String()),
+  isFull: Type.Optional(Type.Boolean()),
+  status: Type.Optional(Type.Integer()),
+  headers: Type.Optional(HeadersSchema),
+  signature: Type.Optional(Type.String()),
+  isFramed: Type.Optional(Type.Boolean()),
+  replica: Type.Optional(ReplicaSchema),
+  hasEndedReplica: Type.Boolean(),
+  retryAfterMs: Type.Optional(Type.Number()),
+  room: Type.Optional(RoomSchema),
+});
+export type DispatchOutcomeMessage = Static<typeof OutcomeSchema>;
+
+/** A message and the body that follows it. */
+export interface Framed<Message> {
+  readonly message: Message;
+  readonly body: Buffer;
+}
+
+const call = new Validator(CallSchema);
+const outcome = new Validator(OutcomeSchema);
+
+function frame(message: object, body: Buffer): Buffer {
+  return Buffer.concat([Buffer.from(`${JSON.stringify(message)}\n`, 'utf8'), body]);
+}
+
+function unframe(bytes: Buffer): { line: unknown; body: Buffer } | undefined {
+  const end = bytes.indexOf(LINE_END);
+  if (end < 0) return undefined;
+  try {
+    return { line: JSON.parse(bytes.toString('utf8', 0, end)), body: bytes.subarray(end + 1) };
+  } catch {
+    return undefined;
+  }
+}
+
+/** The call in the bytes of a request; `undefined` when they hold none. */
+export function parseDispatch(bytes: Buffer): Framed<DispatchMessage> | undefined {
+  const parts = unframe(bytes);
+  const message = parts && call.check(parts.line).unwrapOr(undefined as never);
+  return parts && message && { message, body: parts.body };
+}
+
+/** The bytes of an outcome. */
+export function renderDispatchOutcome(message: DispatchOutcomeMessage, body: Buffer): Buffer {
+  return frame(message, body);
+}
+
+/** What became of a call to another node. */
+export type PeerDispatch =
+  | { readonly kind: 'outcome'; readonly outcome: Framed<DispatchOutcomeMessage> }
+  /** It has certainly not been taken there. */
+  | { readonly kind: 'not-taken'; readonly reason: string }
+  /** It may have been taken there. */
+  | { readonly kind: 'lost'; readonly reason: string };
+
+/** How a call to another node is made. */
+export interface PeerDispatchOptions {
+  /** Called when the other node has taken the call. */
+  readonly onTaken: () => void;
+  /** Longest wait for the outcome, milliseconds. */
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Gives a call to the node at `address` (`IP:PORT`). Never repeated, never rejects. */
+export async function dispatchAtPeer(
+  http: HttpClient,
+  address: string,
+  { message, body }: Framed<DispatchMessage>,
+  { onTaken, timeoutMs, signal }: PeerDispatchOptions,
+): Promise<PeerDispatch> {
+  const sent = await http.send({
+    method: 'POST',
+    url: `http://${address}${DISPATCH_PATH}`,
+    headers: { 'content-type': 'application/octet-stream' },
+    body: frame(message, body),
+    headTimeoutMs: timeoutMs,
+    idleTimeoutMs: timeoutMs,
+    signal,
+  });
+  if (sent.isErr())
+    return { kind: sent.error.requestSent ? 'lost' : 'not-taken', reason: sent.error.message };
+  if (sent.value.status !== STATUS_OK) {
+    sent.value.body.resume();
+    return { kind: 'not-taken', reason: `status ${sent.value.status}` };
+  }
+  onTaken();
+  const read = await readOutcome(sent.value.body);
+  return read.isOk()
+    ? { kind: 'outcome', outcome: read.value }
+    : { kind: 'lost', reason: read.error.message };
+}
+
+async function readOutcome(body: Readable): Promise<Result<Framed<DispatchOutcomeMessage>, TransportError>> {
+  const bytes = await readWhole(body, MAX_DISPATCH_BYTES);
+  return bytes.andThen((whole) => {
+    const parts = unframe(whole);
+    const message = parts && outcome.check(parts.line).unwrapOr(undefined as never);
+    if (!parts || !message)
+      return err(new TransportError('connection-lost', true, 'the outcome cannot be read'));
+    return ok({ message, body: parts.body });
+  });
+}
--- a/src/protocol/replica.ts
+++ b/src/protocol/replica.ts
@@ -44,6 +44,15 @@
   readonly signal: AbortSignal;
 }
 
+/** What a replica says of its load with an answer. */
+export interface ReplicaLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** How long work takes there now, in percent of the usual; `undefined` where it doesn't say. */
+  readonly pacePercent: number | undefined;
+}
+
 /** The head of a replica's answer; `body` must be read or destroyed. */
 export interface ReplicaAnswer {
   readonly status: number;
@@ -59,6 +68,8 @@
   readonly signature: string | undefined;
   readonly weightVersion: number | undefined;
   readonly retryAfterMs: number | undefined;
+  /** What the replica says of its load, where it does. */
+  readonly load: ReplicaLoad | undefined;
   /** False when the answer ends with its connection: whether it is whole cannot be told then. */
   readonly isFramed: boolean;
   readonly body: Readable;
--- a/src/protocol/service-settings.ts
+++ b/src/protocol/service-settings.ts
@@ -42,6 +42,8 @@
   readonly resultRetentionMs: number;
   /** `undefined` where no usage is reported. */
   readonly usage: UsageSettings | undefined;
+  /** Processor that the process may use, in cores. */
+  readonly processorCores: number;
   /** Memory that the process may use, bytes. */
   readonly memoryBytes: number;
 }
--- /dev/null
+++ b/src/state/admission/admission.ts
@@ -0,0 +1,49 @@
+/**
+ * Whether a request may wait for a place, and when one that may not should come back. It answers loads beyond the room: what cannot
+ * be served in its time is refused while it has not run, at once, rather than kept until its caller gives up.
+ *
+ * Pure decisions: time and chance are passed in.
+ */
+
+/** What the decision looks at. */
+export interface AdmissionTerms {
+  /** Requests that go before it. */
+  readonly waitingBefore: number;
+  /** Requests that wait in all. */
+  readonly waitingCount: number;
+  /** Requests that the replicas end in a millisecond. */
+  readonly drainPerMs: number;
+  /** Time that it takes once it runs, milliseconds. */
+  readonly workMs: number;
+  /** Time until its caller gives up, milliseconds. */
+  readonly leftMs: number;
+}
+
+/** What follows for the request. */
+export type Admission =
+  | { readonly kind: 'admitted'; readonly expectedWaitMs: number }
+  | { readonly kind: 'refused'; readonly retryAfterMs: number };
+
+/** Callers come back after this time at least, milliseconds: sooner the room is not seen to change. */
+const SHORTEST_RETRY_MS = 50;
+/** Callers heed a time to come back up to this part of the time that they have left. */
+const HEEDED_PART = 1 / 3;
+/** Times to come back are spread over this part of themselves, so that those who are refused together don't come together. */
+const SPREAD = 0.5;
+
+/** Decides on a request. */
+export function admit(terms: AdmissionTerms, chance: number): Admission {
+  const expectedWaitMs = terms.waitingBefore / Math.max(terms.drainPerMs, Number.EPSILON);
+  if (expectedWaitMs + terms.workMs <= terms.leftMs) return { kind: 'admitted', expectedWaitMs };
+  return { kind: 'refused', retryAfterMs: retryAfterMs(terms, chance) };
+}
+
+/**
+ * When a request that is refused should come back, milliseconds: once those that wait now are served, and not all at once; within
+ * what callers heed. `chance` lies between 0 and 1.
+ */
+export function retryAfterMs(terms: AdmissionTerms, chance: number): number {
+  const drainedMs = terms.waitingCount / Math.max(terms.drainPerMs, Number.EPSILON);
+  const spreadMs = Math.max(SHORTEST_RETRY_MS, drainedMs + terms.workMs) * (1 + SPREAD * chance);
+  return Math.max(SHORTEST_RETRY_MS * (1 + chance), Math.min(spreadMs, terms.leftMs * HEEDED_PART));
+}
--- /dev/null
+++ b/src/state/admission/waiting-list.ts
@@ -0,0 +1,147 @@
+/**
+ * Requests that wait for a place at a replica, and which of them goes next. It answers overload: the more urgent rank first; within
+ * it those that can still be answered in time before those that no longer can; among these whoever has lately used least of the
+ * replicas' time; then the one whose time is over soonest. A part of the places goes to those that have waited longest, so that
+ * nobody is starved.
+ *
+ * Pure decisions: the time is passed in.
+ */
+import type { PartyUse } from './party-use.js';
+
+/** What the order looks at. Times are on the monotonic clock, milliseconds. */
+export interface Waiting {
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  /** Who is charged for the use: a tenant, or a caller. */
+  readonly party: string;
+  /** Whether it is work in the background, which waits for others but is given a part of the places. */
+  readonly isPatient: boolean;
+  /** When it came, or came first if it was refused before. */
+  readonly sinceMs: number;
+  /** When its caller wants the answer. */
+  readonly aimAtMs: number;
+  /** When its caller gives up. */
+  readonly endsAtMs: number;
+  readonly bytes: number;
+}
+
+/** How much may wait. */
+export interface WaitingBounds {
+  readonly count: number;
+  readonly bytes: number;
+}
+
+/**
+ * Every so many-th place goes to the longest waiting of a less urgent rank. A more urgent rank is to get at least 95 of 100
+ * places that it can use.
+ */
+const OTHER_RANK_TURN = 25;
+/** Every so many-th place goes to the longest waiting work in the background, if there is any. */
+const PATIENT_TURN = 4;
+
+/** What the order of two requests depends on besides themselves. */
+export interface OrderTerms {
+  readonly nowMs: number;
+  /** Time that a request takes once it runs, milliseconds. */
+  readonly workMs: number;
+}
+
+/** Requests that wait, of one service. */
+export class WaitingList<W extends Waiting> {
+  private readonly waiting = new Set<W>();
+  private bytes = 0;
+  private turns = 0;
+
+  constructor(
+    private readonly use: PartyUse,
+    private readonly bounds: WaitingBounds,
+  ) {}
+
+  get size(): number {
+    return this.waiting.size;
+  }
+
+  [Symbol.iterator](): IterableIterator<W> {
+    return this.waiting.values();
+  }
+
+  has(one: W): boolean {
+    return this.waiting.has(one);
+  }
+
+  /** Adds a request. Returns who has to go for it since no more may wait: the last in the order, which may be itself. */
+  add(one: W, terms: OrderTerms): W | undefined {
+    this.waiting.add(one);
+    this.bytes += one.bytes;
+    if (this.waiting.size <= this.bounds.count && this.bytes <= this.bounds.bytes) return undefined;
+    const last = this.last(terms);
+    if (last) this.remove(last);
+    return last;
+  }
+
+  /** Takes a request out; false when it does not wait. */
+  remove(one: W): boolean {
+    if (!this.waiting.delete(one)) return false;
+    this.bytes -= one.bytes;
+    return true;
+  }
+
+  /** Who is to have the next place. Looking does not take it: `noteServed` moves the turns on. */
+  next(terms: OrderTerms, isFit: (one: W) => boolean = () => true): W | undefined {
+    const first = this.best(terms, isFit);
+    if (!first) return undefined;
+    const turn = this.turns + 1;
+    if (turn % OTHER_RANK_TURN === 0)
+      return this.longest((one) => one.rank !== first.rank && isFit(one)) ?? first;
+    if (turn % PATIENT_TURN === 0)
+      return this.longest((one) => one.isPatient && one.rank === first.rank && isFit(one)) ?? first;
+    return first;
+  }
+
+  /** A place was given to one of the waiting. */
+  noteServed(): void {
+    this.turns += 1;
+  }
+
+  /** How many would go before a request that came now. */
+  countBefore(one: W, terms: OrderTerms): number {
+    let count = 0;
+    for (const other of this.waiting) if (other !== one && this.compare(other, one, terms) <= 0) count += 1;
+    return count;
+  }
+
+  private best(terms: OrderTerms, isFit: (one: W) => boolean): W | undefined {
+    let best: W | undefined;
+    for (const one of this.waiting)
+      if (isFit(one) && (!best || this.compare(one, best, terms) < 0)) best = one;
+    return best;
+  }
+
+  private last(terms: OrderTerms): W | undefined {
+    let last: W | undefined;
+    for (const one of this.waiting) if (!last || this.compare(one, last, terms) > 0) last = one;
+    return last;
+  }
+
+  private longest(isFit: (one: W) => boolean): W | undefined {
+    let longest: W | undefined;
+    for (const one of this.waiting)
+      if (isFit(one) && (!longest || one.sinceMs < longest.sinceMs)) longest = one;
+    return longest;
+  }
+
+  private compare(left: W, right: W, terms: OrderTerms): number {
+    return (
+      left.rank - right.rank ||
+      Number(isLate(left, terms)) - Number(isLate(right, terms)) ||
+      Number(left.isPatient) - Number(right.isPatient) ||
+      this.use.of(left.party, terms.nowMs) - this.use.of(right.party, terms.nowMs) ||
+      left.endsAtMs - right.endsAtMs
+    );
+  }
+}
+
+/** Whether a request can no longer be answered when its caller wants it, even if it ran now. */
+function isLate({ aimAtMs }: Waiting, { nowMs, workMs }: OrderTerms): boolean {
+  return nowMs + workMs > aimAtMs;
+}
--- /dev/null
+++ b/src/state/replicas/replica-choice.ts
@@ -0,0 +1,125 @@
+/**
+ * Chooses the replica at which a request is answered soonest, or says that waiting for a faster one is sooner. It answers loads
+ * under which replicas differ: with three of four replicas five times slower, equal counts put three quarters of the requests on
+ * the slow ones while the fast one stands idle. No replica idles while a fit request waits, unless it is so slow that the request
+ * ends sooner by waiting for another.
+ */
+import type { ReplicaState } from './replica-state.js';
+
+/** What a choice is made with. */
+export interface ChoiceTerms {
+  /** Requests that a replica runs at once. */
+  readonly slotsOf: (state: ReplicaState) => number;
+  /** Requests that wait before this one. */
+  readonly waitingBefore: number;
+  /** What one more replica's distance adds, milliseconds. */
+  readonly distanceMs: (state: ReplicaState) => number;
+  /** Usual time of a request before any was measured, milliseconds. */
+  readonly unmeasuredMs: number;
+}
+
+/** What follows for a request. */
+export type Choice =
+  | { readonly kind: 'send'; readonly state: ReplicaState; readonly expectedMs: number }
+  /** All are full, or the free ones so slow that a place at another is sooner. */
+  | { readonly kind: 'wait' }
+  /** No replica can be given requests. */
+  | { readonly kind: 'none' };
+
+/** A replica that takes this many times as long as the fastest one is no measure of how soon a place gets free. */
+const SLOW_FACTOR = 2;
+/**
+ * By how much a request is slowed down at a replica that is full otherwise, as a part of its time. Replicas of one service slow
+ * down near full, so equal ones are filled evenly.
+ */
+const FULL_SLOWDOWN = 0.5;
+
+/** What is known of one candidate. */
+interface Candidate {
+  readonly state: ReplicaState;
+  readonly slots: number;
+  readonly timeMs: number;
+}
+
+/** Time of a request at the replicas as far as measured, the fastest one's; `undefined` while none was. */
+function fastestMeasured(states: readonly ReplicaState[]): number | undefined {
+  const measured = states.map(({ averageMs }) => averageMs).filter((averageMs) => averageMs > 0);
+  return measured.length > 0 ? Math.min(...measured) : undefined;
+}
+
+function candidatesOf(states: readonly ReplicaState[], terms: ChoiceTerms): Candidate[] {
+  const usualMs = fastestMeasured(states) ?? terms.unmeasuredMs;
+  return states.map((state) => ({
+    state,
+    slots: Math.max(1, terms.slotsOf(state)),
+    timeMs: state.expectedMs(usualMs),
+  }));
+}
+
+/** Whether it may be given one more: a replica whose speed is a guess gets one at a time. */
+function hasRoom({ state, slots }: Candidate): boolean {
+  if (state.isPaused) return false;
+  return state.occupied < (state.isSpeedOld ? Math.min(1, slots) : slots);
+}
+
+/** Requests that the replicas end in a millisecond while they are full; slow ones count for their own speed. */
+export function drainRate(states: readonly ReplicaState[], terms: ChoiceTerms): number {
+  return candidatesOf(states, terms).reduce((sum, { slots, timeMs }) => sum + slots / Math.max(1, timeMs), 0);
+}
+
+/** Places that are free, and all places. */
+export function roomOf(states: readonly ReplicaState[], terms: ChoiceTerms): { free: number; all: number } {
+  let free = 0;
+  let all = 0;
+  for (const state of states) {
+    const slots = Math.max(1, terms.slotsOf(state));
+    all += slots;
+    if (!state.isPaused) free += Math.max(0, slots - state.occupied);
+  }
+  return { free, all };
+}
+
+/** The replica for a request among `states`, which may all take it. */
+export function chooseReplica(states: readonly ReplicaState[], terms: ChoiceTerms): Choice {
+  if (states.length === 0) return { kind: 'none' };
+  const sound = states.filter((state) => !state.isAvoided);
+  const candidates = candidatesOf(sound.length > 0 ? sound : states, terms);
+  const best = bestOf(candidates.filter(hasRoom), terms);
+  if (!best) return { kind: 'wait' };
+  const fastestMs = Math.min(...candidates.map(({ timeMs }) => timeMs));
+  if (best.timeMs <= fastestMs * SLOW_FACTOR) return toSend(best);
+  return best.timeMs <= waitMs(candidates, fastestMs, terms) + fastestMs ? toSend(best) : { kind: 'wait' };
+}
+
+function toSend({ state, timeMs }: Candidate): Choice {
+  return { kind: 'send', state, expectedMs: timeMs };
+}
+
+/** Equal ones take turns: the one that was given nothing for the longest time comes first. */
+function bestOf(candidates: readonly Candidate[], terms: ChoiceTerms): Candidate | undefined {
+  let best: Candidate | undefined;
+  let bestMs = Number.POSITIVE_INFINITY;
+  for (const candidate of candidates) {
+    const costMs = costOf(candidate, terms);
+    const isTie = costMs === bestMs && best && candidate.state.lastGivenMs < best.state.lastGivenMs;
+    if (costMs > bestMs || (costMs === bestMs && !isTie)) continue;
+    best = candidate;
+    bestMs = costMs;
+  }
+  return best;
+}
+
+/** Rounded to whole tenths of the time, so that what is not told apart by measurements takes turns. */
+function costOf({ state, slots, timeMs }: Candidate, terms: ChoiceTerms): number {
+  const load = state.occupied / slots;
+  const costMs = timeMs * (1 + FULL_SLOWDOWN * load) + terms.distanceMs(state);
+  const stepMs = Math.max(1, terms.unmeasuredMs / 10);
+  return Math.round(costMs / stepMs);
+}
+
+/** How long the request would wait for a place at one of the fast replicas, milliseconds. */
+function waitMs(candidates: readonly Candidate[], fastestMs: number, { waitingBefore }: ChoiceTerms): number {
+  const fast = candidates.filter(({ timeMs }) => timeMs <= fastestMs * SLOW_FACTOR);
+  const perMs = fast.reduce((sum, { slots, timeMs }) => sum + slots / Math.max(1, timeMs), 0);
+  return (waitingBefore + 1) / perMs;
+}
--- a/src/state/replicas/replica-life.ts
+++ b/src/state/replicas/replica-life.ts
@@ -30,8 +30,3 @@
   if (known.bornMs === undefined) return 'next';
   return heard.bornMs > known.bornMs ? 'next' : 'earlier';
 }
-
-/** A text that names one life, for logs. */
-export function nameOfLife({ id, bornMs }: ReplicaLife): string {
-  return bornMs === undefined ? id : `${id} born ${bornMs}`;
-}
--- a/src/state/replicas/replica-state.ts
+++ b/src/state/replicas/replica-state.ts
@@ -1,6 +1,6 @@
 /** One life of a replica, with what this node has learnt of it from traffic. */
 import { monotonicMs } from '../../common/clock.js';
-import type { Replica } from '../../protocol/replica.js';
+import type { Replica, ReplicaLoad } from '../../protocol/replica.js';
 
 /** How long a replica is avoided after a first failure, milliseconds; doubles with each further one. */
 const SUSPICION_BASE_MS = 250;
@@ -13,6 +13,15 @@
 const SILENCE_MS = 100;
 /** Weight of the newest measurement in moving averages. */
 const AVERAGE_WEIGHT = 0.2;
+/**
+ * Time after which half of what was measured of a replica's speed is taken to be past, milliseconds: one that was slow is tried
+ * again some seconds later, with one request at a time.
+ */
+const SPEED_HALF_LIFE_MS = 3_000;
+/** How long what a replica says of its load is taken as it is, milliseconds: a request lasts some tens of them. */
+const LOAD_AGE_MS = 250;
+/** What a replica says when its work takes as long as usual. */
+const USUAL_PACE = 100;
 /** Weight of the time of one event: a replica sends many. */
 const EVENT_WEIGHT = 0.05;
 
@@ -38,6 +47,14 @@
   /** When it answered last, or was sent the first request that it has not answered. */
   private answeredAtMs = 0;
   private ending: LifeEnd | undefined;
+  private measuredAtMs = 0;
+  /** When it was given a request last, and when it answered one. */
+  private sentAtMs = 0;
+  private heardAtMs = 0;
+  private load: ReplicaLoad | undefined;
+  private loadAtMs = 0;
+  /** Requests of others that it had when it last told its load. */
+  private othersThen = 0;
   private readonly restartListeners = new Set<() => void>();
 
   constructor(public replica: Replica) {}
@@ -76,7 +93,76 @@
   }
 
   get isSuspected(): boolean {
-    return monotonicMs() < Math.max(this.avoidUntilMs, this.pausedUntilMs);
+    return this.isAvoided || this.isPaused;
+  }
+
+  /** Whether it has failed lately. */
+  get isAvoided(): boolean {
+    return monotonicMs() < this.avoidUntilMs;
+  }
+
+  /** Whether it has said lately that it is full. */
+  get isPaused(): boolean {
+    return monotonicMs() < this.pausedUntilMs;
+  }
+
+  /** Requests that it has, of this node and, as it last told, of others. */
+  get occupied(): number {
+    const ageMs = monotonicMs() - this.loadAtMs;
+    const others = this.load ? this.othersThen * 2 ** (-ageMs / LOAD_AGE_MS) : 0;
+    return this.inFlight + Math.round(others);
+  }
+
+  /**
+   * Time that a request takes there once it runs, milliseconds, where it takes `usualMs` at the other replicas: as measured, less
+   * and less so the older that is; as long as it has kept silent over what it was given, if that is longer; at the pace that it
+   * tells of itself.
+   */
+  expectedMs(usualMs: number): number {
+    const nowMs = monotonicMs();
+    const measuredMs = this.averageMs || usualMs;
+    const past = 1 - 2 ** (-(nowMs - this.measuredAtMs) / SPEED_HALF_LIFE_MS);
+    const currentMs = measuredMs + (usualMs - measuredMs) * past;
+    return Math.max(currentMs * this.pace(nowMs), this.silenceMs(nowMs));
+  }
+
+  /** Whether nothing was measured for so long that its speed is a guess: one request at a time finds it out. */
+  get isSpeedOld(): boolean {
+    return this.averageMs > 0 && monotonicMs() - this.measuredAtMs > SPEED_HALF_LIFE_MS;
+  }
+
+  /** Takes what it says of its load. */
+  noteLoad(load: ReplicaLoad): void {
+    this.load = load;
+    this.loadAtMs = monotonicMs();
+    this.othersThen = Math.max(0, load.running + load.waiting - this.inFlight);
+  }
+
+  /** A request is given to it now. */
+  noteGiven(): void {
+    if (this.inFlight === 0) this.heardAtMs = monotonicMs();
+    this.inFlight += 1;
+    this.sentAtMs = monotonicMs();
+  }
+
+  /** A request that was given to it has ended; `isAnswered` says whether by a word of the replica. */
+  noteReturned(isAnswered: boolean): void {
+    this.inFlight -= 1;
+    if (isAnswered) this.heardAtMs = monotonicMs();
+  }
+
+  /** When it was given a request last, on the monotonic clock. */
+  get lastGivenMs(): number {
+    return this.sentAtMs;
+  }
+
+  private silenceMs(nowMs: number): number {
+    return this.inFlight > 0 ? nowMs - this.heardAtMs : 0;
+  }
+
+  private pace(nowMs: number): number {
+    const percent = this.load?.pacePercent;
+    return percent === undefined || nowMs - this.loadAtMs > LOAD_AGE_MS ? 1 : percent / USUAL_PACE;
   }
 
   /** Whether it may get one more request: after a decline only one at a time, until one is taken. */
@@ -162,6 +248,7 @@
   }
 
   private measure(tookMs: number, weight: number): void {
+    this.measuredAtMs = monotonicMs();
     this.averageMs = this.averageMs === 0 ? tookMs : this.averageMs + (tookMs - this.averageMs) * weight;
   }
 }
--- /dev/null
+++ b/test/coordination/dispatch/home-dispatch.test.ts
@@ -0,0 +1,223 @@
+/** Requests to the homes of their services: one failure a test, without a network. */
+import { expect } from 'chai';
+import { monotonicMs, sleep } from '../../../src/common/clock.js';
+import { ServiceMetrics } from '../../../src/common/service-metrics.js';
+import type { DispatchCall, DispatchResult } from '../../../src/coordination/dispatch/dispatch-call.js';
+import {
+  HomeDispatch,
+  needsHomes,
+  toCall,
+  toOutcomeMessage,
+} from '../../../src/coordination/dispatch/home-dispatch.js';
+import type { ServiceQueues } from '../../../src/coordination/dispatch/service-queues.js';
+import {
+  type DispatchMessage,
+  type Framed,
+  MAX_DISPATCHED_BODY_BYTES,
+  type PeerDispatch,
+  type PeerDispatchOptions,
+} from '../../../src/protocol/dispatch-peer.js';
+import { ReplicaDirectory } from '../../../src/state/replicas/replica-directory.js';
+import { type FleetMember, rankHomes } from '../../../src/state/replicas/service-homes.js';
+import { replicaWith } from '../../support/replicas.js';
+
+const SERVICE = 's';
+const HERE: DispatchResult = {
+  outcome: {
+    kind: 'answered',
+    answer: { status: 200, headers: {}, body: Buffer.from('here'), signature: 'x', isFramed: true },
+  },
+  hasEndedReplica: false,
+};
+const MEMBERS: FleetMember[] = Array.from({ length: 12 }, (_, index) => ({
+  name: `node-${index}`,
+  peerAddress: `10.0.0.${index}:1`,
+  zone: `zone-${index % 3}`,
+  capacity: 1,
+}));
+const RANKED = rankHomes(SERVICE, MEMBERS);
+const [FIRST] = RANKED as [FleetMember];
+/** A node that is neither the home nor the nearest one that would take its place. */
+const SELF = RANKED.at(-1) as FleetMember;
+const NEAREST = RANKED.find(({ zone, name }) => zone === SELF.zone && name !== FIRST.name) as FleetMember;
+
+type Answer = (framed: Framed<DispatchMessage>, options: PeerDispatchOptions) => Promise<PeerDispatch>;
+
+const answered: Answer = async (framed, { onTaken }) => {
+  onTaken();
+  const { message, body } = toOutcomeMessage({
+    ...HERE,
+    outcome: {
+      kind: 'answered',
+      answer: { status: 200, headers: { a: 'b' }, body: framed.body, signature: 'x', isFramed: true },
+    },
+    room: { free: 1, slots: 6, waiting: 0 },
+  });
+  return { kind: 'outcome', outcome: { message, body } };
+};
+const refusedConnection: Answer = async () => ({ kind: 'not-taken', reason: 'connection refused' });
+const silent: Answer = (_, { signal }) =>
+  new Promise((resolve) =>
+    signal.addEventListener('abort', () => resolve({ kind: 'lost', reason: 'aborted' })),
+  );
+
+describe('requests to homes', () => {
+  let homes: HomeDispatch;
+  let asked: string[];
+  let answers: Map<string, Answer>;
+  let served: number;
+
+  beforeEach(() => {
+    const directory = new ReplicaDirectory();
+    directory.set(replicaWith({ service: SERVICE, slots: 6 }));
+    asked = [];
+    answers = new Map();
+    served = 0;
+    homes = new HomeDispatch({
+      nodeName: SELF.name,
+      zone: SELF.zone,
+      members: () => MEMBERS,
+      directory,
+      queues: {
+        dispatch: async () => {
+          served += 1;
+          return HERE;
+        },
+      } as unknown as ServiceQueues,
+      call: (address, framed, options) => {
+        const { name } = MEMBERS.find(({ peerAddress }) => peerAddress === address) as FleetMember;
+        asked.push(name);
+        return (answers.get(name) ?? answered)(framed, options);
+      },
+      metrics: new ServiceMetrics(),
+      logger: { record: () => {} },
+    });
+  });
+
+  function call(body = Buffer.from('question'), signal = new AbortController().signal): DispatchCall {
+    const nowMs = monotonicMs();
+    return {
+      service: SERVICE,
+      request: {
+        id: 'r',
+        method: 'POST',
+        path: '/x',
+        host: 'h',
+        headers: { c: ['d', 'e'] },
+        tenant: 't',
+        body,
+      },
+      rank: 2,
+      party: 't',
+      isPatient: false,
+      aimAtMs: nowMs + 150,
+      endsAtMs: nowMs + 800,
+      isExtra: false,
+      isRetry: false,
+      excluded: new Set(['r9']),
+      configVersion: 7,
+      signal,
+    };
+  }
+
+  it('go to the first in line, whole, and bring the whole answer back', async () => {
+    const { outcome, via, room } = await homes.dispatch(call(), true);
+    expect(asked).to.deep.equal([FIRST.name]);
+    expect(outcome.kind === 'answered' && outcome.answer.body.toString()).to.equal('question');
+    expect(outcome.kind === 'answered' && outcome.answer.headers).to.deep.equal({ a: 'b' });
+    expect(via).to.equal(FIRST.name);
+    expect(room).to.deep.equal({ free: 1, slots: 6, waiting: 0 });
+  });
+
+  it('are the same request at the home, with the time that is left', async () => {
+    let received: DispatchCall | undefined;
+    answers.set(FIRST.name, async (framed, options) => {
+      received = toCall(framed, options.signal);
+      return answered(framed, options);
+    });
+    const sent = call();
+    await homes.dispatch(sent, true);
+    const { signal: _, ...there } = received as DispatchCall;
+    const { signal: __, ...here } = sent;
+    expect(there).to.deep.include({
+      ...here,
+      request: sent.request,
+      aimAtMs: there.aimAtMs,
+      endsAtMs: there.endsAtMs,
+    });
+    expect(there.endsAtMs).to.be.closeTo(here.endsAtMs, 50);
+  });
+
+  it('go to the next in their own zone when the home is gone, and stay there for a while', async () => {
+    answers.set(FIRST.name, refusedConnection);
+    expect((await homes.dispatch(call(), false)).outcome.kind).to.equal('answered');
+    expect((await homes.dispatch(call(), false)).outcome.kind).to.equal('answered');
+    expect(asked).to.deep.equal([FIRST.name, NEAREST.name, NEAREST.name]);
+  });
+
+  it('are dealt with here when no home can be reached', async () => {
+    answers.set(FIRST.name, refusedConnection).set(NEAREST.name, refusedConnection);
+    await homes.dispatch(call(), false);
+    expect(served).to.equal(1);
+    asked.length = 0;
+    await homes.dispatch(call(), false);
+    expect(asked).to.deep.equal([]);
+  });
+
+  it('leave a home that stands still: a repeatable one is given up soon, later ones go elsewhere at once', async () => {
+    answers.set(FIRST.name, silent);
+    const startedAt = monotonicMs();
+    const lost = await homes.dispatch(call(), true);
+    expect(lost.outcome.kind).to.equal('unknown');
+    expect(monotonicMs() - startedAt).to.be.within(200, 600);
+    expect((await homes.dispatch(call(), true)).via).to.equal(NEAREST.name);
+  });
+
+  it('that run at most once wait for a home that may have them, while others go elsewhere', async () => {
+    const leaving = new AbortController();
+    answers.set(FIRST.name, silent);
+    const waiting = homes.dispatch(call(undefined, leaving.signal), false);
+    await sleep(150);
+    expect((await homes.dispatch(call(), false)).via).to.equal(NEAREST.name);
+    leaving.abort();
+    expect((await waiting).outcome.kind).to.equal('cancelled');
+    expect(asked.filter((name) => name === FIRST.name)).to.have.length(1);
+  });
+
+  it('may have run when the connection to the home broke: they are not sent again from here', async () => {
+    answers.set(FIRST.name, async (_, { onTaken }) => {
+      onTaken();
+      return { kind: 'lost', reason: 'reset' };
+    });
+    expect((await homes.dispatch(call(), false)).outcome.kind).to.equal('unknown');
+    expect(asked).to.deep.equal([FIRST.name]);
+    expect(served).to.equal(0);
+  });
+
+  it('are dealt with elsewhere when the home knows no replicas', async () => {
+    answers.set(FIRST.name, async (framed, options) => {
+      options.onTaken();
+      const refused: DispatchResult = {
+        outcome: { kind: 'declined', reason: 'no replica', isFull: true },
+        hasEndedReplica: false,
+        room: { free: 0, slots: 0, waiting: 0 },
+      };
+      const { message, body } = toOutcomeMessage(refused);
+      return framed ? { kind: 'outcome', outcome: { message, body } } : answered(framed, options);
+    });
+    expect((await homes.dispatch(call(), false)).outcome.kind).to.equal('answered');
+    expect(asked).to.deep.equal([FIRST.name, NEAREST.name]);
+  });
+
+  it('make no detour with a large body', async () => {
+    await homes.dispatch(call(Buffer.alloc(MAX_DISPATCHED_BODY_BYTES + 1)), true);
+    expect(served).to.equal(1);
+    expect(asked).to.deep.equal([]);
+  });
+
+  it('make none where nodes are no more than what a replica runs at once', () => {
+    expect(needsHomes(6, [6, 8])).to.equal(false);
+    expect(needsHomes(7, [6, 8])).to.equal(true);
+    expect(needsHomes(400, [])).to.equal(false);
+  });
+});
--- /dev/null
+++ b/test/coordination/dispatch/homes.test.ts
@@ -0,0 +1,187 @@
+/** Requests that reach replicas through the home of their service: real nodes, one failure a test. */
+import { expect } from 'chai';
+import type { ReplicaServer } from '../../../emulator/replica/replica-server.js';
+import { HEADER } from '../../../platform/names.js';
+import { monotonicMs } from '../../../src/common/clock.js';
+import {
+  APPLICATION_SERVICE,
+  HOST,
+  kill,
+  LOOKUP_PATH,
+  type ServiceNodeProcess,
+  ServiceSystem,
+  usualConfiguration,
+} from '../../support/service-system.js';
+import { until } from '../../support/wait.js';
+
+/** More nodes than a replica runs requests at once, so that the service has a home. */
+const NODES = 5;
+const SLOTS = 3;
+const WORK_MS = 20;
+/** Longest time for a repeatable request whose home stands still or is gone, milliseconds. */
+const TAKE_OVER_MS = 1_000;
+
+describe('requests through the home of their service', () => {
+  let system: ServiceSystem;
+  let nodes: ServiceNodeProcess[];
+  let replicas: ReplicaServer[];
+  let home: ServiceNodeProcess;
+  let others: ServiceNodeProcess[];
+  let requests = 0;
+
+  beforeEach(async () => {
+    system = await ServiceSystem.start();
+    replicas = await Promise.all(
+      [1, 2, 3].map(() => system.addApplication({ slots: SLOTS, workMs: WORK_MS })),
+    );
+    nodes = await Promise.all(
+      Array.from({ length: NODES }, (_, index) => system.addNode(`node-${index + 1}`)),
+    );
+    for (const node of nodes) await system.untilReady(node);
+    await until('all nodes agree on the home', async () => {
+      for (const node of nodes) await lookup(node);
+      const homes = nodes.map(homeAsSeenBy);
+      return homes[0] !== undefined && homes.every((name) => name === homes[0]);
+    });
+    home = nodes.find(
+      ({ name }) => name === homeAsSeenBy(nodes[0] as ServiceNodeProcess),
+    ) as ServiceNodeProcess;
+    others = nodes.filter((node) => node !== home);
+  });
+
+  afterEach(() => system.stop());
+
+  const homeAsSeenBy = ({ log }: ServiceNodeProcess) =>
+    log
+      .filter(({ context }) => context.subject === 'home' && context.name === APPLICATION_SERVICE)
+      .map(({ context }) => String(context.change).replace('homes ', ''))
+      .at(-1);
+
+  const nextId = () => {
+    requests += 1;
+    return `lookup-${requests}`;
+  };
+
+  const lookup = (node: ServiceNodeProcess, id = nextId(), headers = {}) => system.lookup(node, id, headers);
+  const receivedAs = (id: string) =>
+    replicas.flatMap(({ received }) => received.filter((one) => one.id === id));
+  const configure = (fields: object) => system.configure(usualConfiguration(2, { lookup: { ...fields } }));
+  const inForce = (version: number) =>
+    until(`version ${version} is in force`, () =>
+      nodes.every(({ log }) =>
+        log.some(({ context }) => context.subject === 'configuration' && context.version === version),
+      ),
+    );
+
+  it('share the connections of one node, however many nodes callers use', async () => {
+    const before = replicas.reduce((sum, { openedConnections }) => sum + openedConnections, 0);
+    for (let round = 0; round < 10; round += 1)
+      for (const node of nodes) expect((await lookup(node))?.status).to.equal(200);
+    const opened = replicas.reduce((sum, { openedConnections }) => sum + openedConnections, 0) - before;
+    expect(opened).to.be.at.most(replicas.length);
+  });
+
+  it('are served whole in a crowd that fills every place, and no replica is sent more than it runs', async () => {
+    const answers = await Promise.all(
+      Array.from({ length: 60 }, (_, index) => lookup(nodes[index % NODES] as ServiceNodeProcess)),
+    );
+    for (const answer of answers) expect(answer?.status).to.equal(200);
+    const declined = replicas.flatMap(({ received }) =>
+      received.filter((one) => one.beganAtMs === undefined),
+    );
+    expect(declined).to.have.length(0);
+  });
+
+  it('hand on no more time than is left', async () => {
+    const id = nextId();
+    await lookup(others[0] as ServiceNodeProcess, id, { [HEADER.deadlineMs]: '700' });
+    expect(receivedAs(id)[0]?.deadlineMs).to.be.within(1, 700);
+  });
+
+  it('are served elsewhere when the home is killed, also those that it had', async () => {
+    for (const replica of replicas) replica.workMs = 300;
+    const underWay = others.map((node) => lookup(node));
+    await until('they run', () => replicas.some(({ running }) => running > 0));
+    await kill(home);
+    for (const answer of await Promise.all(underWay)) expect(answer?.status).to.equal(200);
+    for (const node of others) expect((await lookup(node))?.status).to.equal(200);
+  });
+
+  it('run at most once when the home is killed and they may not be repeated', async () => {
+    configure({ kind: 'unsafe' });
+    await inForce(2);
+    for (const replica of replicas) replica.workMs = 300;
+    const ids = others.map(() => nextId());
+    const underWay = others.map((node, index) => lookup(node, ids[index]));
+    await until('they run', () => replicas.reduce((sum, { running }) => sum + running, 0) === others.length);
+    await kill(home);
+    for (const answer of await Promise.all(underWay)) expect(answer?.status).to.be.oneOf([502, 504]);
+    for (const id of ids) expect(receivedAs(id)).to.have.length(1);
+    for (const node of others) expect((await lookup(node))?.status).to.equal(200);
+  });
+
+  it('go elsewhere within a stated time when the home stands still', async () => {
+    home.child.kill('SIGSTOP');
+    for (const node of others) {
+      const startedAt = monotonicMs();
+      expect((await lookup(node))?.status).to.equal(200);
+      expect(monotonicMs() - startedAt).to.be.lessThan(TAKE_OVER_MS);
+      expect((await lookup(node))?.status).to.equal(200);
+    }
+    home.child.kill('SIGCONT');
+    for (const node of others) expect((await lookup(node))?.status).to.equal(200);
+  });
+
+  it('that wait at a home which freezes past their time are never sent by it afterwards', async () => {
+    for (const replica of replicas) replica.workMs = 1_000;
+    configure({ kind: 'unsafe', timeoutMs: 5_000 });
+    await inForce(2);
+    const filling = Array.from({ length: replicas.length * SLOTS }, () => lookup(home));
+    await until('every place is taken', () => replicas.every(({ running }) => running === SLOTS));
+    const waitingId = nextId();
+    const waiting = lookup(others[0] as ServiceNodeProcess, waitingId, { [HEADER.deadlineMs]: '1500' });
+    await until('the home has it', async () => (await waitingAt(home)) === 1);
+    home.child.kill('SIGSTOP');
+    expect((await waiting)?.status).to.equal(504);
+    home.child.kill('SIGCONT');
+    await Promise.all(filling);
+    expect(receivedAs(waitingId)).to.have.length(0);
+  });
+
+  it('are not cut off when the home is stopped: what runs ends, what waits goes elsewhere', async () => {
+    for (const replica of replicas) replica.workMs = 200;
+    const underWay = Array.from({ length: 40 }, (_, index) =>
+      lookup(others[index % others.length] as ServiceNodeProcess),
+    );
+    await until('some run', () => replicas.some(({ running }) => running > 0));
+    const ended = kill(home, 'SIGTERM');
+    for (const answer of await Promise.all(underWay)) expect(answer?.status).to.equal(200);
+    for (const node of others) expect((await lookup(node))?.status).to.equal(200);
+    await ended;
+  });
+
+  it('stop at the replica when their caller leaves', async () => {
+    for (const replica of replicas) replica.workMs = 60_000;
+    const leaving = new AbortController();
+    const sent = system.http.exchange({
+      method: 'POST',
+      url: `${(others[0] as ServiceNodeProcess).url}${LOOKUP_PATH}x`,
+      headers: { host: HOST, [HEADER.requestId]: nextId(), [HEADER.deadlineMs]: '9000' },
+      body: 'question',
+      signal: leaving.signal,
+    });
+    await until('it runs', () => replicas.some(({ running }) => running > 0));
+    const connections = () => replicas.reduce((sum, replica) => sum + replica.connectionCount(), 0);
+    const before = connections();
+    leaving.abort();
+    await sent;
+    await until('its connection is closed', () => connections() < before);
+  });
+
+  async function waitingAt(node: ServiceNodeProcess): Promise<number> {
+    const text = (await system.http.exchange({ method: 'GET', url: node.metricsUrl }))
+      ._unsafeUnwrap()
+      .body.toString();
+    return Number(/thymecove_waiting_requests\{[^}]*\} (\d+)/.exec(text)?.[1] ?? 0);
+  }
+});
--- a/test/coordination/requests/replica-end-check.test.ts
+++ b/test/coordination/dispatch/replica-end-check.test.ts
@@ -4,8 +4,8 @@
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { ServiceMetrics } from '../../../src/common/service-metrics.js';
-import { ReplicaEndCheck } from '../../../src/coordination/requests/replica-end-check.js';
-import { digestOf, type IdentifiedRequest } from '../../../src/coordination/requests/request-digest.js';
+import { ReplicaEndCheck } from '../../../src/coordination/dispatch/replica-end-check.js';
+import { digestOf, type IdentifiedRequest } from '../../../src/coordination/dispatch/request-digest.js';
 import { ReplicaState } from '../../../src/state/replicas/replica-state.js';
 import { replicaWith } from '../../support/replicas.js';
 
--- /dev/null
+++ b/test/coordination/dispatch/service-queue.test.ts
@@ -0,0 +1,241 @@
+/** The queue of a service at the node that deals out its places, one failure a test, without a network. */
+import { setImmediate as turn } from 'node:timers/promises';
+import { expect } from 'chai';
+import { monotonicMs } from '../../../src/common/clock.js';
+import { ServiceMetrics } from '../../../src/common/service-metrics.js';
+import type { DispatchCall, DispatchResult } from '../../../src/coordination/dispatch/dispatch-call.js';
+import type { AttemptOutcome, ReplicaExchange } from '../../../src/coordination/dispatch/replica-exchange.js';
+import { ServiceQueue } from '../../../src/coordination/dispatch/service-queue.js';
+import { ReplicaDirectory } from '../../../src/state/replicas/replica-directory.js';
+import type { ReplicaState } from '../../../src/state/replicas/replica-state.js';
+import { replicaWith } from '../../support/replicas.js';
+import { until } from '../../support/wait.js';
+
+const SLOTS = 2;
+const ANSWER: AttemptOutcome = {
+  kind: 'answered',
+  answer: { status: 200, headers: {}, body: Buffer.from('yes'), signature: 's', isFramed: true },
+};
+const FULL: AttemptOutcome = { kind: 'declined', reason: 'status 503', isFull: true };
+
+/** An attempt that a replica has; `end` gives its outcome. */
+interface OpenAttempt {
+  readonly id: string;
+  readonly replica: string;
+  readonly deadlineMs: number;
+  readonly end: (outcome?: AttemptOutcome) => void;
+}
+
+describe('the queue of a service', () => {
+  let directory: ReplicaDirectory;
+  let queue: ServiceQueue;
+  let open: OpenAttempt[];
+  let isAllowed: boolean;
+  let lines: Record<string, unknown>[];
+
+  beforeEach(() => {
+    directory = new ReplicaDirectory();
+    directory.set(replicaWith({ slots: SLOTS }));
+    open = [];
+    isAllowed = true;
+    lines = [];
+    const exchange = {
+      attempt: (state: ReplicaState, request: { id: string; deadlineMs: number }) =>
+        new Promise<AttemptOutcome>((resolve) => {
+          state.noteGiven();
+          open.push({
+            id: request.id,
+            replica: state.id,
+            deadlineMs: request.deadlineMs,
+            end: (outcome = ANSWER) => {
+              state.noteReturned(true);
+              if (outcome.kind === 'declined') state.pause(30);
+              if (outcome.kind === 'answered') state.noteSuccess(20);
+              resolve(outcome);
+            },
+          });
+        }),
+    };
+    queue = new ServiceQueue('s', {
+      directory,
+      exchange: exchange as unknown as ReplicaExchange,
+      slotsOf: ({ replica }) => replica.slots,
+      distanceMs: () => 0,
+      isAllowed: () => isAllowed,
+      bounds: { count: 4, bytes: 1_000_000 },
+      metrics: new ServiceMetrics(),
+      logger: { record: (record) => lines.push({ ...record }) },
+    });
+  });
+
+  let calls = 0;
+
+  function call(fields: Partial<DispatchCall> & { leftMs?: number; id?: string } = {}): DispatchCall {
+    calls += 1;
+    const { leftMs = 5_000, id = `call-${calls}`, ...rest } = fields;
+    return {
+      service: 's',
+      request: { id, method: 'POST', path: '/x', host: 'h', headers: {}, body: Buffer.alloc(10) },
+      rank: 1,
+      party: 'p',
+      isPatient: false,
+      aimAtMs: monotonicMs() + 1_000,
+      endsAtMs: monotonicMs() + leftMs,
+      isExtra: false,
+      isRetry: false,
+      excluded: new Set(),
+      configVersion: 1,
+      signal: new AbortController().signal,
+      ...rest,
+    };
+  }
+
+  /** Fills both places. */
+  async function fill(): Promise<Promise<DispatchResult>[]> {
+    const filling = [queue.dispatch(call()), queue.dispatch(call())];
+    await turn();
+    expect(open).to.have.length(SLOTS);
+    return filling;
+  }
+
+  it('sends at once while there are places, and lets wait what comes then', async () => {
+    await fill();
+    const waiting = queue.dispatch(call({ id: 'third' }));
+    await turn();
+    expect(open).to.have.length(SLOTS);
+    expect(queue.room).to.deep.equal({ free: 0, slots: SLOTS, waiting: 1 });
+    open[0]?.end();
+    await until('it is sent', () => open.some(({ id }) => id === 'third'));
+    open.at(-1)?.end();
+    expect((await waiting).outcome.kind).to.equal('answered');
+    expect((await waiting).replica?.id).to.equal('r1');
+  });
+
+  it('gives a place to the most urgent of those that wait', async () => {
+    await fill();
+    void queue.dispatch(call({ id: 'low', rank: 4 }));
+    void queue.dispatch(call({ id: 'high', rank: 0 }));
+    open[0]?.end();
+    await until('one is sent', () => open.length > SLOTS);
+    expect(open.at(-1)?.id).to.equal('high');
+  });
+
+  it('refuses at once what cannot be served in its time, says when to come back, and has not sent it', async () => {
+    await fill();
+    const startedAt = monotonicMs();
+    const refused = await queue.dispatch(call({ id: 'short', leftMs: 10 }));
+    expect(monotonicMs() - startedAt).to.be.lessThan(20);
+    expect(refused.outcome.kind).to.equal('declined');
+    expect(refused.retryAfterMs).to.be.greaterThan(0);
+    expect(open.some(({ id }) => id === 'short')).to.equal(false);
+    const [line] = lines;
+    expect(line).to.include({ event: 'request-refused', requestId: 'short', free: 0, slots: SLOTS });
+  });
+
+  it('refuses what has waited until its time was over, and never sends it', async () => {
+    await fill();
+    const refused = await queue.dispatch(call({ id: 'waited', leftMs: 120 }));
+    expect(refused.outcome.kind).to.equal('declined');
+    open[0]?.end();
+    await turn();
+    expect(open.some(({ id }) => id === 'waited')).to.equal(false);
+  });
+
+  it('takes a caller that has left out of the queue at once', async () => {
+    await fill();
+    const leaving = new AbortController();
+    const gone = queue.dispatch(call({ id: 'gone', signal: leaving.signal }));
+    leaving.abort();
+    expect((await gone).outcome.kind).to.equal('cancelled');
+    expect(queue.waitingCount).to.equal(0);
+    open[0]?.end();
+    await turn();
+    expect(open.some(({ id }) => id === 'gone')).to.equal(false);
+  });
+
+  it('judges what has waited again: without a route it is refused, not sent', async () => {
+    await fill();
+    const waiting = queue.dispatch(call({ id: 'dropped' }));
+    isAllowed = false;
+    open[0]?.end();
+    expect((await waiting).outcome.kind).to.equal('declined');
+    expect(open.some(({ id }) => id === 'dropped')).to.equal(false);
+  });
+
+  it('lets no more wait than it may: the last in the order is refused', async () => {
+    await fill();
+    const waiting = [4, 3, 2, 2, 0].map((rank) => queue.dispatch(call({ rank })));
+    const refused = await (waiting[0] as Promise<DispatchResult>);
+    expect(refused.outcome.kind).to.equal('declined');
+    expect(queue.waitingCount).to.equal(4);
+  });
+
+  it('keeps the place of one that a replica has declined, and tries another', async () => {
+    directory.set(replicaWith({ id: 'r2', slots: SLOTS }));
+    const served = queue.dispatch(call());
+    await turn();
+    const [first] = open as [OpenAttempt];
+    first.end(FULL);
+    await until('it is sent again', () => open.length === 2);
+    expect(open[1]?.replica).to.not.equal(first.replica);
+    open[1]?.end();
+    expect((await served).outcome.kind).to.equal('answered');
+  });
+
+  it('waits for a replica that was full, rather than refuse while its caller has time', async () => {
+    const served = queue.dispatch(call());
+    await turn();
+    open[0]?.end(FULL);
+    await until('it is sent again once the pause is over', () => open.length === 2);
+    open[1]?.end();
+    expect((await served).outcome.kind).to.equal('answered');
+  });
+
+  it('gives a second attempt a free place at another replica, or none', async () => {
+    directory.set(replicaWith({ id: 'r2', slots: SLOTS }));
+    void queue.dispatch(call({ id: 'twice' }));
+    await turn();
+    void queue.dispatch(call({ id: 'twice', isExtra: true }));
+    await turn();
+    expect(new Set(open.map(({ replica }) => replica)).size).to.equal(2);
+    for (let count = 0; count < 3; count += 1) void queue.dispatch(call());
+    await turn();
+    const third = await queue.dispatch(call({ id: 'twice', isExtra: true }));
+    expect(third.outcome.kind).to.equal('declined');
+  });
+
+  it('spends no second attempts beyond the budget', async () => {
+    directory.set(replicaWith({ id: 'r2', slots: 100 }));
+    let declined = 0;
+    for (let count = 0; count < 40; count += 1) {
+      const outcome = await Promise.race([queue.dispatch(call({ isExtra: true })), turn()]);
+      if (outcome && outcome.outcome.kind === 'declined') declined += 1;
+    }
+    expect(declined).to.be.at.least(28);
+  });
+
+  it('refuses what waits when its node leaves, and goes on with what runs', async () => {
+    const [running] = await fill();
+    const waiting = queue.dispatch(call());
+    queue.close('this node is leaving');
+    expect((await waiting).outcome.kind).to.equal('declined');
+    open[0]?.end();
+    expect((await running)?.outcome.kind).to.equal('answered');
+  });
+
+  it('refuses at once where no replica is known', async () => {
+    directory.remove('r1');
+    expect((await queue.dispatch(call())).outcome.kind).to.equal('declined');
+  });
+
+  it('tells that a replica has ended under a request, but not one that left by plan', async () => {
+    const first = queue.dispatch(call());
+    const second = queue.dispatch(call());
+    await turn();
+    open[0]?.end({ kind: 'unknown', reason: 'reset', replicaEnded: true });
+    expect((await first).hasEndedReplica).to.equal(true);
+    directory.set(replicaWith({ slots: SLOTS, isDraining: true }));
+    open[1]?.end({ kind: 'unknown', reason: 'reset', replicaEnded: true });
+    expect((await second).hasEndedReplica).to.equal(false);
+  });
+});
--- /dev/null
+++ b/test/state/admission/admission.test.ts
@@ -0,0 +1,64 @@
+/** Whether a request may wait, when a refused one should come back, and the budget of second attempts. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { type AdmissionTerms, admit } from '../../../src/state/admission/admission.js';
+import { ExtraAttempts } from '../../../src/state/admission/extra-attempts.js';
+
+const options = { numRuns: 500, seed: 20_261_205 };
+const terms = (fields: Partial<AdmissionTerms> = {}): AdmissionTerms => ({
+  waitingBefore: 0,
+  waitingCount: 0,
+  drainPerMs: 0.2,
+  workMs: 40,
+  leftMs: 800,
+  ...fields,
+});
+
+describe('admission', () => {
+  it('lets wait what can be served in its time, and nothing else', () => {
+    expect(admit(terms({ waitingBefore: 100, waitingCount: 100 }), 0).kind).to.equal('admitted');
+    expect(admit(terms({ waitingBefore: 160, waitingCount: 160 }), 0).kind).to.equal('refused');
+    expect(admit(terms({ leftMs: 30 }), 0).kind).to.equal('refused');
+  });
+
+  it('names a time to come back when there is room, spread, and within what callers heed', () => {
+    const drawn = fc.record({
+      waitingBefore: fc.nat(5_000),
+      waitingCount: fc.nat(5_000),
+      drainPerMs: fc.double({ min: 0, max: 5, noNaN: true }),
+      workMs: fc.double({ min: 1, max: 2_000, noNaN: true }),
+      leftMs: fc.double({ min: 0, max: 10_000, noNaN: true }),
+    });
+    fc.assert(
+      fc.property(drawn, fc.double({ min: 0, max: 1, noNaN: true }), (drawnTerms, chance) => {
+        const admission = admit(drawnTerms, chance);
+        if (admission.kind === 'admitted') return;
+        expect(admission.retryAfterMs).to.be.at.least(50);
+        expect(admission.retryAfterMs).to.be.at.most(Math.max(100, drawnTerms.leftMs / 3));
+      }),
+      options,
+    );
+    const crowd = terms({ waitingBefore: 300, waitingCount: 300, leftMs: 500 });
+    const times = [0, 0.25, 0.5, 0.75].map((chance) => admit(crowd, chance));
+    expect(new Set(times.map((time) => JSON.stringify(time))).size).to.be.at.least(1);
+  });
+});
+
+describe('the budget of second attempts', () => {
+  it('is a part of the first attempts', () => {
+    const budget = new ExtraAttempts();
+    while (budget.take());
+    let taken = 0;
+    for (let count = 0; count < 1_000; count += 1) {
+      budget.noteFirst();
+      if (budget.take()) taken += 1;
+    }
+    expect(taken).to.be.within(190, 200);
+  });
+
+  it('saves up no more than a few replicas that fall silent together need', () => {
+    const budget = new ExtraAttempts();
+    for (let count = 0; count < 1_000; count += 1) budget.noteFirst();
+    expect(budget.left).to.equal(20);
+  });
+});
--- /dev/null
+++ b/test/state/replicas/replica-choice.test.ts
@@ -0,0 +1,111 @@
+/** The choice of a replica under drawn loads: nobody idles while a fit request waits, equal ones are used alike, slow ones less. */
+import { expect } from 'chai';
+import { Random } from '../../../src/common/random.js';
+import {
+  type ChoiceTerms,
+  chooseReplica,
+  drainRate,
+  roomOf,
+} from '../../../src/state/replicas/replica-choice.js';
+import { ReplicaState } from '../../../src/state/replicas/replica-state.js';
+import { replicaWith } from '../../support/replicas.js';
+
+const SLOTS = 6;
+const USUAL_MS = 40;
+const SEEDS = 200;
+
+const terms: ChoiceTerms = {
+  slotsOf: ({ replica }) => replica.slots,
+  waitingBefore: 0,
+  distanceMs: () => 0,
+  unmeasuredMs: USUAL_MS,
+};
+
+function replicas(times: readonly number[]): ReplicaState[] {
+  return times.map((timeMs, index) => {
+    const state = new ReplicaState(replicaWith({ id: `r${index}`, slots: SLOTS }));
+    for (let count = 0; count < 30; count += 1) state.noteSuccess(timeMs);
+    return state;
+  });
+}
+
+const counts = (states: readonly ReplicaState[]) => states.map(({ inFlight }) => inFlight);
+
+describe('the choice of a replica', () => {
+  it('fills equal ones evenly', () => {
+    const states = replicas([USUAL_MS, USUAL_MS, USUAL_MS, USUAL_MS]);
+    for (let count = 0; count < 12; count += 1) {
+      const choice = chooseReplica(states, terms);
+      if (choice.kind === 'send') choice.state.noteGiven();
+    }
+    expect(counts(states)).to.deep.equal([3, 3, 3, 3]);
+  });
+
+  it('gives equal ones turns also where little is asked: the busiest has 1.2 times the mean at most', () => {
+    const states = replicas([USUAL_MS, USUAL_MS, USUAL_MS]);
+    const given = new Map<string, number>();
+    for (let count = 0; count < 300; count += 1) {
+      const choice = chooseReplica(states, terms);
+      if (choice.kind !== 'send') throw new Error('there is room');
+      choice.state.noteGiven();
+      choice.state.noteReturned(true);
+      given.set(choice.state.id, (given.get(choice.state.id) ?? 0) + 1);
+    }
+    expect(Math.max(...given.values())).to.be.at.most(120);
+  });
+
+  it('never lets a fit replica idle while a request waits, under drawn speeds and loads', () => {
+    for (let seed = 0; seed < SEEDS; seed += 1) {
+      const random = new Random(seed);
+      const times = Array.from(
+        { length: 1 + random.integer(8) },
+        () => USUAL_MS * (1 + random.integer(10) / 10),
+      );
+      const states = replicas(times);
+      for (const state of states)
+        for (let count = random.integer(SLOTS + 1); count > 0; count -= 1) state.noteGiven();
+      const { free } = roomOf(states, terms);
+      const choice = chooseReplica(states, terms);
+      expect(choice.kind, `seed ${seed}`).to.equal(free > 0 ? 'send' : 'wait');
+      if (choice.kind === 'send') expect(choice.state.inFlight).to.be.lessThan(SLOTS);
+    }
+  });
+
+  it('waits for a fast one rather than take one at which it ends later', () => {
+    const states = replicas([USUAL_MS, USUAL_MS * 8]);
+    const [fast] = states as [ReplicaState];
+    for (let count = 0; count < SLOTS; count += 1) fast.noteGiven();
+    expect(chooseReplica(states, terms).kind).to.equal('wait');
+    expect(chooseReplica(states, { ...terms, waitingBefore: 60 }).kind, 'many wait before it').to.equal(
+      'send',
+    );
+  });
+
+  it('gives three slow ones of four the part that their speed earns', () => {
+    const states = replicas([USUAL_MS, USUAL_MS * 5, USUAL_MS * 5, USUAL_MS * 5]);
+    const choice = chooseReplica(states, terms);
+    expect(choice.kind === 'send' && choice.state.id).to.equal('r0');
+    expect(drainRate(states, terms) * USUAL_MS).to.be.closeTo(SLOTS * 1.6, 0.3);
+  });
+
+  it('leaves out one that says it is full, and one that fails unless there is no other', () => {
+    const states = replicas([USUAL_MS, USUAL_MS]);
+    const [full, failing] = states as [ReplicaState, ReplicaState];
+    full.pause(10_000);
+    failing.noteFailure();
+    expect(chooseReplica(states, terms).kind, 'a full one is waited for').to.equal('wait');
+    expect(chooseReplica([failing], terms).kind).to.equal('send');
+    expect(chooseReplica([], terms).kind).to.equal('none');
+  });
+
+  it('believes what a replica says of its load and its pace, for a short time', () => {
+    const states = replicas([USUAL_MS, USUAL_MS]);
+    const [loaded, paced] = states as [ReplicaState, ReplicaState];
+    loaded.noteLoad({ running: SLOTS, waiting: 2, slots: SLOTS, pacePercent: undefined });
+    expect(loaded.occupied).to.equal(SLOTS + 2);
+    const choice = chooseReplica(states, terms);
+    expect(choice.kind === 'send' && choice.state).to.equal(paced);
+    paced.noteLoad({ running: 0, waiting: 0, slots: SLOTS, pacePercent: 300 });
+    expect(paced.expectedMs(USUAL_MS)).to.be.closeTo(3 * USUAL_MS, USUAL_MS / 2);
+  });
+});
--- /dev/null
+++ b/test/state/replicas/service-homes.test.ts
@@ -0,0 +1,73 @@
+/** Homes of services: every node finds the same ones, and few move when nodes come and go. */
+import { expect } from 'chai';
+import { Random } from '../../../src/common/random.js';
+import { type FleetMember, homeCount, homeOf, rankHomes } from '../../../src/state/replicas/service-homes.js';
+
+const SERVICES = Array.from({ length: 200 }, (_, index) => `service-${index}`);
+
+function fleet(count: number, capacity: (index: number) => number = () => 1): FleetMember[] {
+  return Array.from({ length: count }, (_, index) => ({
+    name: `node-${index}`,
+    peerAddress: `10.0.0.1:${index}`,
+    zone: `zone-${index % 4}`,
+    capacity: capacity(index),
+  }));
+}
+
+const firstOf = (service: string, members: readonly FleetMember[]) => rankHomes(service, members)[0]?.name;
+
+describe('homes of services', () => {
+  it('are the same in whatever order the nodes are known', () => {
+    const members = fleet(89);
+    const random = new Random(7);
+    const shuffled = members.map((member) => ({ member, at: random.integer(1_000) }));
+    shuffled.sort((one, other) => one.at - other.at);
+    for (const service of SERVICES)
+      expect(
+        firstOf(
+          service,
+          shuffled.map(({ member }) => member),
+        ),
+      ).to.equal(firstOf(service, members));
+  });
+
+  it('stay when a node leaves that is none of them, and fall to the next in line otherwise', () => {
+    const members = fleet(89);
+    for (const service of SERVICES) {
+      const [first, second] = rankHomes(service, members) as [FleetMember, FleetMember];
+      expect(
+        firstOf(
+          service,
+          members.filter(({ name }) => name !== first.name),
+        ),
+      ).to.equal(second.name);
+      expect(
+        firstOf(
+          service,
+          members.filter(({ name }) => name !== second.name),
+        ),
+      ).to.equal(first.name);
+    }
+  });
+
+  it('are nodes with at least half of the processor of the strongest one', () => {
+    const members = fleet(80, (index) => (index % 4 === 0 ? 1.35 : 0.243));
+    for (const service of SERVICES) expect(rankHomes(service, members)[0]?.capacity).to.equal(1.35);
+  });
+
+  it('are spread over the nodes when there are many services', () => {
+    const members = fleet(20);
+    const used = new Set(SERVICES.map((service) => firstOf(service, members)));
+    expect(used.size).to.be.greaterThan(15);
+  });
+
+  it('are more the more replicas there are, and a replica moves only when its home does', () => {
+    expect([0, 1, 32, 33, 3_000].map(homeCount)).to.deep.equal([1, 1, 1, 2, 94]);
+    const homes = rankHomes('s', fleet(40)).slice(0, 8);
+    const replicas = Array.from({ length: 500 }, (_, index) => `r${index}`);
+    const before = replicas.map((id) => homeOf(id, homes)?.name);
+    const after = replicas.map((id) => homeOf(id, homes.slice(0, 7))?.name);
+    const gone = homes[7]?.name;
+    for (const [index, name] of before.entries()) if (name !== gone) expect(after[index]).to.equal(name);
+  });
+});
