A cold replica gets no more requests a second than it bears, from all nodes together

Change: a home gives it that many; a node without a home its part of the fleet; an owner of jobs its part of the models. Test: the queue without a network, passed.

--- a/src/coordination/dispatch/service-queue.ts
+++ b/src/coordination/dispatch/service-queue.ts
@@ -46,6 +46,8 @@
   readonly exchange: ReplicaExchange;
   /** Requests that a replica runs at once. */
   readonly slotsOf: (state: ReplicaState) => number;
+  /** Requests that a cold replica is to get in a second from this node; `undefined` where it bears all. */
+  readonly coldPerSecond: (state: ReplicaState) => number | undefined;
   /** What one more replica's distance adds, milliseconds. */
   readonly distanceMs: (state: ReplicaState) => number;
   /** Whether the configuration in force still allows a request that has waited. */
@@ -311,8 +313,8 @@
   }
 
   private choiceTerms(waitingBefore: number): ChoiceTerms {
-    const { slotsOf, distanceMs } = this.services;
-    return { slotsOf, distanceMs, waitingBefore, unmeasuredMs: UNMEASURED_MS };
+    const { slotsOf, distanceMs, coldPerSecond } = this.services;
+    return { slotsOf, distanceMs, coldPerSecond, waitingBefore, unmeasuredMs: UNMEASURED_MS };
   }
 
   private get workMs(): number {
--- a/src/coordination/samples/placement.ts
+++ b/src/coordination/samples/placement.ts
@@ -52,9 +52,11 @@
   private timer: NodeJS.Timeout | undefined;
   private isScheduled = false;
 
+  /** `coldPerSecond`: requests that a cold replica is to get in a second from this node; `undefined` where it bears all. */
   constructor(
     private readonly directory: ReplicaDirectory,
     private readonly zone: string,
+    private readonly coldPerSecond: (state: ReplicaState) => number | undefined = () => undefined,
   ) {
     directory.onChange(() => this.schedule());
   }
@@ -156,12 +158,21 @@
       zone: this.zone,
       preferred: request.preferred(),
       allowsSuspected: false,
-      accepts: (state) => state.admitsMore && state.inFlight < request.slots(state) && request.accepts(state),
+      accepts: (state) =>
+        state.admitsMore &&
+        state.inFlight < request.slots(state) &&
+        this.bearsMore(state) &&
+        request.accepts(state),
       cost: (state, zone, fastestMs) => generationCost(state, zone, fastestMs, request.expectedEvents),
     });
     return fittest?.isAwaitingAnswers ? undefined : fittest;
   }
 
+  private bearsMore(state: ReplicaState): boolean {
+    const perSecond = this.coldPerSecond(state);
+    return perSecond === undefined || state.bearsMore(perSecond);
+  }
+
   private armTimer(): void {
     if (this.timer || this.waiters.length === 0) return;
     this.timer = setTimeout(() => {
--- a/src/node/dispatch-parts.ts
+++ b/src/node/dispatch-parts.ts
@@ -60,6 +60,7 @@
       directory,
       exchange,
       slotsOf: (state) => this.slotsOf(state),
+      coldPerSecond: ({ replica }) => this.coldPerSecond(replica.service),
       distanceMs: ({ replica }) => (replica.zone === settings.zone ? 0 : OTHER_ZONE_MS),
       isAllowed: (call) => this.isAllowed(call),
       bounds: { count: MAX_WAITING, bytes: settings.memoryBytes * WAITING_FRACTION },
@@ -108,6 +109,13 @@
     return this.services.routing.current?.slotsOf(state.replica) ?? state.replica.slots;
   }
 
+  /** A home sends nearly all that a replica gets; without one each node sends its part. */
+  private coldPerSecond(service: string): number | undefined {
+    const perSecond = this.services.routing.current?.coldPerSecondOf(service);
+    if (perSecond === undefined || this.homes.isHome(service)) return perSecond;
+    return perSecond / Math.max(1, this.fleet.members.length);
+  }
+
   /** A request that has waited must still have a route that leads to its service. */
   private isAllowed({ service, request }: DispatchCall): boolean {
     const route = this.services.routing.current?.match(request.host, request.path);
--- a/src/node/service-node.ts
+++ b/src/node/service-node.ts
@@ -168,7 +168,9 @@
       holders: () => [...this.ownership.owners, ...this.leases.flatMap((lease) => lease.holder ?? [])],
       fleetSize: () => this.peers.fleetSize,
     });
-    this.placement = new Placement(this.directory, settings.zone);
+    this.placement = new Placement(this.directory, settings.zone, ({ replica }) =>
+      this.routing.current?.coldPerSecondOfOwner(replica.service),
+    );
     this.ownership = new JobOwnership(
       {
         routing: this.routing,
--- a/src/protocol/routing-configuration.ts
+++ b/src/protocol/routing-configuration.ts
@@ -64,6 +64,8 @@
   readonly models: readonly string[];
   /** Requests that one engine runs at once; 0 for application services. */
   readonly engineSlots: number;
+  /** Requests that a cold replica bears in a second, from all callers; `undefined` where it bears all. */
+  readonly coldPerSecond: number | undefined;
 }
 
 /** Limits towards callers. */
--- a/src/state/configuration/routing-table.ts
+++ b/src/state/configuration/routing-table.ts
@@ -5,6 +5,7 @@
   Route,
   RouteTarget,
   RoutingConfiguration,
+  ServiceDefinition,
   Tenant,
 } from '../../protocol/routing-configuration.js';
 import { TenantDirectory } from './tenant-directory.js';
@@ -23,6 +24,7 @@
   private readonly routesByHost = new Map<string, Map<string, Route>>();
   private readonly modelServices = new Map<string, string[]>();
   private readonly engineSlots = new Map<string, number>();
+  private readonly services = new Map<string, ServiceDefinition>();
   private readonly tenants: TenantDirectory | undefined;
   private readonly publicJobHosts = new Set<string>();
 
@@ -33,6 +35,7 @@
     }
     this.tenants = configuration.tenants && new TenantDirectory(configuration.tenants);
     for (const service of configuration.services) {
+      this.services.set(service.name, service);
       this.engineSlots.set(service.name, service.engineSlots);
       for (const model of service.models)
         this.modelServices.set(model, [...(this.modelServices.get(model) ?? []), service.name]);
@@ -86,6 +89,18 @@
     return this.engineSlots.get(replica.service) || replica.slots;
   }
 
+  /** Requests that a cold replica of a service bears in a second from all callers; `undefined` where it bears all. */
+  coldPerSecondOf(service: string): number | undefined {
+    return this.services.get(service)?.coldPerSecond;
+  }
+
+  /** The part of it of one owner of jobs: each model has one owner at a time. */
+  coldPerSecondOfOwner(service: string): number | undefined {
+    const perSecond = this.coldPerSecondOf(service);
+    const owners = Math.max(1, this.services.get(service)?.models.length ?? 1);
+    return perSecond && perSecond / owners;
+  }
+
   private access(isPublic: boolean, authorization: string | undefined): Access {
     if (!this.tenants) return { kind: 'granted', tenant: undefined };
     const identity = this.tenants.identify(authorization);
--- a/src/state/replicas/replica-choice.ts
+++ b/src/state/replicas/replica-choice.ts
@@ -14,6 +14,8 @@
   readonly waitingBefore: number;
   /** What one more replica's distance adds, milliseconds. */
   readonly distanceMs: (state: ReplicaState) => number;
+  /** Requests that a cold replica is to get in a second from this node; `undefined` where they bear all. */
+  readonly coldPerSecond?: (state: ReplicaState) => number | undefined;
   /** Usual time of a request before any was measured, milliseconds. */
   readonly unmeasuredMs: number;
 }
@@ -57,8 +59,9 @@
 }
 
 /** Whether it may be given one more: a replica whose speed is a guess gets one at a time. */
-function hasRoom({ state, slots }: Candidate): boolean {
-  if (state.isPaused) return false;
+function hasRoom({ state, slots }: Candidate, terms: ChoiceTerms): boolean {
+  const coldPerSecond = terms.coldPerSecond?.(state);
+  if (state.isPaused || (coldPerSecond !== undefined && !state.bearsMore(coldPerSecond))) return false;
   return state.occupied < (state.isSpeedOld ? Math.min(1, slots) : slots);
 }
 
@@ -84,7 +87,10 @@
   if (states.length === 0) return { kind: 'none' };
   const sound = states.filter((state) => !state.isAvoided);
   const candidates = candidatesOf(sound.length > 0 ? sound : states, terms);
-  const best = bestOf(candidates.filter(hasRoom), terms);
+  const best = bestOf(
+    candidates.filter((candidate) => hasRoom(candidate, terms)),
+    terms,
+  );
   if (!best) return { kind: 'wait' };
   const fastestMs = Math.min(...candidates.map(({ timeMs }) => timeMs));
   if (best.timeMs <= fastestMs * SLOW_FACTOR) return toSend(best);
--- a/src/state/replicas/replica-directory.ts
+++ b/src/state/replicas/replica-directory.ts
@@ -174,6 +174,7 @@
     const before = state.replica.modelVersions;
     if (state.replica.service !== replica.service) this.moveTo(replica.service, state);
     state.replica = replica;
+    if (replica.coldMs > 0) state.noteCold(replica.coldMs);
     for (const [model, version] of replica.modelVersions)
       if (before.get(model) !== version) state.noteTaken();
   }
@@ -206,6 +207,7 @@
       return new ReplicaState(replica);
     }
     known.replica = replica;
+    if (replica.coldMs > 0) known.noteCold(replica.coldMs);
     known.noteReturn();
     return known;
   }
--- a/src/state/replicas/replica-state.ts
+++ b/src/state/replicas/replica-state.ts
@@ -20,6 +20,7 @@
 const SPEED_HALF_LIFE_MS = 3_000;
 /** How long what a replica says of its load is taken as it is, milliseconds: a request lasts some tens of them. */
 const LOAD_AGE_MS = 250;
+const MS_PER_SECOND = 1_000;
 /** What a replica says when its work takes as long as usual. */
 const USUAL_PACE = 100;
 /** Weight of the time of one event: a replica sends many. */
@@ -48,6 +49,9 @@
   private answeredAtMs = 0;
   private ending: LifeEnd | undefined;
   private measuredAtMs = 0;
+  private coldUntilMs = 0;
+  /** When requests were sent to it while it is cold, the oldest first. */
+  private readonly coldSends: number[] = [];
   /** When it was given a request last, and when it answered one. */
   private sentAtMs = 0;
   private heardAtMs = 0;
@@ -57,7 +61,9 @@
   private othersThen = 0;
   private readonly restartListeners = new Set<() => void>();
 
-  constructor(public replica: Replica) {}
+  constructor(public replica: Replica) {
+    if (replica.coldMs > 0) this.noteCold(replica.coldMs);
+  }
 
   get id(): string {
     return this.replica.id;
@@ -142,7 +148,26 @@
   noteGiven(): void {
     if (this.inFlight === 0) this.heardAtMs = monotonicMs();
     this.inFlight += 1;
+    this.noteSending();
+  }
+
+  /** It is cold for so long from now on: it bears few requests a second, milliseconds. */
+  noteCold(forMs: number): void {
+    this.coldUntilMs = monotonicMs() + forMs;
+  }
+
+  /** Whether one more request keeps within what a cold replica is to get from this node in a second. */
+  bearsMore(coldPerSecond: number): boolean {
+    const nowMs = monotonicMs();
+    if (nowMs >= this.coldUntilMs) return true;
+    const sinceMs = nowMs - MS_PER_SECOND * Math.max(1, 1 / coldPerSecond);
+    while (this.coldSends.length > 0 && (this.coldSends[0] ?? 0) <= sinceMs) this.coldSends.shift();
+    return this.coldSends.length < Math.max(1, Math.floor(coldPerSecond));
+  }
+
+  private noteSending(): void {
     this.sentAtMs = monotonicMs();
+    if (this.sentAtMs < this.coldUntilMs) this.coldSends.push(this.sentAtMs);
   }
 
   /** A request that was given to it has ended; `isAnswered` says whether by a word of the replica. */
@@ -192,6 +217,7 @@
   noteSent(): void {
     if (this.unanswered === 0) this.answeredAtMs = monotonicMs();
     this.unanswered += 1;
+    this.noteSending();
     this.isProbed = this.declines > 0;
   }
 
--- a/test/coordination/dispatch/service-queue.test.ts
+++ b/test/coordination/dispatch/service-queue.test.ts
@@ -60,6 +60,7 @@
       directory,
       exchange: exchange as unknown as ReplicaExchange,
       slotsOf: ({ replica }) => replica.slots,
+      coldPerSecond: () => 2,
       distanceMs: () => 0,
       isAllowed: () => isAllowed,
       bounds: { count: 4, bytes: 1_000_000 },
@@ -223,6 +224,15 @@
     expect((await running)?.outcome.kind).to.equal('answered');
   });
 
+  it('gives a cold replica no more in a second than it bears, and the rest waits', async () => {
+    directory.set(replicaWith({ slots: 100, coldMs: 60_000 }));
+    for (let count = 0; count < 4; count += 1) void queue.dispatch(call());
+    await turn();
+    expect(open).to.have.length(2);
+    expect(queue.waitingCount).to.equal(2);
+    await until('the next second has begun', () => open.length === 4);
+  });
+
   it('refuses at once where no replica is known', async () => {
     directory.remove('r1');
     expect((await queue.dispatch(call())).outcome.kind).to.equal('declined');
--- a/test/coordination/weights/weight-orders.test.ts
+++ b/test/coordination/weights/weight-orders.test.ts
@@ -158,7 +158,13 @@
     routing = new RoutingTable();
     ordered = [];
     controller = new AbortController();
-    const service = { name: 's', maxConnections: 9, models: [MODEL], engineSlots: 4 };
+    const service = {
+      name: 's',
+      maxConnections: 9,
+      models: [MODEL],
+      engineSlots: 4,
+      coldPerSecond: undefined,
+    };
     const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
     routing.install({ version: 1, routes: [], services: [service], limits, tenants: undefined });
     for (const [index, id] of IDS.entries())
