How slow a replica is shows against the usual time of what it was given

Cause: one mean for each replica over kinds of requests of 20 and 200 ms. Replicas with scoring calls looked slow, requests waited to their end beside free places, and were refused.

Change: usual time by kind of request (work-times.ts), slowness of a replica as the mean of the logarithm of times the usual; silence counts against what was given; admission and waiting in work, not in counts; those at the front that wait for a fast replica don't keep others from a slow one.

--- a/src/coordination/dispatch/dispatch-call.ts
+++ b/src/coordination/dispatch/dispatch-call.ts
@@ -5,6 +5,8 @@
 /** A request for some replica of a service. Times are on the monotonic clock, milliseconds. */
 export interface DispatchCall {
   readonly service: string;
+  /** Which requests are alike in how long they take: the name of the route. */
+  readonly workKind: string;
   readonly request: Omit<ReplicaRequest, 'deadlineMs' | 'signal'>;
   /** Rank; 0 is the most urgent. */
   readonly rank: number;
--- a/src/coordination/dispatch/home-dispatch.ts
+++ b/src/coordination/dispatch/home-dispatch.ts
@@ -226,6 +226,7 @@
   return {
     message: {
       service: call.service,
+      workKind: call.workKind,
       id,
       method,
       path,
@@ -250,6 +251,7 @@
 export function toCall({ message, body }: Framed<DispatchMessage>, signal: AbortSignal): DispatchCall {
   const {
     service,
+    workKind,
     rank,
     party,
     isPatient,
@@ -264,6 +266,7 @@
   const nowMs = monotonicMs();
   return {
     service,
+    workKind,
     request: { ...request, body },
     rank,
     party,
--- a/src/coordination/dispatch/replica-exchange.ts
+++ b/src/coordination/dispatch/replica-exchange.ts
@@ -47,6 +47,12 @@
   readonly group?: string;
 }
 
+/** What is known of an attempt besides. */
+export interface AttemptTerms extends AttemptContext {
+  /** Usual time of such a request, milliseconds; 0 where it is not known. */
+  readonly usualMs: number;
+}
+
 /** Why the head of an answer does not count, `undefined` when it does. */
 export function defectOf(answer: ReplicaAnswer): string | undefined {
   if (!answer.isForRequest) return 'the answer belongs to another request';
@@ -68,10 +74,10 @@
   async attempt(
     state: ReplicaState,
     request: ReplicaRequest,
-    context: AttemptContext,
+    { usualMs, ...context }: AttemptTerms,
   ): Promise<AttemptOutcome> {
     const startedAt = monotonicMs();
-    state.noteGiven();
+    state.noteGiven(usualMs);
     const outcome = await this.exchangeWhileAlive(state, request);
     state.noteReturned(outcome.kind === 'answered' || outcome.kind === 'declined');
     const tookMs = monotonicMs() - startedAt;
--- a/src/coordination/dispatch/service-queue.ts
+++ b/src/coordination/dispatch/service-queue.ts
@@ -13,7 +13,6 @@
   type AdmissionTerms,
   admit,
   ExtraAttempts,
-  type OrderTerms,
   PartyUse,
   retryAfterMs,
   type Waiting,
@@ -27,6 +26,7 @@
   type ReplicaDirectory,
   type ReplicaState,
   roomOf,
+  WorkTimes,
 } from '../../state/replicas/index.js';
 import type { DispatchCall, DispatchResult, ServiceRoom } from './dispatch-call.js';
 import type { AttemptOutcome, ReplicaExchange } from './replica-exchange.js';
@@ -35,8 +35,11 @@
 const LOOK_MS = 20;
 /** Replicas that may decline one request before it is refused: each decline tells that the view of them was wrong. */
 const MAX_DECLINES = 4;
-/** Usual time of a request before any was measured, milliseconds. */
-const UNMEASURED_MS = 50;
+/**
+ * Those at the front may wait for a fast replica while a slow one is free. So many are passed over at most in search of one that
+ * ends sooner at the slow one.
+ */
+const MAX_PASSED = 200;
 /** Part of the places that must be free for a second attempt: beyond, it would take the place of a first one. */
 const FREE_FOR_EXTRA = 0.1;
 
@@ -74,6 +77,7 @@
 /** The queue of one service. */
 export class ServiceQueue {
   private readonly use = new PartyUse();
+  private readonly workTimes = new WorkTimes();
   private readonly waiting: WaitingList<Entry>;
   private readonly extras = new ExtraAttempts();
   /** Replicas at which a request runs, by its identifier: a second attempt goes elsewhere. */
@@ -101,7 +105,7 @@
 
   /** How full the replicas are. */
   get room(): ServiceRoom {
-    const { free, all } = roomOf(this.states(), this.choiceTerms(0));
+    const { free, all } = roomOf(this.states(), this.services);
     return { free, slots: all, waiting: this.waiting.size };
   }
 
@@ -139,7 +143,7 @@
   private enterExtra(entry: Entry): void {
     const { free, slots } = this.room;
     const hasRoom = this.waiting.size === 0 && free >= slots * FREE_FOR_EXTRA;
-    const choice = hasRoom ? chooseReplica(this.fitting(entry), this.choiceTerms(0)) : undefined;
+    const choice = hasRoom ? chooseReplica(this.fitting(entry), this.choiceTerms(entry, 0)) : undefined;
     if (choice?.kind !== 'send') this.refuse(entry, 'no room for a second attempt', 0);
     else if (!this.extras.take()) this.refuse(entry, 'no second attempts left', 0);
     else this.send(entry, choice.state, choice.expectedMs);
@@ -156,6 +160,7 @@
       sinceMs: startedAtMs,
       aimAtMs: call.aimAtMs,
       endsAtMs: call.endsAtMs,
+      workMs: this.workTimes.usualMs(call.workKind),
       bytes: call.request.body.length,
       excluded: new Set([...call.excluded, ...(this.running.get(call.request.id) ?? [])]),
       declines: 0,
@@ -168,7 +173,7 @@
 
   /** Whether a request can be served in its time, as far as known. One that finds no replica is refused at once. */
   private judge(entry: Entry) {
-    const terms = this.admissionTerms(entry, this.waiting.countBefore(entry, this.orderTerms()));
+    const terms = this.admissionTerms(entry, this.waiting.workBefore(entry, monotonicMs()));
     if (this.fitting(entry).length === 0) entry.excluded.clear();
     if (this.fitting(entry).length === 0)
       return { kind: 'refused' as const, retryAfterMs: retryAfterMs(terms, Math.random()) };
@@ -177,7 +182,7 @@
 
   private addWaiting(entry: Entry): void {
     entry.call.signal.addEventListener('abort', entry.onAbort, { once: true });
-    const displaced = this.waiting.add(entry, this.orderTerms());
+    const displaced = this.waiting.add(entry, monotonicMs());
     if (displaced) this.refuse(displaced, 'too many wait', this.comeBackMs(displaced));
   }
 
@@ -203,7 +208,7 @@
   }
 
   private comeBackMs(entry: Entry): number {
-    return retryAfterMs(this.admissionTerms(entry, this.waiting.size), Math.random());
+    return retryAfterMs(this.admissionTerms(entry, this.waiting.totalWorkMs), Math.random());
   }
 
   /** Looks at those that wait, once in this turn of the event loop. */
@@ -218,15 +223,18 @@
 
   private placeWaiting(): void {
     this.dropOverdue();
-    const stuck = new Set<Entry>();
-    while (this.waiting.size > stuck.size) {
-      const entry = this.waiting.next(this.orderTerms(), (one) => !stuck.has(one));
+    const passed = new Set<Entry>();
+    let passedWorkMs = 0;
+    while (passed.size < MAX_PASSED && this.waiting.size > passed.size && this.room.free > 0) {
+      const entry = this.waiting.next(monotonicMs(), (one) => !passed.has(one));
       if (!entry) break;
-      const choice = chooseReplica(this.fitting(entry), this.choiceTerms(stuck.size));
+      const choice = chooseReplica(this.fitting(entry), this.choiceTerms(entry, passedWorkMs));
       if (choice.kind === 'send') this.place(entry, choice.state, choice.expectedMs);
       else if (choice.kind === 'none') this.refuse(entry, 'no replica', this.comeBackMs(entry));
-      else if (entry.excluded.size === 0) break;
-      else stuck.add(entry);
+      else {
+        passed.add(entry);
+        passedWorkMs += entry.workMs;
+      }
     }
     this.armTimer();
   }
@@ -247,7 +255,7 @@
   private dropOverdue(): void {
     const nowMs = monotonicMs();
     for (const entry of [...this.waiting])
-      if (entry.endsAtMs - nowMs < this.workMs / 2) this.refuse(entry, 'its time is over', 0);
+      if (entry.endsAtMs - nowMs < entry.workMs / 2) this.refuse(entry, 'its time is over', 0);
   }
 
   private send(entry: Entry, state: ReplicaState, expectedMs: number): void {
@@ -261,8 +269,9 @@
     };
     this.noteRunning(call.request.id, state.id, true);
     void this.services.exchange
-      .attempt(state, request, { configVersion: call.configVersion })
+      .attempt(state, request, { configVersion: call.configVersion, usualMs: entry.workMs })
       .then((outcome) => {
+        if (outcome.kind === 'answered') this.noteTime(entry, state, monotonicMs() - sentAtMs);
         this.noteRunning(call.request.id, state.id, false);
         this.use.add(call.party, monotonicMs() - sentAtMs - expectedMs, monotonicMs());
         this.finish(entry, state, outcome);
@@ -270,6 +279,11 @@
       });
   }
 
+  private noteTime({ call }: Entry, state: ReplicaState, tookMs: number): void {
+    const times = this.workTimes.note(call.workKind, tookMs, state.slowness);
+    state.noteSlowness(times);
+  }
+
   private finish(entry: Entry, state: ReplicaState, outcome: AttemptOutcome): void {
     if (outcome.kind === 'declined' && this.goesOnWaiting(entry, outcome.reason, state.id)) return;
     const hasEndedReplica = outcome.kind === 'unknown' && outcome.replicaEnded === true && !state.isLeaving;
@@ -312,26 +326,18 @@
     return excluded.size === 0 ? states : states.filter(({ id }) => !excluded.has(id));
   }
 
-  private choiceTerms(waitingBefore: number): ChoiceTerms {
+  private choiceTerms({ workMs }: Entry, workBeforeMs: number): ChoiceTerms {
     const { slotsOf, distanceMs, coldPerSecond } = this.services;
-    return { slotsOf, distanceMs, coldPerSecond, waitingBefore, unmeasuredMs: UNMEASURED_MS };
-  }
-
-  private get workMs(): number {
-    const measured = this.states().flatMap(({ averageMs }) => (averageMs > 0 ? averageMs : []));
-    return measured.length > 0 ? Math.min(...measured) : UNMEASURED_MS;
-  }
-
-  private orderTerms(): OrderTerms {
-    return { nowMs: monotonicMs(), workMs: this.workMs };
+    return { slotsOf, distanceMs, coldPerSecond, workMs, workBeforeMs };
   }
 
-  private admissionTerms(entry: Entry, waitingBefore: number): AdmissionTerms {
+  private admissionTerms(entry: Entry, workBeforeMs: number): AdmissionTerms {
     return {
-      waitingBefore,
-      waitingCount: this.waiting.size,
-      drainPerMs: drainRate(this.states(), this.choiceTerms(0)),
-      workMs: this.workMs,
+      workBeforeMs,
+      workWaitingMs: this.waiting.totalWorkMs,
+      drainPerMs: drainRate(this.states(), this.services),
+      hasRoom: this.waiting.size === 0 && this.room.free > 0,
+      workMs: entry.workMs,
       leftMs: entry.endsAtMs - monotonicMs(),
     };
   }
--- a/src/coordination/requests/service-relay.ts
+++ b/src/coordination/requests/service-relay.ts
@@ -207,6 +207,7 @@
     const { id, method, path, host, tenant, headers, body, rank, party, isPatient, aimAtMs } = this.request;
     return {
       service: this.service,
+      workKind: this.request.route.name,
       request: { id, method, path, host, tenant, headers, body },
       rank,
       party,
--- a/src/protocol/dispatch-peer.ts
+++ b/src/protocol/dispatch-peer.ts
@@ -26,6 +26,7 @@
 
 const CallSchema = Type.Object({
   service: Type.String({ maxLength: MAX_NAME }),
+  workKind: Type.String({ maxLength: MAX_NAME }),
   id: Type.String({ maxLength: MAX_NAME }),
   method: Type.String({ maxLength: MAX_NAME }),
   path: Type.String(),
--- a/src/state/admission/admission.ts
+++ b/src/state/admission/admission.ts
@@ -7,12 +7,13 @@
 
 /** What the decision looks at. */
 export interface AdmissionTerms {
-  /** Requests that go before it. */
-  readonly waitingBefore: number;
-  /** Requests that wait in all. */
-  readonly waitingCount: number;
-  /** Requests that the replicas end in a millisecond. */
+  /** Usual time of the requests that go before it, and of all that wait, milliseconds. */
+  readonly workBeforeMs: number;
+  readonly workWaitingMs: number;
+  /** Usual time of requests that the replicas end in a millisecond. */
   readonly drainPerMs: number;
+  /** Whether a place is free that it could have now. */
+  readonly hasRoom: boolean;
   /** Time that it takes once it runs, milliseconds. */
   readonly workMs: number;
   /** Time until its caller gives up, milliseconds. */
@@ -33,7 +34,7 @@
 
 /** Decides on a request. */
 export function admit(terms: AdmissionTerms, chance: number): Admission {
-  const expectedWaitMs = terms.waitingBefore / Math.max(terms.drainPerMs, Number.EPSILON);
+  const expectedWaitMs = terms.hasRoom ? 0 : terms.workBeforeMs / Math.max(terms.drainPerMs, Number.EPSILON);
   if (expectedWaitMs + terms.workMs <= terms.leftMs) return { kind: 'admitted', expectedWaitMs };
   return { kind: 'refused', retryAfterMs: retryAfterMs(terms, chance) };
 }
@@ -43,7 +44,7 @@
  * what callers heed. `chance` lies between 0 and 1.
  */
 export function retryAfterMs(terms: AdmissionTerms, chance: number): number {
-  const drainedMs = terms.waitingCount / Math.max(terms.drainPerMs, Number.EPSILON);
+  const drainedMs = terms.workWaitingMs / Math.max(terms.drainPerMs, Number.EPSILON);
   const spreadMs = Math.max(SHORTEST_RETRY_MS, drainedMs + terms.workMs) * (1 + SPREAD * chance);
   return Math.max(SHORTEST_RETRY_MS * (1 + chance), Math.min(spreadMs, terms.leftMs * HEEDED_PART));
 }
--- a/src/state/admission/index.ts
+++ b/src/state/admission/index.ts
@@ -1,4 +1,4 @@
 export { type Admission, type AdmissionTerms, admit, retryAfterMs } from './admission.js';
 export { ExtraAttempts } from './extra-attempts.js';
 export { PartyUse } from './party-use.js';
-export { type OrderTerms, type Waiting, type WaitingBounds, WaitingList } from './waiting-list.js';
+export { type Waiting, type WaitingBounds, WaitingList } from './waiting-list.js';
--- a/src/state/admission/waiting-list.ts
+++ b/src/state/admission/waiting-list.ts
@@ -22,6 +22,8 @@
   readonly aimAtMs: number;
   /** When its caller gives up. */
   readonly endsAtMs: number;
+  /** Usual time of such a request once it runs. */
+  readonly workMs: number;
   readonly bytes: number;
 }
 
@@ -39,13 +41,6 @@
 /** Every so many-th place goes to the longest waiting work in the background, if there is any. */
 const PATIENT_TURN = 4;
 
-/** What the order of two requests depends on besides themselves. */
-export interface OrderTerms {
-  readonly nowMs: number;
-  /** Time that a request takes once it runs, milliseconds. */
-  readonly workMs: number;
-}
-
 /** Requests that wait, of one service. */
 export class WaitingList<W extends Waiting> {
   private readonly waiting = new Set<W>();
@@ -70,11 +65,11 @@
   }
 
   /** Adds a request. Returns who has to go for it since no more may wait: the last in the order, which may be itself. */
-  add(one: W, terms: OrderTerms): W | undefined {
+  add(one: W, nowMs: number): W | undefined {
     this.waiting.add(one);
     this.bytes += one.bytes;
     if (this.waiting.size <= this.bounds.count && this.bytes <= this.bounds.bytes) return undefined;
-    const last = this.last(terms);
+    const last = this.last(nowMs);
     if (last) this.remove(last);
     return last;
   }
@@ -87,8 +82,8 @@
   }
 
   /** Who is to have the next place. Looking does not take it: `noteServed` moves the turns on. */
-  next(terms: OrderTerms, isFit: (one: W) => boolean = () => true): W | undefined {
-    const first = this.best(terms, isFit);
+  next(nowMs: number, isFit: (one: W) => boolean = () => true): W | undefined {
+    const first = this.best(nowMs, isFit);
     if (!first) return undefined;
     const turn = this.turns + 1;
     if (turn % OTHER_RANK_TURN === 0)
@@ -103,23 +98,31 @@
     this.turns += 1;
   }
 
-  /** How many would go before a request that came now. */
-  countBefore(one: W, terms: OrderTerms): number {
-    let count = 0;
-    for (const other of this.waiting) if (other !== one && this.compare(other, one, terms) <= 0) count += 1;
-    return count;
+  /** Usual time of all that would go before a request that came now, milliseconds. */
+  workBefore(one: W, nowMs: number): number {
+    let workMs = 0;
+    for (const other of this.waiting)
+      if (other !== one && this.compare(other, one, nowMs) <= 0) workMs += other.workMs;
+    return workMs;
+  }
+
+  /** Usual time of all that wait, milliseconds. */
+  get totalWorkMs(): number {
+    let workMs = 0;
+    for (const one of this.waiting) workMs += one.workMs;
+    return workMs;
   }
 
-  private best(terms: OrderTerms, isFit: (one: W) => boolean): W | undefined {
+  private best(nowMs: number, isFit: (one: W) => boolean): W | undefined {
     let best: W | undefined;
     for (const one of this.waiting)
-      if (isFit(one) && (!best || this.compare(one, best, terms) < 0)) best = one;
+      if (isFit(one) && (!best || this.compare(one, best, nowMs) < 0)) best = one;
     return best;
   }
 
-  private last(terms: OrderTerms): W | undefined {
+  private last(nowMs: number): W | undefined {
     let last: W | undefined;
-    for (const one of this.waiting) if (!last || this.compare(one, last, terms) > 0) last = one;
+    for (const one of this.waiting) if (!last || this.compare(one, last, nowMs) > 0) last = one;
     return last;
   }
 
@@ -130,18 +133,18 @@
     return longest;
   }
 
-  private compare(left: W, right: W, terms: OrderTerms): number {
+  private compare(left: W, right: W, nowMs: number): number {
     return (
       left.rank - right.rank ||
-      Number(isLate(left, terms)) - Number(isLate(right, terms)) ||
+      Number(isLate(left, nowMs)) - Number(isLate(right, nowMs)) ||
       Number(left.isPatient) - Number(right.isPatient) ||
-      this.use.of(left.party, terms.nowMs) - this.use.of(right.party, terms.nowMs) ||
+      this.use.of(left.party, nowMs) - this.use.of(right.party, nowMs) ||
       left.endsAtMs - right.endsAtMs
     );
   }
 }
 
 /** Whether a request can no longer be answered when its caller wants it, even if it ran now. */
-function isLate({ aimAtMs }: Waiting, { nowMs, workMs }: OrderTerms): boolean {
+function isLate({ aimAtMs, workMs }: Waiting, nowMs: number): boolean {
   return nowMs + workMs > aimAtMs;
 }
--- a/src/state/replicas/index.ts
+++ b/src/state/replicas/index.ts
@@ -16,3 +16,4 @@
 export { ReplicaState } from './replica-state.js';
 export { type FleetMember, homeCount, homeOf, rankHomes } from './service-homes.js';
 export { WeightVersions } from './weight-versions.js';
+export { WorkTimes } from './work-times.js';
--- a/src/state/replicas/replica-choice.ts
+++ b/src/state/replicas/replica-choice.ts
@@ -10,14 +10,13 @@
 export interface ChoiceTerms {
   /** Requests that a replica runs at once. */
   readonly slotsOf: (state: ReplicaState) => number;
-  /** Requests that wait before this one. */
-  readonly waitingBefore: number;
   /** What one more replica's distance adds, milliseconds. */
   readonly distanceMs: (state: ReplicaState) => number;
   /** Requests that a cold replica is to get in a second from this node; `undefined` where they bear all. */
   readonly coldPerSecond?: (state: ReplicaState) => number | undefined;
-  /** Usual time of a request before any was measured, milliseconds. */
-  readonly unmeasuredMs: number;
+  /** Usual time of the request, and of all that wait before it, milliseconds. */
+  readonly workMs: number;
+  readonly workBeforeMs: number;
 }
 
 /** What follows for a request. */
@@ -35,6 +34,8 @@
  * down near full, so equal ones are filled evenly.
  */
 const FULL_SLOWDOWN = 0.5;
+/** Costs are told apart by this part of the request's time: below it replicas are alike, and take turns. */
+const TOLD_APART = 0.1;
 
 /** What is known of one candidate. */
 interface Candidate {
@@ -43,39 +44,30 @@
   readonly timeMs: number;
 }
 
-/** Time of a request at the replicas as far as measured, the fastest one's; `undefined` while none was. */
-function fastestMeasured(states: readonly ReplicaState[]): number | undefined {
-  const measured = states.map(({ averageMs }) => averageMs).filter((averageMs) => averageMs > 0);
-  return measured.length > 0 ? Math.min(...measured) : undefined;
-}
-
-function candidatesOf(states: readonly ReplicaState[], terms: ChoiceTerms): Candidate[] {
-  const usualMs = fastestMeasured(states) ?? terms.unmeasuredMs;
-  return states.map((state) => ({
-    state,
-    slots: Math.max(1, terms.slotsOf(state)),
-    timeMs: state.expectedMs(usualMs),
-  }));
-}
-
-/** Whether it may be given one more: a replica whose speed is a guess gets one at a time. */
+/** Whether it may be given one more: a slow replica whose speed was measured long ago gets one at a time. */
 function hasRoom({ state, slots }: Candidate, terms: ChoiceTerms): boolean {
   const coldPerSecond = terms.coldPerSecond?.(state);
   if (state.isPaused || (coldPerSecond !== undefined && !state.bearsMore(coldPerSecond))) return false;
-  return state.occupied < (state.isSpeedOld ? Math.min(1, slots) : slots);
+  return state.occupied < (state.isSpeedOld ? 1 : slots);
 }
 
-/** Requests that the replicas end in a millisecond while they are full; slow ones count for their own speed. */
-export function drainRate(states: readonly ReplicaState[], terms: ChoiceTerms): number {
-  return candidatesOf(states, terms).reduce((sum, { slots, timeMs }) => sum + slots / Math.max(1, timeMs), 0);
+const slotsOf = (state: ReplicaState, terms: Pick<ChoiceTerms, 'slotsOf'>) =>
+  Math.max(1, terms.slotsOf(state));
+
+/** Usual time of requests that the replicas end in a millisecond while they are full. */
+export function drainRate(states: readonly ReplicaState[], terms: Pick<ChoiceTerms, 'slotsOf'>): number {
+  return states.reduce((sum, state) => sum + slotsOf(state, terms) / state.slowness, 0);
 }
 
 /** Places that are free, and all places. */
-export function roomOf(states: readonly ReplicaState[], terms: ChoiceTerms): { free: number; all: number } {
+export function roomOf(
+  states: readonly ReplicaState[],
+  terms: Pick<ChoiceTerms, 'slotsOf'>,
+): { free: number; all: number } {
   let free = 0;
   let all = 0;
   for (const state of states) {
-    const slots = Math.max(1, terms.slotsOf(state));
+    const slots = slotsOf(state, terms);
     all += slots;
     if (!state.isPaused) free += Math.max(0, slots - state.occupied);
   }
@@ -86,7 +78,11 @@
 export function chooseReplica(states: readonly ReplicaState[], terms: ChoiceTerms): Choice {
   if (states.length === 0) return { kind: 'none' };
   const sound = states.filter((state) => !state.isAvoided);
-  const candidates = candidatesOf(sound.length > 0 ? sound : states, terms);
+  const candidates = (sound.length > 0 ? sound : states).map((state) => ({
+    state,
+    slots: slotsOf(state, terms),
+    timeMs: terms.workMs * state.slowness,
+  }));
   const best = bestOf(
     candidates.filter((candidate) => hasRoom(candidate, terms)),
     terms,
@@ -104,28 +100,26 @@
 /** Equal ones take turns: the one that was given nothing for the longest time comes first. */
 function bestOf(candidates: readonly Candidate[], terms: ChoiceTerms): Candidate | undefined {
   let best: Candidate | undefined;
-  let bestMs = Number.POSITIVE_INFINITY;
+  let bestCost = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
-    const costMs = costOf(candidate, terms);
-    const isTie = costMs === bestMs && best && candidate.state.lastGivenMs < best.state.lastGivenMs;
-    if (costMs > bestMs || (costMs === bestMs && !isTie)) continue;
+    const cost = costOf(candidate, terms);
+    const isTurn = cost === bestCost && best && candidate.state.lastGivenMs < best.state.lastGivenMs;
+    if (cost > bestCost || (cost === bestCost && !isTurn)) continue;
     best = candidate;
-    bestMs = costMs;
+    bestCost = cost;
   }
   return best;
 }
 
-/** Rounded to whole tenths of the time, so that what is not told apart by measurements takes turns. */
 function costOf({ state, slots, timeMs }: Candidate, terms: ChoiceTerms): number {
   const load = state.occupied / slots;
   const costMs = timeMs * (1 + FULL_SLOWDOWN * load) + terms.distanceMs(state);
-  const stepMs = Math.max(1, terms.unmeasuredMs / 10);
-  return Math.round(costMs / stepMs);
+  return Math.round(costMs / (terms.workMs * TOLD_APART));
 }
 
 /** How long the request would wait for a place at one of the fast replicas, milliseconds. */
-function waitMs(candidates: readonly Candidate[], fastestMs: number, { waitingBefore }: ChoiceTerms): number {
+function waitMs(candidates: readonly Candidate[], fastestMs: number, terms: ChoiceTerms): number {
   const fast = candidates.filter(({ timeMs }) => timeMs <= fastestMs * SLOW_FACTOR);
-  const perMs = fast.reduce((sum, { slots, timeMs }) => sum + slots / Math.max(1, timeMs), 0);
-  return (waitingBefore + 1) / perMs;
+  const perMs = fast.reduce((sum, { slots, timeMs }) => sum + (slots * terms.workMs) / timeMs, 0);
+  return (terms.workBeforeMs + terms.workMs) / perMs;
 }
--- a/src/state/replicas/replica-state.ts
+++ b/src/state/replicas/replica-state.ts
@@ -18,6 +18,13 @@
  * again some seconds later, with one request at a time.
  */
 const SPEED_HALF_LIFE_MS = 3_000;
+/** Weight of the newest request in the mean of its slowness, and the least that one request says. */
+const SLOWNESS_WEIGHT = 0.15;
+const LEAST_TIMES = 0.05;
+/** Beyond this a speed is that of a slow replica: twice the usual. */
+const SLOW_LOG = Math.log(2);
+/** Silence for more than so many times the usual says that the replica is slow: one request in thirty takes longer than that. */
+const TELLING_SILENCE = 4;
 /** How long what a replica says of its load is taken as it is, milliseconds: a request lasts some tens of them. */
 const LOAD_AGE_MS = 250;
 const MS_PER_SECOND = 1_000;
@@ -48,7 +55,11 @@
   /** When it answered last, or was sent the first request that it has not answered. */
   private answeredAtMs = 0;
   private ending: LifeEnd | undefined;
-  private measuredAtMs = 0;
+  /** Logarithm of how many times the usual requests take there, and when that was measured. */
+  private logSlowness = 0;
+  private slownessAtMs = 0;
+  /** Usual time of the longest of the requests that it has, milliseconds. */
+  private longestGivenMs = 0;
   private coldUntilMs = 0;
   /** When requests were sent to it while it is cold, the oldest first. */
   private readonly coldSends: number[] = [];
@@ -120,21 +131,25 @@
   }
 
   /**
-   * Time that a request takes there once it runs, milliseconds, where it takes `usualMs` at the other replicas: as measured, less
-   * and less so the older that is; as long as it has kept silent over what it was given, if that is longer; at the pace that it
-   * tells of itself.
+   * How many times the usual a request takes there: as measured, less and less so the older that is; as it has kept silent over
+   * what it was given, if that is longer; at the pace that it tells of itself.
    */
-  expectedMs(usualMs: number): number {
+  get slowness(): number {
     const nowMs = monotonicMs();
-    const measuredMs = this.averageMs || usualMs;
-    const past = 1 - 2 ** (-(nowMs - this.measuredAtMs) / SPEED_HALF_LIFE_MS);
-    const currentMs = measuredMs + (usualMs - measuredMs) * past;
-    return Math.max(currentMs * this.pace(nowMs), this.silenceMs(nowMs));
+    const past = 1 - 2 ** (-(nowMs - this.slownessAtMs) / SPEED_HALF_LIFE_MS);
+    const measured = Math.exp(this.logSlowness * (1 - past));
+    return Math.max(measured * this.pace(nowMs), this.silence(nowMs));
   }
 
   /** Whether nothing was measured for so long that its speed is a guess: one request at a time finds it out. */
   get isSpeedOld(): boolean {
-    return this.averageMs > 0 && monotonicMs() - this.measuredAtMs > SPEED_HALF_LIFE_MS;
+    return this.logSlowness > SLOW_LOG && monotonicMs() - this.slownessAtMs > SPEED_HALF_LIFE_MS;
+  }
+
+  /** A request took `times` as long there as its kind usually does. Means are of the logarithm: a few long ones say little. */
+  noteSlowness(times: number): void {
+    this.logSlowness += (Math.log(Math.max(times, LEAST_TIMES)) - this.logSlowness) * SLOWNESS_WEIGHT;
+    this.slownessAtMs = monotonicMs();
   }
 
   /** Takes what it says of its load. */
@@ -144,9 +159,13 @@
     this.othersThen = Math.max(0, load.running + load.waiting - this.inFlight);
   }
 
-  /** A request is given to it now. */
-  noteGiven(): void {
-    if (this.inFlight === 0) this.heardAtMs = monotonicMs();
+  /** A request that usually takes `usualMs` is given to it now. */
+  noteGiven(usualMs = 0): void {
+    if (this.inFlight === 0) {
+      this.heardAtMs = monotonicMs();
+      this.longestGivenMs = 0;
+    }
+    this.longestGivenMs = Math.max(this.longestGivenMs, usualMs);
     this.inFlight += 1;
     this.noteSending();
   }
@@ -181,8 +200,11 @@
     return this.sentAtMs;
   }
 
-  private silenceMs(nowMs: number): number {
-    return this.inFlight > 0 ? nowMs - this.heardAtMs : 0;
+  /** How many times the usual it has kept silent over what it was given; 0 while that is no sign. */
+  private silence(nowMs: number): number {
+    if (this.inFlight === 0 || this.longestGivenMs === 0) return 0;
+    const times = (nowMs - this.heardAtMs) / this.longestGivenMs;
+    return times > TELLING_SILENCE ? times : 0;
   }
 
   private pace(nowMs: number): number {
@@ -274,7 +296,6 @@
   }
 
   private measure(tookMs: number, weight: number): void {
-    this.measuredAtMs = monotonicMs();
     this.averageMs = this.averageMs === 0 ? tookMs : this.averageMs + (tookMs - this.averageMs) * weight;
   }
 }
--- a/test/coordination/dispatch/home-dispatch.test.ts
+++ b/test/coordination/dispatch/home-dispatch.test.ts
@@ -98,6 +98,7 @@
     const nowMs = monotonicMs();
     return {
       service: SERVICE,
+      workKind: 'lookup',
       request: {
         id: 'r',
         method: 'POST',
--- a/test/coordination/dispatch/service-queue.test.ts
+++ b/test/coordination/dispatch/service-queue.test.ts
@@ -76,6 +76,7 @@
     const { leftMs = 5_000, id = `call-${calls}`, ...rest } = fields;
     return {
       service: 's',
+      workKind: 'lookup',
       request: { id, method: 'POST', path: '/x', host: 'h', headers: {}, body: Buffer.alloc(10) },
       rank: 1,
       party: 'p',
--- a/test/state/admission/admission.test.ts
+++ b/test/state/admission/admission.test.ts
@@ -6,9 +6,10 @@
 
 const options = { numRuns: 500, seed: 20_261_205 };
 const terms = (fields: Partial<AdmissionTerms> = {}): AdmissionTerms => ({
-  waitingBefore: 0,
-  waitingCount: 0,
-  drainPerMs: 0.2,
+  workBeforeMs: 0,
+  workWaitingMs: 0,
+  drainPerMs: 8,
+  hasRoom: false,
   workMs: 40,
   leftMs: 800,
   ...fields,
@@ -16,16 +17,20 @@
 
 describe('admission', () => {
   it('lets wait what can be served in its time, and nothing else', () => {
-    expect(admit(terms({ waitingBefore: 100, waitingCount: 100 }), 0).kind).to.equal('admitted');
-    expect(admit(terms({ waitingBefore: 160, waitingCount: 160 }), 0).kind).to.equal('refused');
+    expect(admit(terms({ workBeforeMs: 4_000, workWaitingMs: 4_000 }), 0).kind).to.equal('admitted');
+    expect(admit(terms({ workBeforeMs: 6_400, workWaitingMs: 6_400 }), 0).kind).to.equal('refused');
+    expect(admit(terms({ workBeforeMs: 6_400, hasRoom: true }), 0).kind, 'a place is free').to.equal(
+      'admitted',
+    );
     expect(admit(terms({ leftMs: 30 }), 0).kind).to.equal('refused');
   });
 
   it('names a time to come back when there is room, spread, and within what callers heed', () => {
     const drawn = fc.record({
-      waitingBefore: fc.nat(5_000),
-      waitingCount: fc.nat(5_000),
-      drainPerMs: fc.double({ min: 0, max: 5, noNaN: true }),
+      workBeforeMs: fc.nat(200_000),
+      workWaitingMs: fc.nat(200_000),
+      drainPerMs: fc.double({ min: 0, max: 50, noNaN: true }),
+      hasRoom: fc.boolean(),
       workMs: fc.double({ min: 1, max: 2_000, noNaN: true }),
       leftMs: fc.double({ min: 0, max: 10_000, noNaN: true }),
     });
@@ -38,9 +43,9 @@
       }),
       options,
     );
-    const crowd = terms({ waitingBefore: 300, waitingCount: 300, leftMs: 500 });
+    const crowd = terms({ workBeforeMs: 12_000, workWaitingMs: 12_000, leftMs: 500 });
     const times = [0, 0.25, 0.5, 0.75].map((chance) => admit(crowd, chance));
-    expect(new Set(times.map((time) => JSON.stringify(time))).size).to.be.at.least(1);
+    expect(times.every(({ kind }) => kind === 'refused')).to.equal(true);
   });
 });
 
--- a/test/state/admission/waiting-list.test.ts
+++ b/test/state/admission/waiting-list.test.ts
@@ -21,11 +21,12 @@
   sinceMs: 0,
   aimAtMs: 200,
   endsAtMs: 800,
+  workMs: WORK_MS,
   bytes: 100,
   ...fields,
 });
 
-const at = (nowMs: number) => ({ nowMs, workMs: WORK_MS });
+const at = (nowMs: number) => nowMs;
 
 describe('the order of those that wait', () => {
   const listOf = (entries: readonly Named[], use = new PartyUse()) => {
@@ -96,7 +97,7 @@
     expect(list.size).to.equal(3);
   });
 
-  it('never passes over one that is fit, and counts who goes before, under drawn loads', () => {
+  it('never passes over one that is fit, and knows the work that goes before, under drawn loads', () => {
     const drawn = fc.array(
       fc.record({
         rank: fc.nat(3),
@@ -114,7 +115,7 @@
         let left = list.size;
         while (left > 0) {
           const next = list.next(at(nowMs)) as Named;
-          expect(list.countBefore(next, at(nowMs))).to.be.lessThan(left);
+          expect(list.workBefore(next, at(nowMs))).to.be.at.most((left - 1) * WORK_MS);
           expect(list.remove(next)).to.equal(true);
           list.noteServed();
           left -= 1;
--- a/test/state/replicas/replica-choice.test.ts
+++ b/test/state/replicas/replica-choice.test.ts
@@ -1,5 +1,6 @@
 /** The choice of a replica under drawn loads: nobody idles while a fit request waits, equal ones are used alike, slow ones less. */
 import { expect } from 'chai';
+import { sleep } from '../../../src/common/clock.js';
 import { Random } from '../../../src/common/random.js';
 import {
   type ChoiceTerms,
@@ -16,15 +17,15 @@
 
 const terms: ChoiceTerms = {
   slotsOf: ({ replica }) => replica.slots,
-  waitingBefore: 0,
   distanceMs: () => 0,
-  unmeasuredMs: USUAL_MS,
+  workMs: USUAL_MS,
+  workBeforeMs: 0,
 };
 
 function replicas(times: readonly number[]): ReplicaState[] {
   return times.map((timeMs, index) => {
     const state = new ReplicaState(replicaWith({ id: `r${index}`, slots: SLOTS }));
-    for (let count = 0; count < 30; count += 1) state.noteSuccess(timeMs);
+    for (let count = 0; count < 60; count += 1) state.noteSlowness(timeMs / USUAL_MS);
     return state;
   });
 }
@@ -76,16 +77,29 @@
     const [fast] = states as [ReplicaState];
     for (let count = 0; count < SLOTS; count += 1) fast.noteGiven();
     expect(chooseReplica(states, terms).kind).to.equal('wait');
-    expect(chooseReplica(states, { ...terms, waitingBefore: 60 }).kind, 'many wait before it').to.equal(
-      'send',
-    );
+    expect(
+      chooseReplica(states, { ...terms, workBeforeMs: 60 * USUAL_MS }).kind,
+      'many wait before it',
+    ).to.equal('send');
   });
 
   it('gives three slow ones of four the part that their speed earns', () => {
     const states = replicas([USUAL_MS, USUAL_MS * 5, USUAL_MS * 5, USUAL_MS * 5]);
     const choice = chooseReplica(states, terms);
     expect(choice.kind === 'send' && choice.state.id).to.equal('r0');
-    expect(drainRate(states, terms) * USUAL_MS).to.be.closeTo(SLOTS * 1.6, 0.3);
+    expect(drainRate(states, terms)).to.be.closeTo(SLOTS * 1.6, 0.3);
+  });
+
+  it('takes silence over what it was given for slowness, but not over what takes long anyway', async () => {
+    const states = replicas([USUAL_MS, USUAL_MS]);
+    const [silent, patient] = states as [ReplicaState, ReplicaState];
+    silent.noteGiven(5);
+    patient.noteGiven(500);
+    await sleep(60);
+    expect(silent.slowness).to.be.greaterThan(8);
+    expect(patient.slowness).to.be.lessThan(1.5);
+    silent.noteReturned(true);
+    expect(silent.slowness).to.be.lessThan(1.5);
   });
 
   it('leaves out one that says it is full, and one that fails unless there is no other', () => {
@@ -106,6 +120,6 @@
     const choice = chooseReplica(states, terms);
     expect(choice.kind === 'send' && choice.state).to.equal(paced);
     paced.noteLoad({ running: 0, waiting: 0, slots: SLOTS, pacePercent: 300 });
-    expect(paced.expectedMs(USUAL_MS)).to.be.closeTo(3 * USUAL_MS, USUAL_MS / 2);
+    expect(paced.slowness).to.be.closeTo(3, 0.3);
   });
 });
