What waits at a home that leaves goes to another node, instead of being refused

Cause: a home that is stopped refused what waited there, and the node with the caller took that for the last word: 503 for a request whose caller had time. The refusal was true, so nothing was promised wrongly. Change: such a refusal says so; it is given to the next in line, also where the home's own callers waited.

--- a/src/coordination/dispatch/dispatch-call.ts
+++ b/src/coordination/dispatch/dispatch-call.ts
@@ -51,6 +51,8 @@
   /** When it should come back where it has not run, milliseconds. */
   readonly retryAfterMs?: number;
   readonly room?: ServiceRoom;
+  /** Whether it was refused only because the node that it waited at deals out no places any more. */
+  readonly isClosed?: boolean;
   /** Node that dealt with it, for the logs. */
   readonly via?: string;
 }
--- a/src/coordination/dispatch/home-dispatch.ts
+++ b/src/coordination/dispatch/home-dispatch.ts
@@ -88,7 +88,23 @@
         if (result) return result;
       }
     this.services.metrics.homeCalls.inc({ outcome: 'here' });
-    return this.services.queues.dispatch(call);
+    const result = await this.services.queues.dispatch(call);
+    return result.isClosed ? this.passOn(call, isRepeatable, result) : result;
+  }
+
+  /** This node has begun to leave while the request waited here: it is given to another one, if there is any. */
+  private async passOn(
+    call: DispatchCall,
+    isRepeatable: boolean,
+    refused: DispatchResult,
+  ): Promise<DispatchResult> {
+    this.noteChange();
+    for (const home of this.candidates(call.service)) {
+      if (home.name === this.services.nodeName) continue;
+      const result = await this.dispatchAt(home, call, isRepeatable);
+      if (result) return result;
+    }
+    return refused;
   }
 
   /** Whether this node deals out places of the service, as far as it knows. */
@@ -170,7 +186,9 @@
     }
     const { message } = answer.outcome;
     if (message.room) this.rooms.set(home.name, { room: message.room, atMs: monotonicMs() });
-    if (message.kind === 'declined' && this.knowsMore(call.service, message.room)) return undefined;
+    if (message.isClosed) this.health.pass(home.name, 'it is leaving');
+    if (message.isClosed || (message.kind === 'declined' && this.knowsMore(call.service, message.room)))
+      return undefined;
     return toResult(answer.outcome, home.name);
   }
 
@@ -288,13 +306,14 @@
 
 /** What another node is told of a result. */
 export function toOutcomeMessage(result: DispatchResult): Framed<DispatchOutcomeMessage> {
-  const { outcome, replica, hasEndedReplica, retryAfterMs, room } = result;
+  const { outcome, replica, hasEndedReplica, retryAfterMs, room, isClosed } = result;
   const shared = {
     kind: outcome.kind,
     hasEndedReplica,
     ...(replica ? { replica } : {}),
     ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
     ...(room ? { room } : {}),
+    ...(isClosed ? { isClosed } : {}),
   };
   if (outcome.kind === 'answered') {
     const { body, headers, signature, ...answer } = outcome.answer;
--- a/src/coordination/dispatch/service-queue.ts
+++ b/src/coordination/dispatch/service-queue.ts
@@ -84,6 +84,7 @@
   private readonly running = new Map<string, Set<string>>();
   private timer: NodeJS.Timeout | undefined;
   private isScheduled = false;
+  private isClosed = false;
 
   constructor(
     private readonly service: string,
@@ -115,8 +116,9 @@
     return new Promise((resolve) => this.enter(call, resolve));
   }
 
-  /** Refuses all that wait: this node deals out no places any more. */
+  /** Refuses all that wait: this node deals out no places any more, another one is to be asked. */
   close(reason: string): void {
+    this.isClosed = true;
     for (const entry of [...this.waiting]) this.refuse(entry, reason, 0);
   }
 
@@ -204,6 +206,7 @@
       hasEndedReplica: false,
       retryAfterMs: afterMs > 0 ? afterMs : undefined,
       room: this.room,
+      isClosed: this.isClosed,
     });
   }
 
--- a/src/protocol/dispatch-peer.ts
+++ b/src/protocol/dispatch-peer.ts
@@ -65,6 +65,7 @@
   replica: Type.Optional(ReplicaSchema),
   hasEndedReplica: Type.Boolean(),
   retryAfterMs: Type.Optional(Type.Number()),
+  isClosed: Type.Optional(Type.Boolean()),
   room: Type.Optional(RoomSchema),
 });
 export type DispatchOutcomeMessage = Static<typeof OutcomeSchema>;
--- a/test/coordination/dispatch/home-dispatch.test.ts
+++ b/test/coordination/dispatch/home-dispatch.test.ts
@@ -210,6 +210,23 @@
     expect(asked).to.deep.equal([FIRST.name, NEAREST.name]);
   });
 
+  it('are given to another node when the home refuses what waits because it leaves', async () => {
+    answers.set(FIRST.name, async (_, options) => {
+      options.onTaken();
+      const refused: DispatchResult = {
+        outcome: { kind: 'declined', reason: 'this node is leaving', isFull: true },
+        hasEndedReplica: false,
+        room: { free: 0, slots: 6, waiting: 0 },
+        isClosed: true,
+      };
+      const { message, body } = toOutcomeMessage(refused);
+      return { kind: 'outcome', outcome: { message, body } };
+    });
+    expect((await homes.dispatch(call(), false)).via).to.equal(NEAREST.name);
+    expect((await homes.dispatch(call(), false)).via).to.equal(NEAREST.name);
+    expect(asked).to.deep.equal([FIRST.name, NEAREST.name, NEAREST.name]);
+  });
+
   it('make no detour with a large body', async () => {
     await homes.dispatch(call(Buffer.alloc(MAX_DISPATCHED_BODY_BYTES + 1)), true);
     expect(served).to.equal(1);
