--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -28,6 +28,8 @@
   /** Time of an answer of the store without trouble, milliseconds. */
   readonly storeAnswerMs: number;
   readonly random: Random;
+  /** Sends so many lookups at once. */
+  sendCrowd: (count: number) => Promise<void>;
   /** Names of the nodes that the trouble under way strikes. */
   readonly struck: Set<string>;
 }
@@ -38,7 +40,10 @@
 /** Times as long as usual that a slow engine takes for an event, and for a load. */
 const SLOW_WORK = 8;
 const SLOW_LOAD = 30;
-/** Engines whose times are multiplied now. */
+/** Times as long as usual that applications take at most while they are uneven, and lookups of a crowd at least. */
+const SLOW_APPLICATION = 20;
+const CROWD = 60;
+/** Replicas whose times are multiplied now. */
 const altered = { workMs: new Set<ReplicaServer>(), loadMs: new Set<ReplicaServer>() };
 
 /** Replicas that are starting again now. */
@@ -288,6 +293,28 @@
     altered[field].delete(engine);
   };
 
+/** Applications turn slow, each by a factor of its own. */
+async function unevenApplications({ applications, random }: Stage, forMs: number): Promise<void> {
+  const some = applications.filter((one) => one.isUp && !altered.workMs.has(one));
+  const factors = some.map(() => 1 + random.integer(SLOW_APPLICATION));
+  for (const [at, one] of some.entries()) {
+    altered.workMs.add(one);
+    one.workMs *= factors[at] ?? 1;
+  }
+  await sleep(forMs);
+  for (const [at, one] of some.entries()) {
+    one.workMs /= factors[at] ?? 1;
+    altered.workMs.delete(one);
+  }
+}
+
+/** Callers come together, several times as many as all applications run at once. */
+async function crowd({ sendCrowd, random }: Stage, forMs: number): Promise<void> {
+  const endsAtMs = monotonicMs() + forMs;
+  do await sendCrowd(CROWD + random.integer(CROWD));
+  while (monotonicMs() < endsAtMs);
+}
+
 async function brokenStreams({ engines, random }: Stage): Promise<void> {
   random.pick([...engines]).streamsToBreak = 3;
 }
@@ -404,6 +431,8 @@
   'application-surplus-answers': surplusAnswers,
   'application-unframed-answers': unframedAnswers,
   'application-fatal-request': fatalRequest,
+  'applications-uneven': unevenApplications,
+  'callers-crowd': crowd,
   'orders-late': lateOrders,
   'configuration-change': changeConfiguration,
   'configuration-changes-often': changeConfigurationOften,
--- a/bench/soak/load.ts
+++ b/bench/soak/load.ts
@@ -107,15 +107,27 @@
 /** Sends lookups until the signal. */
 export async function lookUp(load: Load, caller: string): Promise<void> {
   for (let count = 1; !load.signal.aborted; count += 1) {
-    const id = `${caller}-${count}`;
-    const { key, tenant } = load.random.pick(KEYS);
-    const answer = await load.system.lookup({ url: anyNode(load) }, id, bearing(key));
-    const body = answer?.body.toString('utf8') ?? '';
-    load.history.lookups.push({ id, tenant, status: answer?.status ?? 0, body });
+    await lookUpOnce(load, `${caller}-${count}`);
     await sleep(LOOKUP_PAUSE_MS);
   }
 }
 
+/** Sends many lookups at once, to any nodes. */
+export async function lookUpAtOnce(load: Load, count: number): Promise<void> {
+  crowds += 1;
+  const ids = Array.from({ length: count }, (_, at) => `crowd-${crowds}-${at}`);
+  await Promise.all(ids.map((id) => lookUpOnce(load, id)));
+}
+
+let crowds = 0;
+
+async function lookUpOnce(load: Load, id: string): Promise<void> {
+  const { key, tenant } = load.random.pick(KEYS);
+  const answer = await load.system.lookup({ url: anyNode(load) }, id, bearing(key));
+  const body = answer?.body.toString('utf8') ?? '';
+  load.history.lookups.push({ id, tenant, status: answer?.status ?? 0, body });
+}
+
 /** Reads every accepted job from the start at several nodes, after the last trouble. */
 export async function readAgain(load: Load, histories: readonly JobHistory[]): Promise<string[]> {
   const unreadable: string[] = [];
--- a/bench/soak/shape.ts
+++ b/bench/soak/shape.ts
@@ -6,6 +6,8 @@
   readonly zones: number;
   readonly engines: number;
   readonly applications: number;
+  /** Requests that an application runs at once: fewer than there are nodes, so that its places are dealt out by homes. */
+  readonly applicationSlots: number;
   /** Routes that nobody asks for. */
   readonly idleRoutes: number;
   /** Time of an answer of the store, and calls that it takes in a second from all nodes together. */
@@ -27,6 +29,7 @@
     zones: 1,
     engines: 4,
     applications: 4,
+    applicationSlots: 3,
     idleRoutes: 4,
     storeAnswerMs: 0,
     storeReadsPerSecond: Number.POSITIVE_INFINITY,
@@ -40,6 +43,7 @@
     zones: 4,
     engines: 31,
     applications: 5,
+    applicationSlots: 6,
     idleRoutes: 40,
     storeAnswerMs: 4,
     storeReadsPerSecond: 6_000,
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -17,7 +17,7 @@
 import { configurationBreaches, probeNodes } from './configuration-probes.js';
 import { ConfigurationSeries, MODELS, SECOND_SERVICE } from './configuration-series.js';
 import { FATAL_PREFIX, FAULTS, ON_NODES, type Stage } from './faults.js';
-import { type Load, lookUp, readAgain, trainSteps } from './load.js';
+import { type Load, lookUp, lookUpAtOnce, readAgain, trainSteps } from './load.js';
 import type { History } from './records.js';
 import { SHAPES, type Shape } from './shape.js';
 
@@ -126,6 +126,7 @@
     random: new Random(seed + 1),
     signal: stop.signal,
   };
+  stage.sendCrowd = (count) => lookUpAtOnce(load, count);
   const beats = setInterval(() => beat(stage), BEAT_MS);
   const delays = monitorEventLoopDelay();
   delays.enable();
@@ -201,10 +202,16 @@
   const addEngine = () => system.addEngine({ models, events: EVENTS, workMs: EVENT_MS });
   const engines = await Promise.all(times(shape.engines).map(addEngine));
   const applications = await Promise.all(
-    times(shape.applications).map((at) => system.addApplication({ zone: zoneOf(at) })),
+    times(shape.applications).map((at) =>
+      system.addApplication({ zone: zoneOf(at), slots: shape.applicationSlots }),
+    ),
   );
   for (const at of times(SECOND_APPLICATIONS))
-    await system.addApplication({ service: SECOND_SERVICE, zone: zoneOf(at) });
+    await system.addApplication({
+      service: SECOND_SERVICE,
+      zone: zoneOf(at),
+      slots: shape.applicationSlots,
+    });
   const names = times(shape.nodes).map((at) => `node-${at + 1}`);
   const settingsOf = (name: string) => ({
     zone: zoneOf(names.indexOf(name)),
@@ -222,6 +229,7 @@
     storeAnswerMs: shape.storeAnswerMs,
     random: new Random(seed),
     struck: new Set(),
+    sendCrowd: async () => {},
   };
 }
 
