A home that knows less than the caller's node takes no call; unacknowledged calls and a few declines cost a caller nothing

Cause, by reading and by tests beside a load of 20 to 25 on 12 cores: a home judged each request by its own configuration, also an older one, so one that the store does not serve would have refused routes that were just added; a call that the home did not acknowledge in 250 ms used up the budget of second attempts (502 in place of 200, once of a crowd of 60); after four declines, which two nodes that deal out the same places give quickly, a caller with time was refused (503, twice, body: status 503). Change: what has waited is judged only by a newer configuration than the request's; a node that is not served takes no calls of one that is; a retry is charged only once a replica had the request; 16 declines bound what one request costs.

--- a/src/coordination/dispatch/home-dispatch.ts
+++ b/src/coordination/dispatch/home-dispatch.ts
@@ -38,6 +38,8 @@
   readonly members: () => readonly FleetMember[];
   readonly directory: ReplicaDirectory;
   readonly queues: ServiceQueues;
+  /** Whether the store serves this node. */
+  readonly isStoreInReach: () => boolean;
   /** Gives a call to the node at an address. */
   readonly call: (
     address: string,
@@ -209,7 +211,7 @@
     const unacknowledged = isRepeatable ? setTimeout(abort, UNACKNOWLEDGED_MS) : undefined;
     const leftMs = call.endsAtMs - monotonicMs();
     try {
-      return await this.services.call(home.peerAddress, toMessage(call), {
+      return await this.services.call(home.peerAddress, toMessage(call, this.services.isStoreInReach()), {
         onTaken: () => {
           clearTimeout(unacknowledged);
           this.health.acknowledge(home.name, number, true);
@@ -243,7 +245,7 @@
   return slots.length > 0 && nodeCount > Math.min(...slots);
 }
 
-function toMessage(call: DispatchCall): Framed<DispatchMessage> {
+function toMessage(call: DispatchCall, isServed: boolean): Framed<DispatchMessage> {
   const nowMs = monotonicMs();
   const { id, method, path, host, headers, tenant, body } = call.request;
   return {
@@ -265,6 +267,7 @@
       leftMs: Math.max(0, call.endsAtMs - nowMs),
       excluded: [...call.excluded],
       configVersion: call.configVersion,
+      isServed,
     },
     body,
   };
@@ -284,6 +287,7 @@
     leftMs,
     excluded,
     configVersion,
+    isServed: _,
     ...request
   } = message;
   const nowMs = monotonicMs();
--- a/src/coordination/dispatch/service-queue.ts
+++ b/src/coordination/dispatch/service-queue.ts
@@ -33,8 +33,11 @@
 
 /** How often those that wait are looked at without a reason: pauses of replicas end in silence, milliseconds. */
 const LOOK_MS = 20;
-/** Replicas that may decline one request before it is refused: each decline tells that the view of them was wrong. */
-const MAX_DECLINES = 4;
+/**
+ * Times that replicas may decline one request before it is refused. Each decline pauses its replica, so this bounds what a request
+ * costs replicas that others fill, while a caller that has time is not refused because two nodes deal out the same places.
+ */
+const MAX_DECLINES = 16;
 /**
  * Those at the front may wait for a fast replica while a slow one is free. So many are passed over at most in search of one that
  * ends sooner at the slow one.
--- a/src/coordination/requests/service-relay.ts
+++ b/src/coordination/requests/service-relay.ts
@@ -113,6 +113,8 @@
   private isDeclined = false;
   private comeBackMs = RETRY_AFTER_MS;
   private mayHaveRun = false;
+  /** Whether a replica is known to have had it: only then another attempt is load that attempts make of themselves. */
+  private hasReachedReplica = false;
   /** Before this time no second attempt is made beside a silent one, on the monotonic clock. */
   private hedgeFromMs = 0;
   private lastFailure: WholeAnswer | undefined;
@@ -184,6 +186,7 @@
     const tracked: Promise<Attempt> = sent.then((result) => {
       pending.delete(tracked);
       const { outcome, replica, hasEndedReplica } = result;
+      if (replica && outcome.kind !== 'declined') this.hasReachedReplica = true;
       if (replica) this.tried.add(replica.id);
       if (outcome.kind === 'declined') this.noteNotRun();
       if (hasEndedReplica && replica) this.quarantine.noteEnd(this.request, replica);
@@ -215,7 +218,7 @@
       aimAtMs,
       endsAtMs: this.endsAtMs,
       isExtra,
-      isRetry: this.runs > 0,
+      isRetry: this.hasReachedReplica,
       excluded: this.tried,
       configVersion: this.request.snapshot.version,
       signal: this.controller.signal,
--- a/src/node/dispatch-parts.ts
+++ b/src/node/dispatch-parts.ts
@@ -73,6 +73,7 @@
       members: () => this.fleet.members,
       directory,
       queues: this.queues,
+      isStoreInReach: () => store.isInReach(),
       call: callPeer,
       metrics,
       logger,
@@ -81,12 +82,13 @@
     directory.onChange(() => this.homes.noteChange());
   }
 
-  /** A call of another node, whose outcome it is told; `undefined` when this node takes none. */
+  /** A call of another node, whose outcome it is told; `undefined` when this node takes none, or knows less than the other. */
   forPeer(
     framed: Framed<DispatchMessage>,
     signal: AbortSignal,
   ): Promise<Framed<DispatchOutcomeMessage>> | undefined {
-    if (this.queues.areClosed) return undefined;
+    const knowsLess = framed.message.isServed && !this.services.store.isInReach();
+    if (this.queues.areClosed || knowsLess) return undefined;
     return this.queues.dispatch(toCall(framed, signal)).then(toOutcomeMessage);
   }
 
@@ -123,9 +125,11 @@
     return perSecond / Math.max(1, this.fleet.members.length);
   }
 
-  /** A request that has waited must still have a route that leads to its service. */
-  private isAllowed({ service, request }: DispatchCall): boolean {
-    const route = this.services.routing.current?.match(request.host, request.path);
+  /** A request that has waited must still have a route that leads to its service, if a newer configuration is in force here. */
+  private isAllowed({ service, request, configVersion }: DispatchCall): boolean {
+    const snapshot = this.services.routing.current;
+    if (!snapshot || snapshot.version <= configVersion) return true;
+    const route = snapshot.match(request.host, request.path);
     return route?.targets.some((target) => target.service === service) ?? false;
   }
 }
--- a/src/protocol/dispatch-peer.ts
+++ b/src/protocol/dispatch-peer.ts
@@ -43,6 +43,8 @@
   leftMs: Type.Number({ minimum: 0 }),
   excluded: Type.Array(Type.String({ maxLength: MAX_NAME }), { maxItems: MAX_EXCLUDED }),
   configVersion: Type.Number(),
+  /** Whether the store serves the node that asks, so that what it knows is new. */
+  isServed: Type.Boolean(),
 });
 export type DispatchMessage = Static<typeof CallSchema>;
 
--- a/test/coordination/dispatch/home-dispatch.test.ts
+++ b/test/coordination/dispatch/home-dispatch.test.ts
@@ -84,6 +84,7 @@
           return HERE;
         },
       } as unknown as ServiceQueues,
+      isStoreInReach: () => true,
       call: (address, framed, options) => {
         const { name } = MEMBERS.find(({ peerAddress }) => peerAddress === address) as FleetMember;
         asked.push(name);
