Logs of a dispatcher: the job of a call, its time on the way and in the queue

Cause: the hypotheses about the late scoring calls differ in how long a call was on its way to the dispatcher, how long it was queued there, and for which job it was sent. attempt-ended of a dispatcher named the request only.

Change: a call between nodes carries the job (jobId) and the time at which it was sent on the clock of the store (sentAtMs); both are optional, an earlier build ignores them and omits them. attempt-ended has jobId, waitedMs and transitMs. Nothing is decided by them yet.

--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -43,6 +43,8 @@
   readonly tookMs: number;
   /** Time queued for a slot before the attempt. */
   readonly waitedMs?: number;
+  /** Time on the way from the calling node to this dispatcher. */
+  readonly transitMs?: number;
   /** Open requests from this node to the replica. */
   readonly inFlight: number;
   readonly configVersion: number;
--- a/src/coordination/service/dispatch/dispatch-call.ts
+++ b/src/coordination/service/dispatch/dispatch-call.ts
@@ -26,6 +26,10 @@
   /** Ids of replicas already tried, used again only if there are no others. */
   readonly excluded: ReadonlySet<string>;
   readonly configVersion: number;
+  /** Job on whose behalf the request is sent, such as a scoring call. */
+  readonly jobId?: string;
+  /** Time that the call took from another node to this one, milliseconds; `undefined` if unknown. */
+  readonly transitMs?: number;
   /** Aborted when the caller no longer needs the answer. */
   readonly signal: AbortSignal;
   /**
--- a/src/coordination/service/dispatch/dispatch-messages.ts
+++ b/src/coordination/service/dispatch/dispatch-messages.ts
@@ -16,7 +16,18 @@
 
 const NO_BODY = Buffer.alloc(0);
 
-export function toMessage(call: DispatchCall, isStoreAnswering: boolean): Framed<DispatchMessage> {
+/** What a node knows of the store when it sends a call. */
+export interface SenderState {
+  /** Whether the store answers the node. */
+  readonly isStoreAnswering: boolean;
+  /** The clock of the store, milliseconds; `undefined` while unknown. */
+  readonly storeTimeMs: number | undefined;
+}
+
+export function toMessage(
+  call: DispatchCall,
+  { isStoreAnswering, storeTimeMs }: SenderState,
+): Framed<DispatchMessage> {
   const nowMs = monotonicMs();
   const { id, method, path, host, headers, tenant, body } = call.request;
   return {
@@ -39,13 +50,28 @@
       excluded: [...call.excluded],
       configVersion: call.configVersion,
       isServed: isStoreAnswering,
+      ...(call.jobId === undefined ? {} : { jobId: call.jobId }),
+      ...(storeTimeMs === undefined ? {} : { sentAtMs: storeTimeMs }),
     },
     body,
   };
 }
 
+/** Time that a message took to this node, milliseconds; `undefined` without a common clock. */
+export function transitMsOf(
+  { sentAtMs }: Pick<DispatchMessage, 'sentAtMs'>,
+  storeTimeMs: number | undefined,
+): number | undefined {
+  if (sentAtMs === undefined || storeTimeMs === undefined) return undefined;
+  return Math.max(0, storeTimeMs - sentAtMs);
+}
+
 /** Converts the message of another node to a call. `signal` aborts it. */
-export function toCall({ message, body }: Framed<DispatchMessage>, signal: AbortSignal): DispatchCall {
+export function toCall(
+  { message, body }: Framed<DispatchMessage>,
+  transitMs: number | undefined,
+  signal: AbortSignal,
+): DispatchCall {
   const {
     service,
     workKind,
@@ -59,6 +85,8 @@
     excluded,
     configVersion,
     isServed: _,
+    jobId,
+    sentAtMs: _sentAtMs,
     ...request
   } = message;
   const nowMs = monotonicMs();
@@ -75,6 +103,8 @@
     deadlineMs: nowMs + leftMs,
     excluded: new Set(excluded),
     configVersion,
+    jobId,
+    transitMs,
     signal,
   };
 }
--- a/src/coordination/service/dispatch/dispatcher-client.ts
+++ b/src/coordination/service/dispatch/dispatcher-client.ts
@@ -27,6 +27,8 @@
 export interface DispatcherClientServices {
   /** Whether the store answers this node. */
   readonly isStoreAnswering: () => boolean;
+  /** The clock of the store, milliseconds; `undefined` while unknown. */
+  readonly storeTimeMs: () => number | undefined;
   readonly call: PeerCall;
 }
 
@@ -49,7 +51,9 @@
     };
     const timeoutMs = Math.max(1, call.deadlineMs - monotonicMs() + ANSWER_TIMEOUT_MARGIN_MS);
     try {
-      const message = toMessage(call, this.services.isStoreAnswering());
+      const { isStoreAnswering, storeTimeMs } = this.services;
+      const sender = { isStoreAnswering: isStoreAnswering(), storeTimeMs: storeTimeMs() };
+      const message = toMessage(call, sender);
       const options = { onAcknowledged: onAcknowledged, timeoutMs, signal: controller.signal };
       return await this.services.call(dispatcher.peerAddress, message, options);
     } finally {
--- a/src/coordination/service/dispatch/index.ts
+++ b/src/coordination/service/dispatch/index.ts
@@ -1,6 +1,6 @@
 export { CrashCheck } from './crash-check.js';
 export type { AttemptedReplica, DispatchCall, DispatchResult } from './dispatch-call.js';
-export { toCall, toOutcomeMessage } from './dispatch-messages.js';
+export { toCall, toOutcomeMessage, transitMsOf } from './dispatch-messages.js';
 export type { PeerCall } from './dispatcher-client.js';
 export { RemoteDispatch } from './remote-dispatch.js';
 export {
--- a/src/coordination/service/dispatch/replica-exchange.ts
+++ b/src/coordination/service/dispatch/replica-exchange.ts
@@ -47,7 +47,9 @@
 export interface AttemptContext {
   readonly configVersion: number;
   readonly jobId?: string;
-  readonly group?: string;
+  /** Time queued here, and time on the way from another node, milliseconds. */
+  readonly waitedMs?: number;
+  readonly transitMs?: number;
 }
 
 export interface AttemptOptions extends AttemptContext {
--- a/src/coordination/service/dispatch/service-queue.ts
+++ b/src/coordination/service/dispatch/service-queue.ts
@@ -260,8 +260,11 @@
     const request = { ...call.request, remainingMs: deadlineMs - sentAtMs, signal: call.signal };
     const endRun = this.running.begin(call.request.id, state.id, { sentAtMs, serviceTimeMs });
     call.onHandOver?.(true);
+    const { configVersion, jobId } = call;
+    const waitedMs = Math.round(sentAtMs - entry.sinceMs);
+    const transitMs = call.transitMs === undefined ? undefined : Math.round(call.transitMs);
     void this.services.exchange
-      .attempt(state, request, { configVersion: call.configVersion, expectedMs: serviceTimeMs })
+      .attempt(state, request, { configVersion, jobId, waitedMs, transitMs, expectedMs: serviceTimeMs })
       .then((outcome) => {
         const tookMs = monotonicMs() - sentAtMs;
         if (outcome.kind === 'answered')
--- a/src/coordination/service/generation/sample-scorer.ts
+++ b/src/coordination/service/generation/sample-scorer.ts
@@ -15,6 +15,13 @@
   | { readonly kind: 'impossible'; readonly reason: string }
   | { readonly kind: 'cancelled' };
 
+/** Job for which a sample is scored. */
+export interface ScoringJob {
+  readonly jobId: string;
+  /** Aborted when the job is stopped. */
+  readonly signal: AbortSignal;
+}
+
 interface ScoringProgress {
   failures: number;
   /** When the route was last present, on the monotonic clock, milliseconds. */
@@ -44,12 +51,13 @@
     private readonly relay: ServiceRelay,
   ) {}
 
-  /** Retries the call until it succeeds, fails permanently, or `signal` is aborted. Never rejects. */
-  async score(call: ScoringCall, signal: AbortSignal): Promise<ScoringOutcome> {
+  /** Retries the call until it succeeds, fails permanently, or the job is stopped. Never rejects. */
+  async score(call: ScoringCall, job: ScoringJob): Promise<ScoringOutcome> {
+    const { signal } = job;
     const progress = { failures: 0, routeSeenAtMs: monotonicMs() };
     let backoffMs = INITIAL_BACKOFF_MS;
     while (!signal.aborted) {
-      const outcome = await this.attempt(call, signal, progress);
+      const outcome = await this.attempt(call, job, progress);
       if (outcome) return outcome;
       await sleep(backoffMs * (0.5 + Math.random()), signal);
       backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
@@ -60,7 +68,7 @@
   /** Makes one attempt if the route exists. Resolves to the final outcome, or to `undefined` to retry. */
   private async attempt(
     call: ScoringCall,
-    signal: AbortSignal,
+    job: ScoringJob,
     progress: ScoringProgress,
   ): Promise<ScoringOutcome | undefined> {
     const snapshot = this.routing.current;
@@ -73,7 +81,7 @@
         : undefined;
     }
     progress.routeSeenAtMs = monotonicMs();
-    const result = classifyScoring(await this.send(call, signal, snapshot, route));
+    const result = classifyScoring(await this.send(call, job, snapshot, route));
     if (typeof result === 'object') return result;
     if (result === 'failed') progress.failures += 1;
     if (progress.failures < route.maxAttempts) return undefined;
@@ -82,7 +90,7 @@
 
   private send(
     call: ScoringCall,
-    signal: AbortSignal,
+    { jobId, signal }: ScoringJob,
     snapshot: RoutingSnapshot,
     route: Route,
   ): Promise<RelayOutcome> {
@@ -98,6 +106,7 @@
       route: { ...route, maxAttempts: 1 },
       snapshot,
       deadlineMs,
+      jobId,
       signal,
       isHedged: false,
       priority: route.priority,
--- a/src/coordination/service/jobs/item-run.ts
+++ b/src/coordination/service/jobs/item-run.ts
@@ -93,7 +93,7 @@
     this.services.lengths.recordFinished(this.item, this.text.eventCount);
     const { scoring } = this.item;
     if (!scoring) return this.toCompletedResult(undefined);
-    const outcome = await this.services.scorer.score(scoring, this.job.signal);
+    const outcome = await this.services.scorer.score(scoring, this.job);
     if (outcome.kind === 'scored') return this.toCompletedResult(outcome.score);
     return outcome.kind === 'cancelled' ? undefined : this.toDeadResult(outcome.reason);
   }
--- a/src/coordination/service/requests/relay-run.ts
+++ b/src/coordination/service/requests/relay-run.ts
@@ -131,7 +131,7 @@
   }
 
   private toCall(isHedge: boolean): DispatchCall {
-    const { id, method, path, host, tenant, headers, body, priority, flow, isBackground, targetAtMs } =
+    const { id, method, path, host, tenant, headers, body, priority, flow, isBackground, targetAtMs, jobId } =
       this.request;
     return {
       service: this.service,
@@ -146,6 +146,7 @@
       isRetry: this.hasReachedReplica,
       excluded: this.usedReplicaIds,
       configVersion: this.request.snapshot.version,
+      jobId,
       signal: this.controller.signal,
     };
   }
--- a/src/coordination/service/requests/relayed-request.ts
+++ b/src/coordination/service/requests/relayed-request.ts
@@ -27,6 +27,8 @@
   readonly isBackground: boolean;
   /** Latency target as a time on the monotonic clock. */
   readonly targetAtMs: number;
+  /** Job on whose behalf the request is sent. */
+  readonly jobId?: string;
 }
 
 /** Outcome for the caller. `attempts` holds the IDs of the replicas that were used. */
--- a/src/node/service/node-dispatch.ts
+++ b/src/node/service/node-dispatch.ts
@@ -9,6 +9,7 @@
   ServiceQueues,
   toCall,
   toOutcomeMessage,
+  transitMsOf,
 } from '../../coordination/service/dispatch/index.js';
 import { FleetDirectory } from '../../coordination/service/membership/index.js';
 import type { RecordStore } from '../../protocol/record-store.js';
@@ -64,6 +65,7 @@
       directory,
       queues: this.queues,
       isStoreAnswering: () => store.isAnswering(),
+      storeTimeMs: () => store.clockMs(),
       call: callPeer,
       metrics,
       logger,
@@ -79,7 +81,8 @@
   ): Promise<Framed<DispatchOutcomeMessage>> | undefined {
     const isStale = framed.message.isServed && !this.services.store.isAnswering();
     if (this.queues.areClosed || isStale) return undefined;
-    return this.queues.dispatch(toCall(framed, signal)).then(toOutcomeMessage);
+    const transitMs = transitMsOf(framed.message, this.services.store.clockMs());
+    return this.queues.dispatch(toCall(framed, transitMs, signal)).then(toOutcomeMessage);
   }
 
   /** Stops dispatching: queued requests are rejected and retried at other nodes. */
--- a/src/protocol/record-store.ts
+++ b/src/protocol/record-store.ts
@@ -131,4 +131,6 @@
   isAnswering(): boolean;
   /** The store's steady clock, milliseconds, estimated from its newest answer. */
   nowMs(): number;
+  /** The same, comparable between nodes; `undefined` until the store has told its time. */
+  clockMs(): number | undefined;
 }
--- a/src/protocol/service/dispatch-peer.ts
+++ b/src/protocol/service/dispatch-peer.ts
@@ -46,6 +46,10 @@
   configVersion: Type.Number(),
   /** Whether the store answers the calling node, so that its configuration is current. */
   isServed: Type.Boolean(),
+  /** Job on whose behalf the request is sent; earlier builds omit it. */
+  jobId: Type.Optional(Type.String({ maxLength: MAX_NAME_LENGTH })),
+  /** When the call was sent, on the clock of the store, milliseconds; omitted while that clock is unknown. */
+  sentAtMs: Type.Optional(Type.Number()),
 });
 export type DispatchMessage = Static<typeof CallSchema>;
 
--- a/src/state/service/store/instrumented-store.ts
+++ b/src/state/service/store/instrumented-store.ts
@@ -81,6 +81,10 @@
     return this.inner.nowMs();
   }
 
+  clockMs(): number | undefined {
+    return this.inner.clockMs();
+  }
+
   transact(transaction: RecordTransaction) {
     return this.measure('transact', (signal) => this.inner.transact(transaction, signal));
   }
--- a/test/coordination/service/dispatch/remote-dispatch.test.ts
+++ b/test/coordination/service/dispatch/remote-dispatch.test.ts
@@ -88,6 +88,7 @@
         },
       } as unknown as ServiceQueues,
       isStoreAnswering: () => true,
+      storeTimeMs: () => undefined,
       call: (address, framed, options) => {
         const { name } = MEMBERS.find(({ peerAddress }) => peerAddress === address) as FleetMember;
         called.push(name);
@@ -121,6 +122,7 @@
       isRetry: false,
       excluded: new Set(['r9']),
       configVersion: 7,
+      jobId: 'job-1',
       signal,
     };
   }
@@ -137,7 +139,7 @@
   it('passes all fields of the call to the dispatcher, with the remaining time', async () => {
     let received: DispatchCall | undefined;
     answers.set(FIRST.name, async (framed, options) => {
-      received = toCall(framed, options.signal);
+      received = toCall(framed, undefined, options.signal);
       return answered(framed, options);
     });
     const sent = call();
--- a/test/support/faulty-platform.ts
+++ b/test/support/faulty-platform.ts
@@ -110,6 +110,10 @@
     return 0;
   }
 
+  clockMs(): number | undefined {
+    return undefined;
+  }
+
   /** A call takes a random number of turns, so that calls of concurrent operations interleave. */
   private async travel(): Promise<void> {
     for (let turns = this.random.integer(MAX_TURNS); turns > 0; turns -= 1) await Promise.resolve();
