--- a/test/coordination/service/dispatch/dispatchers.test.ts
+++ b/test/coordination/service/dispatch/dispatchers.test.ts
@@ -3,8 +3,8 @@
 import type { ReplicaServer } from '../../../../emulator/replica/replica-server.js';
 import { HEADER } from '../../../../platform/names.js';
 import { monotonicMs } from '../../../../src/common/clock.js';
+import { untilDispatcherIsKnown } from '../../../support/dispatchers.js';
 import {
-  APPLICATION_SERVICE,
   HOST,
   kill,
   LOOKUP_PATH,
@@ -38,25 +38,12 @@
       Array.from({ length: NODES }, (_, index) => system.addNode(`node-${index + 1}`)),
     );
     for (const node of nodes) await system.untilReady(node);
-    await until('all nodes agree on the dispatcher', async () => {
-      for (const node of nodes) await lookup(node);
-      const names = nodes.map(dispatcherAsSeenBy);
-      return names[0] !== undefined && names.every((name) => name === names[0]);
-    });
-    dispatcher = nodes.find(
-      ({ name }) => name === dispatcherAsSeenBy(nodes[0] as ServiceNodeProcess),
-    ) as ServiceNodeProcess;
+    dispatcher = await untilDispatcherIsKnown(system, nodes);
     others = nodes.filter((node) => node !== dispatcher);
   });
 
   afterEach(() => system.stop());
 
-  const dispatcherAsSeenBy = ({ log }: ServiceNodeProcess) =>
-    log
-      .filter(({ context }) => context.subject === 'home' && context.name === APPLICATION_SERVICE)
-      .map(({ context }) => String(context.change).replace('dispatchers ', ''))
-      .at(-1);
-
   const nextId = () => {
     requests += 1;
     return `lookup-${requests}`;
