A dispatcher sends no call for a job that has ended

Callers saw scoring calls at replicas after the acknowledged end of their job. Cause: a dispatcher acted on the belief of the calling node that the job is open, as old as the call or as the caller's view of the store. Neither a close of the connection, which may never come, nor the time left tells it.

Change: the dispatcher judges by its own copy of the heads at the moment at which it would send (JobGate): an ended job is rejected, and so is every job while the store answers but the heads are older than the bound on work after an end, less 500 ms for the way to the replica. During an outage of the store, noticed for a second so that a process pause is not taken for one, scoring goes on: no end can be acknowledged then. The rejection promises that the call has not run; an owner that is still running the job repeats it. Calls of earlier builds name no job and are judged as before.

--- a/emulator/job-demo.ts
+++ b/emulator/job-demo.ts
@@ -62,6 +62,7 @@
     peerPort: 0,
     usage: undefined,
     configurationBoundMs: 3_000,
+    jobEndBoundMs: 3_000,
     leaseMs: 3_000,
     replicaHeartbeatMs: 1_200,
     resultRetentionMs: 120_000,
--- a/src/coordination/feeds/record-feed.ts
+++ b/src/coordination/feeds/record-feed.ts
@@ -40,6 +40,8 @@
   /** Replaces all records: those that are not in `content` no longer exist. */
   replaceAll(content: T): void;
   apply(change: ChangedRecord): void;
+  /** All changes before `asOfMs`, on the monotonic clock, have been applied. */
+  confirm?(asOfMs: number): void;
   /** Addresses of known records, all in one partition; without it the feed waits for a current snapshot. */
   knownAddresses?(): RecordAddress[];
 }
@@ -198,6 +200,7 @@
 
   private recordAnswer(requestedAtMs: number): void {
     this.currentAsOfMs = requestedAtMs;
+    this.handler.confirm?.(requestedAtMs);
     this.observer.answered?.(this.handler.table);
   }
 
--- a/src/coordination/feeds/shared-table.ts
+++ b/src/coordination/feeds/shared-table.ts
@@ -40,6 +40,10 @@
     this.main.replaceAll(main);
   }
 
+  confirm(asOfMs: number): void {
+    this.main.confirm?.(asOfMs);
+  }
+
   apply(change: ChangedRecord): void {
     if (change.partition === this.secondary.partition) this.secondary.handler.apply(change);
     else this.main.apply(change);
--- a/src/coordination/service/dispatch/service-queue.ts
+++ b/src/coordination/service/dispatch/service-queue.ts
@@ -49,8 +49,8 @@
 /** Dependencies of the queues of a node. */
 export interface ServiceQueueServices extends ReplicaPolicy {
   readonly exchange: ReplicaExchange;
-  /** Whether the current configuration still routes a call to the service. */
-  readonly isRouted: (call: DispatchCall) => boolean;
+  /** Why a call must not be sent now, by the current configuration and its job; `undefined` if it may be. */
+  readonly obstacle: (call: DispatchCall) => RejectionReason | undefined;
   readonly queueLimits: QueueLimits;
   readonly metrics: Pick<ServiceMetrics, 'refusedRequests' | 'waitedSeconds'>;
   readonly logger: DecisionLogger;
@@ -233,8 +233,9 @@
     this.queue.recordSlotAssigned();
     const waitedMs = monotonicMs() - entry.sinceMs;
     this.services.metrics.waitedSeconds.observe({ service: this.service }, waitedMs / 1_000);
-    if (this.services.isRouted(entry.call)) this.send(entry, state, expectedMs);
-    else this.rejectWithoutRetryAfter(entry, 'route-removed');
+    const obstacle = this.services.obstacle(entry.call);
+    if (obstacle) this.rejectWithoutRetryAfter(entry, obstacle);
+    else this.send(entry, state, expectedMs);
   }
 
   private rejectUnreachable(marginMs: number): void {
--- a/src/coordination/service/jobs/job-heads.ts
+++ b/src/coordination/service/jobs/job-heads.ts
@@ -3,6 +3,7 @@
  * this node, and derives owners, the newest job of a model, and recent demand from them. A cached head may be
  * older than the stored one.
  */
+import { monotonicMs } from '../../../common/clock.js';
 import type { JobHead, OwnerReference } from '../../../state/service/jobs/index.js';
 
 /** Age up to which jobs count as recent; covers jobs that overlap. */
@@ -12,6 +13,8 @@
   private readonly heads = new Map<string, JobHead>();
   /** Observed time at which each head was last updated, milliseconds, by job ID. */
   private readonly observedAtMs = new Map<string, number>();
+  /** Time up to which all changes are known, on the monotonic clock, milliseconds. */
+  private currentAsOfMs = Number.NEGATIVE_INFINITY;
 
   /** `storeNowMs`: the store's clock. */
   constructor(private readonly storeNowMs: () => number) {}
@@ -20,6 +23,16 @@
     return this.heads.get(jobId);
   }
 
+  /** Records that all changes before `asOfMs` are known, on the monotonic clock. */
+  confirm(asOfMs: number): void {
+    this.currentAsOfMs = Math.max(this.currentAsOfMs, asOfMs);
+  }
+
+  /** Time for which changes may be unknown, milliseconds; infinite before the first `confirm`. */
+  get ageMs(): number {
+    return monotonicMs() - this.currentAsOfMs;
+  }
+
   get ids(): string[] {
     return [...this.heads.keys()];
   }
--- a/src/coordination/service/jobs/job-ownership.ts
+++ b/src/coordination/service/jobs/job-ownership.ts
@@ -21,7 +21,7 @@
 import type { FeedHandler } from '../../feeds/index.js';
 import type { SessionMonitor } from '../membership/index.js';
 import { JobClaimer } from './job-claimer.js';
-import { JobHeads } from './job-heads.js';
+import type { JobHeads } from './job-heads.js';
 import { JobRun, type JobRunEnd, type JobRunServices } from './job-run.js';
 import { isOwnedBy, removalDelayMs, shouldRemove } from './ownership-policy.js';
 
@@ -32,6 +32,8 @@
 
 export interface JobOwnershipServices extends JobRunServices {
   readonly store: RecordStore;
+  /** Heads of all jobs, whoever owns them; kept up to date here. */
+  readonly heads: JobHeads;
   readonly repository: JobRepository;
   readonly sessions: SessionMonitor;
   readonly metrics: ServiceMetrics;
@@ -55,8 +57,7 @@
     private readonly services: JobOwnershipServices,
     private readonly self: OwnerReference,
   ) {
-    const { repository, sessions, store } = services;
-    const heads = new JobHeads(() => store.nowMs());
+    const { repository, sessions, heads } = services;
     const isLeaving = () => this.isLeaving;
     const report = (head: JobHead, change: string, detail: string) => this.report(head, change, detail);
     const onClaimed = (head: JobHead) => this.updateHead(head);
@@ -152,6 +153,10 @@
     if (head) this.updateHead(head);
   }
 
+  confirm(asOfMs: number): void {
+    this.heads.confirm(asOfMs);
+  }
+
   /** Stores the texts of all jobs and releases the jobs, so that other nodes claim them at once. */
   async releaseAll(): Promise<void> {
     this.isLeaving = true;
--- a/src/node/service/node-context.ts
+++ b/src/node/service/node-context.ts
@@ -3,7 +3,7 @@
 import { uniqueId } from '../../common/identifier.js';
 import type { ServiceMetrics } from '../../common/service-metrics.js';
 import type { PeerCall } from '../../coordination/service/dispatch/index.js';
-import type { SubmissionParser } from '../../coordination/service/jobs/index.js';
+import { JobHeads, type SubmissionParser } from '../../coordination/service/jobs/index.js';
 import type { AnnouncementFormat } from '../../coordination/service/membership/index.js';
 import type { RecordStore } from '../../protocol/record-store.js';
 import type { PeerConfigurationAnswer } from '../../protocol/service/configuration-peer.js';
@@ -46,6 +46,7 @@
   readonly routing: RoutingTable;
   readonly directory: ReplicaDirectory;
   readonly versions: WeightVersions;
+  readonly heads: JobHeads;
 }
 
 /** Creates the context of a new incarnation, with empty tables. */
@@ -56,5 +57,6 @@
     routing: new RoutingTable(),
     directory: new ReplicaDirectory(),
     versions: new WeightVersions(),
+    heads: new JobHeads(() => parts.store.nowMs()),
   };
 }
--- a/src/node/service/node-dispatch.ts
+++ b/src/node/service/node-dispatch.ts
@@ -11,6 +11,7 @@
   toOutcomeMessage,
   transitMsOf,
 } from '../../coordination/service/dispatch/index.js';
+import type { JobGate } from '../../coordination/service/jobs/index.js';
 import { FleetDirectory } from '../../coordination/service/membership/index.js';
 import type { RecordStore } from '../../protocol/record-store.js';
 import type {
@@ -19,6 +20,7 @@
   Framed,
 } from '../../protocol/service/dispatch-peer.js';
 import type { ServiceSettings } from '../../protocol/service/service-settings.js';
+import type { RejectionReason } from '../../state/service/admission/index.js';
 import type { RoutingTable } from '../../state/service/configuration/index.js';
 import type { ReplicaDirectory, ReplicaState } from '../../state/service/replicas/index.js';
 
@@ -34,7 +36,8 @@
   readonly routing: RoutingTable;
   readonly directory: ReplicaDirectory;
   readonly exchange: ReplicaExchange;
-  readonly callPeer: PeerCall;
+  readonly dispatchAtPeer: PeerCall;
+  readonly jobGate: JobGate;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
@@ -45,7 +48,7 @@
   private readonly queues: ServiceQueues;
 
   constructor(private readonly services: NodeDispatchDependencies) {
-    const { store, settings, directory, exchange, callPeer, metrics, logger } = services;
+    const { store, settings, directory, exchange, dispatchAtPeer, metrics, logger } = services;
     this.fleet = new FleetDirectory(store);
     this.queues = new ServiceQueues({
       directory,
@@ -53,7 +56,7 @@
       slotsOf: (state) => this.slotsOf(state),
       slowStartPerSecond: ({ replica }) => this.slowStartPerSecond(replica.service),
       zonePenalty: (state) => this.zonePenalty(state),
-      isRouted: (call) => this.isAllowed(call),
+      obstacle: (call) => this.obstacleOf(call),
       queueLimits: { count: MAX_QUEUED, bytes: settings.memoryBytes * QUEUED_MEMORY_FRACTION },
       metrics,
       logger,
@@ -66,7 +69,7 @@
       queues: this.queues,
       isStoreAnswering: () => store.isAnswering(),
       storeTimeMs: () => store.clockMs(),
-      call: callPeer,
+      call: dispatchAtPeer,
       metrics,
       logger,
     });
@@ -118,6 +121,12 @@
     return perSecond / Math.max(1, this.fleet.members.length);
   }
 
+  private obstacleOf(call: DispatchCall): RejectionReason | undefined {
+    if (!this.isAllowed(call)) return 'route-removed';
+    const verdict = call.jobId === undefined ? 'open' : this.services.jobGate.check(call.jobId);
+    return verdict === 'open' ? undefined : `job-${verdict}`;
+  }
+
   /** Whether a queued request still has a route to its service under the current configuration. */
   private isAllowed({ service, request, configVersion }: DispatchCall): boolean {
     const snapshot = this.services.routing.current;
--- a/src/node/service/node-jobs.ts
+++ b/src/node/service/node-jobs.ts
@@ -6,7 +6,12 @@
 import { MILLISECONDS_PER_SECOND } from '../../common/clock.js';
 import type { CrashCheck } from '../../coordination/service/dispatch/index.js';
 import { LengthEstimator, Placement, SampleScorer } from '../../coordination/service/generation/index.js';
-import { JobCalls, JobForwarding, JobOwnership } from '../../coordination/service/jobs/index.js';
+import {
+  JobCalls,
+  JobForwarding,
+  type JobGate,
+  JobOwnership,
+} from '../../coordination/service/jobs/index.js';
 import type { PeerAddresses, SessionMonitor } from '../../coordination/service/membership/index.js';
 import type { RequestQuarantine, ServiceRelay } from '../../coordination/service/requests/index.js';
 import type { TargetSplitter } from '../../state/service/configuration/index.js';
@@ -24,6 +29,7 @@
   readonly relay: ServiceRelay;
   readonly sessions: SessionMonitor;
   readonly peers: PeerAddresses;
+  readonly jobGate: JobGate;
 }
 
 export class NodeJobs {
@@ -74,7 +80,7 @@
   }
 
   private createOwnership(
-    { splitter, crashCheck, quarantine, relay, sessions }: NodeJobsDependencies,
+    { splitter, crashCheck, quarantine, relay, sessions, jobGate }: NodeJobsDependencies,
     repository: JobRepository,
     cache: ResultCache,
   ): JobOwnership {
@@ -90,6 +96,7 @@
       repository,
       cache,
       sessions,
+      jobGate,
       retentionMs: () => context.settings().resultRetentionMs,
     };
     return new JobOwnership(services, context.self);
--- a/src/node/service/readiness.ts
+++ b/src/node/service/readiness.ts
@@ -64,6 +64,14 @@
   return input.isStoreAnswering && input.feedAgeMs < boundMs;
 }
 
+/** Part of the bound on work after the end of a job that is left for the way to a replica. */
+const JOB_END_MARGIN_MS = 500;
+
+/** Age of the heads of jobs beyond which a job that seems open may have ended longer ago than allowed. */
+export function maxHeadAgeMs(jobEndBoundMs: number, fleetSize: number): number {
+  return Math.max(jobEndBoundMs - JOB_END_MARGIN_MS, expectedFeedAgeMs(fleetSize));
+}
+
 /** Whether a feed is healthy: its newest answer belongs to the open long poll or the one before. */
 export function isFeedCurrent({ isStoreAnswering, feedAgeMs, fleetSize }: FeedFreshnessInput): boolean {
   return isStoreAnswering && feedAgeMs < LONG_POLL_TIMEOUT_MS + expectedFeedAgeMs(fleetSize);
--- a/src/node/service/service-node.ts
+++ b/src/node/service/service-node.ts
@@ -6,7 +6,7 @@
 import { setMaxListeners } from 'node:events';
 import { monotonicMs, SYSTEM_CLOCK } from '../../common/clock.js';
 import { CrashCheck, ReplicaExchange } from '../../coordination/service/dispatch/index.js';
-import type { JobCalls } from '../../coordination/service/jobs/index.js';
+import type { JobCalls, JobGate } from '../../coordination/service/jobs/index.js';
 import { PeerAddresses, SessionMonitor } from '../../coordination/service/membership/index.js';
 import {
   RequestQuarantine,
@@ -23,6 +23,7 @@
 } from '../../protocol/service/dispatch-peer.js';
 import { type RoutingTable, TargetSplitter } from '../../state/service/configuration/index.js';
 import { drainDeadlines, waitUntil } from './drain.js';
+import { createJobGate } from './job-gating.js';
 import { createNodeContext, type NodeContext, type ServiceNodeDependencies } from './node-context.js';
 import { NodeDispatch } from './node-dispatch.js';
 import { NodeFeeds } from './node-feeds.js';
@@ -41,6 +42,7 @@
   readonly dispatch: NodeDispatch;
   readonly tasks: SingletonTasks;
   readonly jobs: NodeJobs;
+  readonly jobGate: JobGate;
   readonly feeds: NodeFeeds;
   readonly peerExchange: PeerExchange;
   readonly loadScheduler: LoadScheduler;
@@ -68,13 +70,14 @@
     const sessions = new SessionMonitor(store, self, roles);
     const quarantine = new RequestQuarantine({ store, metrics, logger });
     const splitter = new TargetSplitter();
+    const jobGate = createJobGate(context, () => peers.fleetSize);
     const crashCheck = new CrashCheck(metrics);
     const exchange = new ReplicaExchange(parts.client, crashCheck, metrics, logger);
-    const dispatch = new NodeDispatch({ ...context, settings, exchange, callPeer: parts.dispatchAtPeer });
+    const dispatch = new NodeDispatch({ ...context, settings, exchange, jobGate });
     const tasks = new SingletonTasks(context, sessions, peers);
     const send: SendAttempt = (call, isRepeatable) => dispatch.remote.dispatch(call, isRepeatable);
     const relay = new ServiceRelay(splitter, send, quarantine, (tenant) => tasks.countRequest(tenant));
-    const jobs = new NodeJobs(context, { splitter, crashCheck, quarantine, relay, sessions, peers });
+    const jobs = new NodeJobs(context, { splitter, crashCheck, quarantine, relay, sessions, peers, jobGate });
     const { ownership } = jobs;
     roles.add(jobs.sessionRole);
     roles.add(tasks);
@@ -89,6 +92,7 @@
       dispatch,
       tasks,
       jobs,
+      jobGate,
       feeds,
       peerExchange,
       loadScheduler,
@@ -105,13 +109,15 @@
    */
   start(address: string, peerAddress?: string): void {
     const { signal } = this.controller;
-    const { peers, sessions, quarantine, tasks, feeds, peerExchange, loadScheduler } = this.subsystems;
+    const { peers, sessions, quarantine, tasks, jobGate, feeds, peerExchange, loadScheduler } =
+      this.subsystems;
     this.startedAtMs = monotonicMs();
     void peers.run(address, signal, peerAddress);
     peerExchange.run(signal);
     void quarantine.reports.run(signal);
     void tasks.usage?.run(signal);
     feeds.run(signal);
+    void jobGate.run(signal);
     void sessions.run(signal);
     void loadScheduler.run(signal);
   }
--- a/src/protocol/service/service-settings.ts
+++ b/src/protocol/service/service-settings.ts
@@ -32,6 +32,8 @@
   readonly stopGraceMs: number;
   /** Time from the store's acknowledgement of a configuration until no node uses an older one. */
   readonly configurationBoundMs: number;
+  /** Time from the acknowledged end of a job until none of its requests reaches a replica. */
+  readonly jobEndBoundMs: number;
   /** Minimum time between actions of leaders on two machines on the same target. */
   readonly leaseMs: number;
   /** Heartbeat interval of replicas. */
--- a/src/state/service/admission/admission.ts
+++ b/src/state/service/admission/admission.ts
@@ -40,6 +40,8 @@
   | 'retry-budget-exhausted'
   | 'no-slot-for-hedge'
   | 'route-removed'
+  | 'job-ended'
+  | 'job-unconfirmed'
   | 'dispatcher-leaving';
 
 /** A rejection. Logs and callers get its `rejectionText`. */
@@ -74,6 +76,8 @@
   'retry-budget-exhausted': 'the retry budget is exhausted',
   'no-slot-for-hedge': 'too few free slots for a hedge',
   'route-removed': 'the configuration no longer routes the request to this service',
+  'job-ended': 'the job of the request has ended',
+  'job-unconfirmed': 'the store has not confirmed recently that the job of the request is open',
   'dispatcher-leaving': 'this node is leaving',
 };
 
--- a/test/coordination/service/dispatch/service-queue.test.ts
+++ b/test/coordination/service/dispatch/service-queue.test.ts
@@ -68,7 +68,7 @@
       slotsOf: ({ replica }) => replica.slots,
       slowStartPerSecond: () => 2,
       zonePenalty: () => 0,
-      isRouted: () => isAllowed,
+      obstacle: () => (isAllowed ? undefined : 'route-removed'),
       queueLimits: { count: 4, bytes: 1_000_000 },
       metrics: new ServiceMetrics(),
       logger: { record: (record) => lines.push({ ...record }) },
--- /dev/null
+++ b/test/coordination/service/jobs/job-gate.test.ts
@@ -0,0 +1,72 @@
+import { expect } from 'chai';
+import { JobGate } from '../../../../src/coordination/service/jobs/index.js';
+import type { JobHead } from '../../../../src/state/service/jobs/index.js';
+
+const MAX_AGE_MS = 2_500;
+
+describe('JobGate', () => {
+  let nowMs: number;
+  let ageMs: number;
+  let isStoreAnswering: boolean;
+  let state: 'open' | 'ended' | undefined;
+  let gate: JobGate;
+
+  beforeEach(() => {
+    nowMs = 0;
+    ageMs = 100;
+    isStoreAnswering = true;
+    state = 'open';
+    const heads = {
+      get: () => (state === undefined ? undefined : ({ record: { state } } as JobHead)),
+      get ageMs() {
+        return ageMs;
+      },
+    };
+    const services = { heads, isStoreAnswering: () => isStoreAnswering, maxAgeMs: () => MAX_AGE_MS };
+    gate = new JobGate(services, () => nowMs);
+  });
+
+  it('lets work of an open job begin, and of a job whose head has not arrived', () => {
+    expect(gate.check('job-1')).to.equal('open');
+    state = undefined;
+    expect(gate.check('job-1')).to.equal('open');
+  });
+
+  it('lets no work of an ended job begin, also during an outage of the store', () => {
+    state = 'ended';
+    expect(gate.check('job-1')).to.equal('ended');
+    isStoreAnswering = false;
+    gate.check('job-1');
+    nowMs = 60_000;
+    ageMs = 60_000;
+    expect(gate.check('job-1')).to.equal('ended');
+  });
+
+  it('does not trust heads that are older than the bound while the store answers', () => {
+    ageMs = MAX_AGE_MS + 1;
+    expect(gate.check('job-1')).to.equal('unconfirmed');
+    ageMs = MAX_AGE_MS;
+    expect(gate.check('job-1')).to.equal('open');
+  });
+
+  it('lets work go on during an outage of the store', () => {
+    isStoreAnswering = false;
+    expect(gate.check('job-1')).to.equal('open');
+    nowMs = 5_000;
+    ageMs = 5_000;
+    expect(gate.check('job-1')).to.equal('open');
+    isStoreAnswering = true;
+    expect(gate.check('job-1')).to.equal('unconfirmed');
+  });
+
+  it('does not take a process pause for an outage', () => {
+    nowMs = 8_000;
+    ageMs = 8_000;
+    isStoreAnswering = false;
+    expect(gate.check('job-1')).to.equal('unconfirmed');
+    nowMs = 8_900;
+    expect(gate.check('job-1')).to.equal('unconfirmed');
+    nowMs = 9_000;
+    expect(gate.check('job-1')).to.equal('open');
+  });
+});
