A call that took too long between two nodes is not dispatched

Callers that had left, or had been served elsewhere, had their request run again, up to a whole route time-out after their deadline. Cause: a call between nodes tells the time that is left, and its receiver counts it from when it is read. What is read late (retransmitted after a partition, in the socket of a paused process) got its whole time again; the close of its connection may come later or never.

Change: the receiver compares the time of sending, on the clock of the store, with its own estimate of that clock. After 500 ms on the way a call is not taken, which tells its caller that it has not run; below that, the time on the way above the error of the estimates (100 ms) is deducted. Calls of earlier builds, and calls while the clock is unknown, are treated as before. The refusal is logged with its time on the way; request-refused names the job.

Evidence: late-calls.test.ts: a lookup that is read after its caller's deadline ran again on the code before (2 runs instead of 1), not now. A queued scoring call of a caller that was lost without a close, of an ended job, was sent before the job gate (2 sent) and is not now. An unrepeatable request that is read late is served once, elsewhere (it also passed before).

--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -173,6 +173,7 @@
 export interface RequestRejected {
   readonly event: 'request-refused';
   readonly requestId: string;
+  readonly jobId?: string;
   readonly service: string;
   /** Flow: the tenant, or the caller without one. */
   readonly party: string;
--- a/src/coordination/service/dispatch/dispatch-messages.ts
+++ b/src/coordination/service/dispatch/dispatch-messages.ts
@@ -13,6 +13,7 @@
 } from '../../../protocol/service/dispatch-peer.js';
 import type { DispatchCall, DispatchResult } from './dispatch-call.js';
 import type { AttemptOutcome } from './replica-exchange.js';
+import { deductibleMs } from './transit.js';
 
 const NO_BODY = Buffer.alloc(0);
 
@@ -57,15 +58,6 @@
   };
 }
 
-/** Time that a message took to this node, milliseconds; `undefined` without a common clock. */
-export function transitMsOf(
-  { sentAtMs }: Pick<DispatchMessage, 'sentAtMs'>,
-  storeTimeMs: number | undefined,
-): number | undefined {
-  if (sentAtMs === undefined || storeTimeMs === undefined) return undefined;
-  return Math.max(0, storeTimeMs - sentAtMs);
-}
-
 /** Converts the message of another node to a call. `signal` aborts it. */
 export function toCall(
   { message, body }: Framed<DispatchMessage>,
@@ -89,7 +81,7 @@
     sentAtMs: _sentAtMs,
     ...request
   } = message;
-  const nowMs = monotonicMs();
+  const asOfMs = monotonicMs() - deductibleMs(transitMs);
   return {
     service,
     workKind,
@@ -99,8 +91,8 @@
     isBackground,
     isHedge,
     isRetry,
-    targetAtMs: nowMs + aimMs,
-    deadlineMs: nowMs + leftMs,
+    targetAtMs: asOfMs + aimMs,
+    deadlineMs: asOfMs + leftMs,
     excluded: new Set(excluded),
     configVersion,
     jobId,
--- a/src/node/service/node-dispatch.ts
+++ b/src/node/service/node-dispatch.ts
@@ -3,9 +3,11 @@
 import type { ServiceMetrics } from '../../common/service-metrics.js';
 import {
   type DispatchCall,
+  isLate,
   type PeerCall,
   RemoteDispatch,
   type ReplicaExchange,
+  reportLateCall,
   ServiceQueues,
   toCall,
   toOutcomeMessage,
@@ -77,7 +79,10 @@
     directory.onChange(() => this.remote.invalidateSelections());
   }
 
-  /** Queues a request from a peer; `undefined` while draining, or while only the peer reaches the store. */
+  /**
+   * Queues a request from a peer; `undefined` while draining, while only the peer reaches the store, or if the
+   * request took too long to arrive.
+   */
   dispatchForPeer(
     framed: Framed<DispatchMessage>,
     signal: AbortSignal,
@@ -85,6 +90,10 @@
     const isStale = framed.message.isServed && !this.services.store.isAnswering();
     if (this.queues.areClosed || isStale) return undefined;
     const transitMs = transitMsOf(framed.message, this.services.store.clockMs());
+    if (transitMs !== undefined && isLate(transitMs)) {
+      reportLateCall(this.services, framed.message, transitMs);
+      return undefined;
+    }
     return this.queues.dispatch(toCall(framed, transitMs, signal)).then(toOutcomeMessage);
   }
 
--- a/src/node/service/peer-endpoint.ts
+++ b/src/node/service/peer-endpoint.ts
@@ -73,7 +73,7 @@
     if (disconnected.aborted) return;
     const outcome = this.node.dispatchForPeer(framed, disconnected);
     if (!outcome) {
-      sendJson(response, 503, { error: 'this node is leaving' });
+      sendJson(response, 503, { error: 'this node does not take the call' });
       return;
     }
     response.writeHead(200, { 'content-type': 'application/octet-stream' });
--- a/test/coordination/service/dispatch/late-calls.test.ts
+++ b/test/coordination/service/dispatch/late-calls.test.ts
@@ -6,13 +6,21 @@
 import { untilDispatcherIsKnown } from '../../../support/dispatchers.js';
 import { HoldingProxy } from '../../../support/holding-proxy.js';
 import { job } from '../../../support/jobs.js';
-import { type ServiceNodeProcess, ServiceSystem } from '../../../support/service-system.js';
+import {
+  kill,
+  type RouteFields,
+  type ServiceNodeProcess,
+  ServiceSystem,
+  usualConfiguration,
+} from '../../../support/service-system.js';
 import { until } from '../../../support/wait.js';
 
 /** More nodes than slots per replica, so that the service has a dispatcher. */
 const NODES = 5;
 const SLOTS = 3;
 const NODE_TABLE = 'serving-nodes';
+/** Longer than a call may take between two nodes, milliseconds. */
+const LATE_MS = 1_000;
 
 describe('calls that reach a dispatcher late', () => {
   let system: ServiceSystem;
@@ -46,6 +54,15 @@
     return inserted;
   }
 
+  async function configure(overrides: Readonly<Record<string, RouteFields>>): Promise<void> {
+    system.configure(usualConfiguration(2, overrides));
+    await until('the configuration is in force', () =>
+      [dispatcher, ...others].every(({ log }) =>
+        log.some(({ context }) => context.subject === 'configuration' && context.version === 2),
+      ),
+    );
+  }
+
   const receivedIds = () => applications.flatMap(({ received }) => received.map(({ id }) => id));
 
   /** How often each call has reached a replica. */
@@ -105,6 +122,45 @@
     expect(runsOf([id])).to.deep.equal(runsBefore);
   });
 
+  it('serves an unrepeatable request once, elsewhere, when a dispatcher reads it late', async () => {
+    await configure({ lookup: { kind: 'unsafe', timeoutMs: 5_000 } });
+    proxy.hold();
+    const sentAtMs = monotonicMs();
+    const answer = system.lookup(others[0] as ServiceNodeProcess, 'unrepeatable');
+    await until('the call is late', () => heldIds().length > 0 && monotonicMs() > sentAtMs + LATE_MS);
+    proxy.release();
+    expect((await answer)?.status).to.equal(200);
+    expect(runsOf(['unrepeatable'])).to.deep.equal([1]);
+  });
+
+  it('does not send a queued scoring call after the end of its job when its caller was lost without a close', async () => {
+    await configure({ score: { timeoutMs: 10_000 } });
+    await system.addEngine();
+    for (const application of applications) application.workMs = 1_800;
+    const fillers = Array.from({ length: applications.length * SLOTS }, (_, index) =>
+      system.lookup(dispatcher, `filler-${index}`),
+    );
+    await until('every slot is taken', () => applications.every(({ running }) => running === SLOTS));
+    const owner = others[0] as ServiceNodeProcess;
+    expect(await system.trainer.submit(owner.url, job('job-1'))).to.equal(202);
+    const isQueued = async () => Number(await waitingAt(dispatcher)) > 0;
+    await until('scoring calls are queued at the dispatcher', isQueued);
+    proxy.hold();
+    await kill(owner);
+    expect(await system.trainer.end(dispatcher.url, 'job-1')).to.equal(200);
+    const isScoringCall = (id: string) => /^job-1-.*-score$/.test(id);
+    const runsBefore = receivedIds().filter(isScoringCall).length;
+    await Promise.all(fillers);
+    await until('the queue is empty', async () => !(await isQueued()));
+    expect(receivedIds().filter(isScoringCall)).to.have.length(runsBefore);
+  });
+
+  /** Number of requests that are queued at a node. */
+  async function waitingAt({ metricsUrl }: ServiceNodeProcess): Promise<string | undefined> {
+    const text = await (await fetch(metricsUrl)).text();
+    return /thymecove_waiting_requests\{[^}]*\} (\d+)/.exec(text)?.[1];
+  }
+
   it('does not send a scoring call of an owner that has not learned of the end of its job', async () => {
     const engine = await system.addEngine({ events: 10, workMs: 60 });
     const owner = others[0] as ServiceNodeProcess;
