No item is sent to a replica while its job may have ended

An owner whose feed of jobs alone stalls (a silent connection, stale reads after a lost history) while the store answers other calls would go on with an ended job. By reasoning; nobody saw it.

Change: the owner asks the job gate when the item has its slot, and gives the slot back for 100 ms while the job is not confirmed. An outage counts after 500 ms, since a resumed process has an answer of a healthy store within a few milliseconds.

--- a/src/coordination/service/jobs/item-attempts.ts
+++ b/src/coordination/service/jobs/item-attempts.ts
@@ -3,7 +3,7 @@
  * replica's state, the quarantine, the metrics and the log (`attempt-ended`). `item-run.ts` decides whether
  * another attempt follows.
  */
-import { monotonicMs } from '../../../common/clock.js';
+import { monotonicMs, sleep } from '../../../common/clock.js';
 import type { JobItem } from '../../../protocol/service/batch-job.js';
 import type { Route } from '../../../protocol/service/routing-configuration.js';
 import type { ReplicaState } from '../../../state/service/replicas/index.js';
@@ -23,6 +23,8 @@
 
 /** Backoff of a replica after it declines an item; doubles with each further decline. */
 const INITIAL_DECLINE_BACKOFF_MS = 60;
+/** Pause of an item whose job is not confirmed to be open, milliseconds. */
+const UNCONFIRMED_PAUSE_MS = 100;
 
 interface EndedAttempt {
   readonly state: ReplicaState;
@@ -56,12 +58,20 @@
     return this.attempts;
   }
 
-  /** Makes one attempt. Resolves to `undefined` if the job was stopped while the item waited for a slot. */
+  /**
+   * Makes one attempt. Resolves to `undefined` if the job was stopped while the item waited for a slot, or if
+   * its job may have ended.
+   */
   async run(route: Route): Promise<GenerationOutcome | undefined> {
     const { placement, client } = this.services;
     const queuedAtMs = monotonicMs();
     const state = await placement.acquire(this.placementRequest(route));
     if (!state) return undefined;
+    if (this.services.jobGate.check(this.job.jobId) !== 'open') {
+      placement.release(state, false);
+      await sleep(UNCONFIRMED_PAUSE_MS, this.job.signal);
+      return undefined;
+    }
     const startedAtMs = monotonicMs();
     const eventsBefore = this.text.eventCount;
     this.job.groupReplicas.set(this.item.group, state);
--- a/src/coordination/service/jobs/item-services.ts
+++ b/src/coordination/service/jobs/item-services.ts
@@ -12,6 +12,7 @@
 import type { CrashCheck } from '../dispatch/index.js';
 import type { LengthEstimator, Placement, SampleScorer } from '../generation/index.js';
 import type { RequestQuarantine } from '../requests/index.js';
+import type { JobGate } from './job-gate.js';
 
 export interface ItemServices {
   readonly routing: RoutingTable;
@@ -20,6 +21,7 @@
   readonly client: ReplicaClient;
   readonly crashCheck: CrashCheck;
   readonly quarantine: RequestQuarantine;
+  readonly jobGate: JobGate;
   readonly scorer: SampleScorer;
   readonly lengths: LengthEstimator;
   readonly directory: ReplicaDirectory;
--- a/src/coordination/service/jobs/job-calls.ts
+++ b/src/coordination/service/jobs/job-calls.ts
@@ -170,6 +170,7 @@
     if (known && !belongsTo(known, tenant)) return 'foreign';
     if ((known?.record.total ?? 0) > 0) return 'accepted';
     const owner = await this.services.ownership.selectOwner(specification.model);
+    const requestedAtMs = monotonicMs();
     const accepted = await this.services.repository.accept(
       toSubmittedJob(submission, tenant),
       owner,
@@ -177,7 +178,7 @@
     );
     if (accepted.isErr()) return toSubmissionOutcome(accepted.error);
     const { head, isNew } = accepted.value;
-    if (isNew) this.services.ownership.addAccepted(head, specification);
+    if (isNew) this.services.ownership.addAccepted(head, specification, requestedAtMs);
     else this.services.ownership.updateHead(head);
     return 'accepted';
   }
--- a/src/coordination/service/jobs/job-claimer.ts
+++ b/src/coordination/service/jobs/job-claimer.ts
@@ -48,11 +48,14 @@
     this.claiming.add(jobId);
     if (head.record.owner?.node !== this.self.node) await sleep(Math.random() * MAX_CLAIM_JITTER_MS);
     if (heads.get(jobId)?.version === head.version && !isLeaving()) {
+      const requestedAtMs = monotonicMs();
       const claimed = await repository.claim(head, this.self, monotonicMs() + CLAIM_TIMEOUT_MS);
       report(head, claimed.isOk() ? 'claimed' : `claim: ${claimed.error.failure}`, reason);
       this.claiming.delete(jobId);
-      if (claimed.isOk()) onClaimed(claimed.value);
-      else if (claimed.error.failure === 'conflict') await refresh(jobId);
+      if (claimed.isOk()) {
+        heads.confirmOpen(jobId, requestedAtMs);
+        onClaimed(claimed.value);
+      } else if (claimed.error.failure === 'conflict') await refresh(jobId);
     }
     this.claiming.delete(jobId);
   }
--- a/src/coordination/service/jobs/job-gate.ts
+++ b/src/coordination/service/jobs/job-gate.ts
@@ -12,7 +12,7 @@
 export type JobGateVerdict = 'open' | 'ended' | 'unconfirmed';
 
 export interface JobGateServices {
-  readonly heads: Pick<JobHeads, 'get' | 'ageMs'>;
+  readonly heads: Pick<JobHeads, 'get' | 'ageOf'>;
   readonly isStoreAnswering: () => boolean;
   /** Age of the heads up to which they count as current, milliseconds. */
   readonly maxAgeMs: () => number;
@@ -21,7 +21,7 @@
 /** Interval at which outages are noticed while no work begins. */
 const CHECK_INTERVAL_MS = 250;
 /** After a process pause the store seems silent until its next answer; an outage lasts longer. */
-const MIN_OUTAGE_MS = 1_000;
+const MIN_OUTAGE_MS = 500;
 
 export class JobGate {
   private outageSinceMs: number | undefined;
@@ -44,7 +44,7 @@
     this.observe();
     const { heads, maxAgeMs } = this.services;
     if (heads.get(jobId)?.record.state === 'ended') return 'ended';
-    return heads.ageMs <= maxAgeMs() || this.isOutage ? 'open' : 'unconfirmed';
+    return heads.ageOf(jobId) <= maxAgeMs() || this.isOutage ? 'open' : 'unconfirmed';
   }
 
   private get isOutage(): boolean {
--- a/src/coordination/service/jobs/job-heads.ts
+++ b/src/coordination/service/jobs/job-heads.ts
@@ -15,6 +15,8 @@
   private readonly observedAtMs = new Map<string, number>();
   /** Time up to which all changes are known, on the monotonic clock, milliseconds. */
   private currentAsOfMs = Number.NEGATIVE_INFINITY;
+  /** Time at which each job was certainly open, from writes of this node, by job ID. */
+  private readonly openAsOfMs = new Map<string, number>();
 
   /** `storeNowMs`: the store's clock. */
   constructor(private readonly storeNowMs: () => number) {}
@@ -28,9 +30,15 @@
     this.currentAsOfMs = Math.max(this.currentAsOfMs, asOfMs);
   }
 
-  /** Time for which changes may be unknown, milliseconds; infinite before the first `confirm`. */
-  get ageMs(): number {
-    return monotonicMs() - this.currentAsOfMs;
+  /** Records that a job was open at `asOfMs`, since a write that requires it has succeeded. */
+  confirmOpen(jobId: string, asOfMs: number): void {
+    this.openAsOfMs.set(jobId, asOfMs);
+  }
+
+  /** Time for which changes of a job may be unknown, milliseconds; infinite if nothing was confirmed. */
+  ageOf(jobId: string): number {
+    const openAsOfMs = this.openAsOfMs.get(jobId) ?? Number.NEGATIVE_INFINITY;
+    return monotonicMs() - Math.max(this.currentAsOfMs, openAsOfMs);
   }
 
   get ids(): string[] {
@@ -52,6 +60,7 @@
 
   remove(jobId: string): void {
     this.heads.delete(jobId);
+    this.openAsOfMs.delete(jobId);
     this.observedAtMs.delete(jobId);
   }
 
--- a/src/coordination/service/jobs/job-ownership.ts
+++ b/src/coordination/service/jobs/job-ownership.ts
@@ -32,8 +32,6 @@
 
 export interface JobOwnershipServices extends JobRunServices {
   readonly store: RecordStore;
-  /** Heads of all jobs, whoever owns them; kept up to date here. */
-  readonly heads: JobHeads;
   readonly repository: JobRepository;
   readonly sessions: SessionMonitor;
   readonly metrics: ServiceMetrics;
@@ -114,8 +112,11 @@
     return this.runs.get(jobId)?.isLoaded ?? false;
   }
 
-  /** Adds a job that this node has just accepted, and runs it if this node is the owner. */
-  addAccepted(head: JobHead, specification: JobSpecification): void {
+  /**
+   * Adds a job that this node has accepted since `requestedAtMs`, and runs it if this node is the owner.
+   */
+  addAccepted(head: JobHead, specification: JobSpecification, requestedAtMs: number): void {
+    this.heads.confirmOpen(head.jobId, requestedAtMs);
     const cached = this.heads.get(head.jobId);
     if (cached && cached.version > head.version) return;
     if (this.isOwned(head)) this.start(head, specification);
--- a/src/coordination/service/jobs/job-run.ts
+++ b/src/coordination/service/jobs/job-run.ts
@@ -19,6 +19,7 @@
 import { DesiredGroups } from './desired-groups.js';
 import { ItemRun } from './item-run.js';
 import type { ItemJob, ItemServices } from './item-services.js';
+import type { JobHeads } from './job-heads.js';
 import { type ListedJob, type ListerServices, ResultLister } from './result-lister.js';
 
 /** Interval of storing texts, which bounds the work lost when the owner crashes. */
@@ -32,6 +33,8 @@
 
 export interface JobRunServices extends ItemServices, ListerServices {
   readonly repository: JobRepository;
+  /** Heads of all jobs, whoever owns them. */
+  readonly heads: JobHeads;
   readonly logger: DecisionLogger;
   readonly parseSubmission: SubmissionParser;
 }
@@ -90,11 +93,13 @@
     const texts = new Map<string, PartialText>();
     for (const [id, run] of this.unlistedRuns) if (run.text.hasUnsaved) texts.set(id, run.text.toPartial());
     if (texts.size === 0) return;
+    const requestedAtMs = monotonicMs();
     const saved = await this.services.repository.contents.saveTexts(this.head, texts);
     if (saved.isErr()) {
       if (saved.error.failure === 'lease-lost') this.stop();
       return;
     }
+    this.services.heads.confirmOpen(this.head.jobId, requestedAtMs);
     for (const id of saved.value)
       this.unlistedRuns.get(id)?.text.markSaved(texts.get(id)?.events.length ?? 0);
   }
