A feed asks for an answer at once after a lost one

After a lost answer to a long poll the feed opened another long poll, so that without changes its age grew to that of two (2.65 s and the pause between polls). The job gate holds work back when the heads are older than 2.5 s.

Change: the call after a failed one does not wait for changes.

--- a/src/coordination/feeds/record-feed.ts
+++ b/src/coordination/feeds/record-feed.ts
@@ -159,7 +159,8 @@
     let backoffMs = MIN_BACKOFF_MS;
     while (!signal.aborted) {
       const requestedAtMs = monotonicMs();
-      const waitMs = this.mayBeStale ? 0 : LONG_POLL_TIMEOUT_MS;
+      const hasFailed = backoffMs > MIN_BACKOFF_MS;
+      const waitMs = this.mayBeStale || hasFailed ? 0 : LONG_POLL_TIMEOUT_MS;
       const outcome = await this.store.changes(this.handler.table, this.position, waitMs, signal);
       if (outcome.isOk()) {
         backoffMs = MIN_BACKOFF_MS;
--- a/test/coordination/feeds/record-feed.test.ts
+++ b/test/coordination/feeds/record-feed.test.ts
@@ -1,13 +1,17 @@
 import { setImmediate } from 'node:timers/promises';
 import { expect } from 'chai';
-import { ok } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { ConditionVariable } from '../../../src/common/condition-variable.js';
 import {
   type FeedHandler,
   type FeedObserver,
   RecordFeed,
 } from '../../../src/coordination/feeds/record-feed.js';
-import type { ChangedRecord, RecordStore } from '../../../src/protocol/record-store.js';
+import {
+  type ChangedRecord,
+  type RecordStore,
+  RecordStoreError,
+} from '../../../src/protocol/record-store.js';
 import { until } from '../../support/wait.js';
 
 /** A table with a new change at each request. */
@@ -23,6 +27,19 @@
   }
 }
 
+/** A store that loses the answer of one long poll, and has no changes. */
+class ForgetfulStore {
+  readonly waitsMs: number[] = [];
+
+  async changes(_table: string, after: number, waitMs: number) {
+    this.waitsMs.push(waitMs);
+    await setImmediate();
+    return this.waitsMs.length === 2
+      ? err(new RecordStoreError('unavailable', 'none', 'the answer was lost'))
+      : ok({ changes: [], version: after });
+  }
+}
+
 const OBSERVER: FeedObserver = { answered: () => {}, changed: () => {} };
 
 describe('RecordFeed', () => {
@@ -58,4 +75,15 @@
       pauseIsOver.notifyAll();
     }
   });
+
+  it('asks for an answer at once after a lost one, so that its age is not that of two long polls', async () => {
+    const forgetful = new ForgetfulStore();
+    const feed = new RecordFeed(forgetful as unknown as RecordStore, handler, OBSERVER);
+    void feed.run(controller.signal);
+    await until('a long poll has followed', () => forgetful.waitsMs.length >= 4);
+    const [first, lost, retry, next] = forgetful.waitsMs;
+    expect([first, retry]).to.deep.equal([0, 0]);
+    expect(lost).to.equal(next);
+    expect(next).to.be.greaterThan(0);
+  });
 });
