A record that a handler fails with does not end its feed

An exception of a feed's handler ended the feed for good: the process logged an unhandled rejection, stayed up and ready, and never saw another change of that table.

Evidence: the four new tests of record-feed.test.ts fail with record-feed.ts as before.

--- a/src/common/decision-records.ts
+++ b/src/common/decision-records.ts
@@ -143,7 +143,8 @@
     | 'weight-version'
     | 'session'
     | 'feed'
-    | 'peers';
+    | 'peers'
+    | 'record';
   readonly name: string;
   readonly change: string;
   /** Version of the underlying record or configuration; 0 without one. */
--- a/src/common/service-metrics.ts
+++ b/src/common/service-metrics.ts
@@ -54,6 +54,11 @@
     'thymecove_unreadable_replicas_total',
     'Malformed announcements of replicas',
   );
+  readonly unreadableRecords = this.counter(
+    'thymecove_unreadable_records_total',
+    'Changes of stored records that this node cannot use',
+    ['table'],
+  );
   readonly refusedRequests = this.counter(
     'thymecove_refused_requests_total',
     'Requests rejected by admission control, by priority',
--- a/src/coordination/feeds/index.ts
+++ b/src/coordination/feeds/index.ts
@@ -1,3 +1,4 @@
+export { applyEach } from './apply-each.js';
 export {
   type FeedHandler,
   type FeedObserver,
--- a/src/coordination/feeds/record-feed.ts
+++ b/src/coordination/feeds/record-feed.ts
@@ -2,7 +2,8 @@
  * Follows one table of the store: reads a snapshot, then applies changes in order. When the store has lost
  * its change history, a new snapshot is read. While snapshots are stale after such a loss, the known records
  * are read individually and changes are followed from there, until a current snapshot completes the table.
- * Data older than what has been applied is ignored.
+ * Data older than what has been applied is ignored. An exception of the handler is reported; it neither ends
+ * the feed nor skips another record.
  */
 import type { Result } from 'neverthrow';
 import { monotonicMs, sleep } from '../../common/clock.js';
@@ -16,6 +17,7 @@
 } from '../../protocol/record-store.js';
 import type { StateError } from '../../state/state-error.js';
 import { readCurrent, readRange } from '../../state/store/index.js';
+import { failuresOf } from './apply-each.js';
 
 /** Bounds the age of a feed without changes, and its call rate. */
 export const LONG_POLL_TIMEOUT_MS = 1_200;
@@ -37,7 +39,7 @@
 export interface FeedHandler<T> {
   readonly table: string;
   readAll(): Promise<Result<TableContent<T>, StateError>>;
-  /** Replaces all records: those that are not in `content` no longer exist. */
+  /** Replaces all records: those that are not in `content` no longer exist. Uses `applyEach`. */
   replaceAll(content: T): void;
   apply(change: ChangedRecord): void;
   /** Addresses of known records, all in one partition; without it the feed waits for a current snapshot. */
@@ -49,6 +51,8 @@
   answered?(table: string): void;
   /** Called when a snapshot was read or the history was lost. */
   changed(table: string, change: string, version: number): void;
+  /** Called when the handler has failed with a record; `key` is empty if it is not known which one. */
+  failed?(table: string, key: string, problem: string, version: number): void;
 }
 
 export class RecordFeed<T> {
@@ -86,9 +90,13 @@
   /** Runs until `signal` is aborted. After a loss of history, nodes read again with jitter. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (!(await this.readSnapshot(signal))) return;
-      await this.followChanges(signal);
-      await sleep(withJitter(MIN_BACKOFF_MS), signal);
+      try {
+        if (await this.readSnapshot(signal)) await this.followChanges(signal);
+        await sleep(withJitter(MIN_BACKOFF_MS), signal);
+      } catch (cause) {
+        this.reportFailures(cause, this.position);
+        await sleep(withJitter(MAX_BACKOFF_MS), signal);
+      }
     }
   }
 
@@ -109,7 +117,7 @@
     if (read.isErr()) return false;
     const { content, version, isStale = false } = read.value;
     if (version >= this.position) {
-      this.handler.replaceAll(content);
+      this.replaceAll(content, version);
       this.position = version;
     }
     const canFollow = version >= this.position && version > this.historyLostAt;
@@ -132,7 +140,7 @@
     const { records, version } = current.value;
     const found = new Map(records.map((record) => [record.key, record]));
     for (const address of addresses)
-      this.handler.apply(found.get(address.key) ?? { ...address, value: undefined, version });
+      this.apply(found.get(address.key) ?? { ...address, value: undefined, version });
     this.position = Math.max(this.position, version);
     this.isPartial = true;
     this.mayBeStale = false;
@@ -146,7 +154,7 @@
     this.lastReadAtMs = monotonicMs();
     const read = await this.handler.readAll();
     if (read.isErr() || read.value.isStale || read.value.version < this.position) return;
-    this.handler.replaceAll(read.value.content);
+    this.replaceAll(read.value.content, read.value.version);
     this.position = read.value.version;
     this.isPartial = false;
     this.report('snapshot read');
@@ -191,11 +199,32 @@
   }
 
   private applyChanges(changes: readonly ChangedRecord[], version: number, requestedAtMs: number): void {
-    for (const change of changes) if (change.version > this.position) this.handler.apply(change);
+    for (const change of changes) if (change.version > this.position) this.apply(change);
     this.position = Math.max(this.position, version);
     this.recordAnswer(requestedAtMs);
   }
 
+  private apply(change: ChangedRecord): void {
+    try {
+      this.handler.apply(change);
+    } catch (cause) {
+      this.observer.failed?.(this.handler.table, change.key, problemOf(cause), change.version);
+    }
+  }
+
+  private replaceAll(content: T, version: number): void {
+    try {
+      this.handler.replaceAll(content);
+    } catch (cause) {
+      this.reportFailures(cause, version);
+    }
+  }
+
+  private reportFailures(cause: unknown, version: number): void {
+    for (const { key, cause: failure } of failuresOf(cause))
+      this.observer.failed?.(this.handler.table, key, problemOf(failure), version);
+  }
+
   private recordAnswer(requestedAtMs: number): void {
     this.currentAsOfMs = requestedAtMs;
     this.observer.answered?.(this.handler.table);
@@ -211,6 +240,10 @@
   return backoffMs * (0.5 + Math.random());
 }
 
+function problemOf(cause: unknown): string {
+  return cause instanceof Error ? `${cause.name}: ${cause.message}` : String(cause);
+}
+
 function nextBackoffMs(backoffMs: number): number {
   return Math.min(MAX_BACKOFF_MS, backoffMs * 2);
 }
--- a/src/coordination/feeds/shared-table.ts
+++ b/src/coordination/feeds/shared-table.ts
@@ -36,8 +36,11 @@
   }
 
   replaceAll({ main, secondary }: SharedContent<Main, Secondary>): void {
-    this.secondary.handler.replaceAll(secondary);
-    this.main.replaceAll(main);
+    try {
+      this.secondary.handler.replaceAll(secondary);
+    } finally {
+      this.main.replaceAll(main);
+    }
   }
 
   apply(change: ChangedRecord): void {
--- a/src/coordination/resource/membership/node-registry.ts
+++ b/src/coordination/resource/membership/node-registry.ts
@@ -12,7 +12,13 @@
   StoredRecord,
 } from '../../../protocol/record-store.js';
 import type { NodeRecord } from '../../../protocol/resource/peer.js';
-import { type FeedHandler, type FeedObserver, RecordFeed, readPartition } from '../../feeds/index.js';
+import {
+  applyEach,
+  type FeedHandler,
+  type FeedObserver,
+  RecordFeed,
+  readPartition,
+} from '../../feeds/index.js';
 
 const NODE_TABLE = 'nodes';
 /** Share of the expiry time without a store response that counts as an outage. */
@@ -28,6 +34,9 @@
   readonly state: 'alive' | 'dead';
 }
 
+/** Maximum length of a line about a record that another process wrote, characters. */
+const MAX_LINE_LENGTH = 400;
+
 interface ObservedNode {
   readonly record: NodeRecord;
   /** Time of the last observed change, on the monotonic clock of this node. */
@@ -54,6 +63,8 @@
         observer.metrics.membersAlive.set(this.active().length);
       },
       changed: (table, change) => observer.logger.info(`feed ${table}: ${change}`),
+      failed: (table, key, problem) =>
+        observer.logger.info(`feed ${table}: record ${key} failed: ${problem}`.slice(0, MAX_LINE_LENGTH)),
     };
     this.feed = new RecordFeed(store, this, feedObserver);
   }
@@ -99,7 +110,11 @@
     const present = new Set(records.map((record) => record.key));
     for (const id of [...this.nodes.keys()])
       if (id !== this.own.id && !present.has(id)) this.nodes.delete(id);
-    for (const record of records) this.apply(record);
+    applyEach(
+      records,
+      ({ key }) => key,
+      (record) => this.apply(record),
+    );
   }
 
   apply(change: ChangedRecord): void {
--- a/src/coordination/service/jobs/job-ownership.ts
+++ b/src/coordination/service/jobs/job-ownership.ts
@@ -18,7 +18,7 @@
   type OwnerReference,
   toJobHead,
 } from '../../../state/service/jobs/index.js';
-import type { FeedHandler } from '../../feeds/index.js';
+import { applyEach, type FeedHandler } from '../../feeds/index.js';
 import type { SessionMonitor } from '../membership/index.js';
 import { JobClaimer } from './job-claimer.js';
 import { JobHeads } from './job-heads.js';
@@ -140,7 +140,11 @@
   replaceAll(content: readonly JobHead[]): void {
     const jobIds = new Set(content.map((head) => head.jobId));
     for (const jobId of this.heads.ids) if (!jobIds.has(jobId)) this.forget(jobId);
-    for (const head of content) this.updateHead(head);
+    applyEach(
+      content,
+      ({ jobId }) => jobId,
+      (head) => this.updateHead(head),
+    );
   }
 
   apply(change: ChangedRecord): void {
--- a/src/coordination/service/membership/announcements.ts
+++ b/src/coordination/service/membership/announcements.ts
@@ -16,7 +16,7 @@
 import type { RoutingConfiguration } from '../../../protocol/service/routing-configuration.js';
 import type { RoutingTable } from '../../../state/service/configuration/index.js';
 import type { ReplicaDirectory, WeightVersions } from '../../../state/service/replicas/index.js';
-import { type FeedHandler, readPartition } from '../../feeds/index.js';
+import { applyEach, type FeedHandler, readPartition } from '../../feeds/index.js';
 
 /** Tables, keys and parsers of the records that operators and replicas write. */
 export interface AnnouncementFormat {
@@ -78,7 +78,11 @@
     const present = new Set(content.map(({ key }) => this.format.evacuatedZoneOf(key)));
     for (const zone of this.directory.evacuatedZones)
       if (!present.has(zone)) this.applyEvacuation(zone, false, 0);
-    for (const record of content) this.apply(record);
+    applyEach(
+      content,
+      ({ key }) => key,
+      (record) => this.apply(record),
+    );
   }
 
   apply(change: ChangedRecord): void {
--- a/src/coordination/service/membership/replica-announcements.ts
+++ b/src/coordination/service/membership/replica-announcements.ts
@@ -10,7 +10,7 @@
 import type { ChangedRecord, RecordStore } from '../../../protocol/record-store.js';
 import type { Replica } from '../../../protocol/service/replica.js';
 import type { IncarnationOrder, ReplicaDirectory } from '../../../state/service/replicas/index.js';
-import { type FeedHandler, readPartition } from '../../feeds/index.js';
+import { applyEach, type FeedHandler, readPartition } from '../../feeds/index.js';
 import {
   ALLOW_STALE,
   ANNOUNCEMENT_PARTITION,
@@ -62,7 +62,11 @@
     const present = new Set(content.map((record) => record.key));
     for (const id of this.services.directory.ids)
       if (!present.has(id)) this.remove(id, 'announcement removed', 0);
-    for (const record of content) this.apply(record);
+    applyEach(
+      content,
+      ({ key }) => key,
+      (record) => this.apply(record),
+    );
   }
 
   apply({ key, value, version }: ChangedRecord): void {
--- a/src/coordination/service/requests/request-quarantine.ts
+++ b/src/coordination/service/requests/request-quarantine.ts
@@ -18,7 +18,7 @@
   toCrashRecord,
 } from '../../../state/service/replicas/index.js';
 import { FOLLOWED_TABLE } from '../../../state/service/store/index.js';
-import { type FeedHandler, readPartition } from '../../feeds/index.js';
+import { applyEach, type FeedHandler, readPartition } from '../../feeds/index.js';
 import { type AttemptedReplica, digestOf, type IdentifiedRequest } from '../dispatch/index.js';
 import { CrashReports } from './crash-reports.js';
 
@@ -96,9 +96,13 @@
   }
 
   replaceAll(content: readonly StoredRecord[]): void {
-    for (const record of content) this.addReport(record);
     if (!this.hasLoaded) void this.reports.removeOrphaned(content);
     this.hasLoaded = true;
+    applyEach(
+      content,
+      ({ key }) => key,
+      (record) => this.addReport(record),
+    );
   }
 
   apply({ key, value }: ChangedRecord): void {
--- a/src/node/service/node-context.ts
+++ b/src/node/service/node-context.ts
@@ -15,6 +15,7 @@
 import { RoutingTable } from '../../state/service/configuration/index.js';
 import type { OwnerReference } from '../../state/service/jobs/index.js';
 import { ReplicaDirectory, WeightVersions } from '../../state/service/replicas/index.js';
+import { type ReportUnreadable, UnreadableRecords } from '../../state/service/store/index.js';
 
 export interface ServiceNodeDependencies {
   /** Current settings; they may be reloaded while the node runs. */
@@ -46,12 +47,16 @@
   readonly routing: RoutingTable;
   readonly directory: ReplicaDirectory;
   readonly versions: WeightVersions;
+  /** Logs and counts a stored record that cannot be used. */
+  readonly reportUnreadable: ReportUnreadable;
 }
 
 /** Creates the context of a new incarnation, with empty tables. */
 export function createNodeContext(parts: ServiceNodeDependencies): NodeContext {
+  const unreadable = new UnreadableRecords(parts.metrics, parts.logger);
   return {
     ...parts,
+    reportUnreadable: (record, problem) => unreadable.report(record, problem),
     self: { node: parts.settings().nodeName, life: uniqueId() },
     routing: new RoutingTable(),
     directory: new ReplicaDirectory(),
--- a/src/node/service/node-feeds.ts
+++ b/src/node/service/node-feeds.ts
@@ -21,6 +21,7 @@
 } from '../../coordination/service/membership/index.js';
 import type { RequestQuarantine } from '../../coordination/service/requests/index.js';
 import { CRASH_PARTITION } from '../../state/service/replicas/index.js';
+import type { ReportUnreadable } from '../../state/service/store/index.js';
 import type { NodeContext } from './node-context.js';
 import { isConfigurationFresh, isFeedCurrent, pollDelayMs } from './readiness.js';
 
@@ -33,9 +34,10 @@
   readonly peers: PeerAddresses;
 }
 
-/** Logs full reads of a table and gaps in its change history. */
-function feedObserver(logger: DecisionLogger): FeedObserver {
+/** Logs full reads of a table, gaps in its change history, and records that a handler failed with. */
+function feedObserver(logger: DecisionLogger, reportUnreadable: ReportUnreadable): FeedObserver {
   return {
+    failed: (table, key, problem, version) => reportUnreadable({ table, key, version }, problem),
     changed: (name, change, version) =>
       logger.record({ event: 'belief-changed', subject: 'feed', name, change, version }),
   };
@@ -51,7 +53,7 @@
     private readonly services: NodeFeedDependencies,
   ) {
     const { store, format, routing, versions, directory, settings, metrics, logger } = context;
-    const observer = feedObserver(logger);
+    const observer = feedObserver(logger, context.reportUnreadable);
     const pause = (signal: AbortSignal) =>
       services.sessions.pauseUnlessHolder(pollDelayMs(services.peers.fleetSize), signal);
     const createFeed = <T>(handler: FeedHandler<T>) =>
