--- a/src/coordination/service/membership/replica-announcements.ts
+++ b/src/coordination/service/membership/replica-announcements.ts
@@ -36,6 +36,8 @@
 export class ReplicaAnnouncements implements FeedHandler<AnnouncementRecords> {
   /** Incarnations with an earlier start time than the known ones, by replica id. */
   private readonly unconfirmed = new Map<string, Replica>();
+  /** Versions of the rejected records, by replica id: each is reported once, however often it is read. */
+  private readonly rejected = new Map<string, number>();
 
   constructor(
     private readonly services: ReplicaAnnouncementServices,
@@ -60,7 +62,7 @@
 
   replaceAll(content: AnnouncementRecords): void {
     const present = new Set(content.map((record) => record.key));
-    for (const id of this.services.directory.ids)
+    for (const id of [...this.services.directory.ids, ...this.rejected.keys()])
       if (!present.has(id)) this.remove(id, 'announcement removed', 0);
     applyEach(
       content,
@@ -95,6 +97,7 @@
     version: number,
   ): void {
     this.unconfirmed.delete(replica.id);
+    this.rejected.delete(replica.id);
     const name = replica.id;
     if (order === 'first') this.report(name, `joined ${replica.service} at ${replica.address}`, version);
     else if (order === 'next') this.report(name, `restarted, started at ${replica.startedAtMs}`, version);
@@ -104,6 +107,7 @@
 
   private awaitConfirmation(replica: Replica, version: number): void {
     this.unconfirmed.set(replica.id, replica);
+    this.rejected.delete(replica.id);
     this.services.directory.markUnconfirmed(replica.id);
     this.report(
       replica.id,
@@ -128,13 +132,16 @@
   }
 
   private rejectRecord(id: string, problem: string, version: number): void {
+    if (this.rejected.get(id) === version) return;
     this.services.metrics.unreadableReplicas.inc({});
     this.report(id, `invalid announcement: ${problem}`, version);
     this.remove(id, 'gone with its record', version);
+    this.rejected.set(id, version);
   }
 
   private remove(id: string, change: string, version: number): void {
     this.unconfirmed.delete(id);
+    this.rejected.delete(id);
     if (!this.services.directory.get(id)) return;
     this.services.directory.remove(id);
     this.report(id, change, version);
--- a/test/coordination/service/membership/replica-announcements.test.ts
+++ b/test/coordination/service/membership/replica-announcements.test.ts
@@ -165,6 +165,18 @@
     expect(isAvailable()).to.equal(true);
   });
 
+  it('logs and counts an invalid record once for each of its changes, however often the table is read', async () => {
+    const value = Buffer.from('bad');
+    const record = (version: number) => ({ table: 'replicas', partition: '', key: 'r2', value, version });
+    for (let reads = 0; reads < 3; reads += 1) announcements.replaceAll([record(7)]);
+    announcements.apply(record(8));
+    announcements.replaceAll([]);
+    announcements.replaceAll([record(9)]);
+    expect(logLines.filter((line) => line.includes('invalid announcement'))).to.have.length(3);
+    const counted = await metrics.unreadableReplicas.get();
+    expect(counted.values.map((one) => one.value)).to.deep.equal([3]);
+  });
+
   it('rejects a record without a start time where the known incarnation has one', () => {
     announce();
     announce({ startedAtMs: undefined });
