A record that is no announcement of a node ends neither feed nor dispatch

Nodes parsed the announcements of others without validation. One that was not JSON ended the feed of the fleet and the reads of peers for good; by reading, null threw wherever the members were asked for, and an odd address could become that of a dispatcher.

--- a/src/coordination/service/membership/fleet-directory.ts
+++ b/src/coordination/service/membership/fleet-directory.ts
@@ -1,12 +1,13 @@
 /**
  * Directory of all running nodes, built from their announcements in the store. Each node follows the table,
  * so joins and departures are visible within a second. A crashed node stays listed until its announcement
- * expires; calls to it fail until then.
+ * expires; calls to it fail until then. A record that is no announcement counts as absent.
  */
 import type { ChangedRecord, RecordStore, StoredRecord } from '../../../protocol/record-store.js';
 import type { FleetMember } from '../../../state/service/replicas/index.js';
+import { ignoreUnreadable, type ReportUnreadable } from '../../../state/service/store/index.js';
 import { type FeedHandler, readPartition } from '../../feeds/index.js';
-import { isExpired, NODE_TABLE, type NodeAnnouncement, parseAnnouncement } from './node-announcement.js';
+import { isExpired, NODE_TABLE, type NodeAnnouncement, readAnnouncement } from './node-announcement.js';
 
 const ALLOW_STALE = true;
 
@@ -15,7 +16,10 @@
   private readonly announcements = new Map<string, NodeAnnouncement>();
   private readonly listeners = new Set<() => void>();
 
-  constructor(private readonly store: RecordStore) {}
+  constructor(
+    private readonly store: RecordStore,
+    private readonly reportUnreadable: ReportUnreadable = ignoreUnreadable,
+  ) {}
 
   /** Registers a listener that is called after each change. */
   onChange(listener: () => void): void {
@@ -40,16 +44,21 @@
     const present = new Set(content.map(({ key }) => key));
     for (const name of [...this.announcements.keys()])
       if (!present.has(name)) this.announcements.delete(name);
-    for (const record of content) this.announcements.set(record.key, parseAnnouncement(record.value));
+    for (const record of content) this.update(record);
     this.notify();
   }
 
-  apply({ key, value }: ChangedRecord): void {
-    if (value === undefined) this.announcements.delete(key);
-    else this.announcements.set(key, parseAnnouncement(value));
+  apply(change: ChangedRecord): void {
+    this.update(change);
     this.notify();
   }
 
+  private update({ value, ...address }: ChangedRecord): void {
+    const announcement = value && readAnnouncement({ ...address, value }, this.reportUnreadable);
+    if (announcement) this.announcements.set(address.key, announcement);
+    else this.announcements.delete(address.key);
+  }
+
   private notify(): void {
     for (const listener of this.listeners) listener();
   }
--- a/src/coordination/service/membership/peer-addresses.ts
+++ b/src/coordination/service/membership/peer-addresses.ts
@@ -6,9 +6,10 @@
 import { type Clock, SYSTEM_CLOCK } from '../../../common/clock.js';
 import type { DecisionLogger } from '../../../common/decision-logger.js';
 import type { RecordAddress, RecordStore, StoredRecord } from '../../../protocol/record-store.js';
+import { ignoreUnreadable, type ReportUnreadable } from '../../../state/service/store/index.js';
 import { readPartition } from '../../feeds/index.js';
 import { FleetTime } from './fleet-time.js';
-import { isExpired, NODE_TABLE, type NodeAnnouncement, parseAnnouncement } from './node-announcement.js';
+import { isExpired, NODE_TABLE, type NodeAnnouncement, readAnnouncement } from './node-announcement.js';
 
 const TABLE = NODE_TABLE;
 /** Counting reads the whole table, so it is done less often than reading a few peers. */
@@ -28,6 +29,11 @@
 /** Announced properties of a node besides its addresses. */
 export type NodeTraits = Pick<NodeAnnouncement, 'zone' | 'capacity'>;
 
+interface ReadAnnouncement {
+  readonly record: StoredRecord;
+  readonly announcement: NodeAnnouncement;
+}
+
 export class PeerAddresses {
   readonly time: FleetTime;
   private peers: readonly NodeAnnouncement[] = [];
@@ -42,6 +48,7 @@
     private readonly logger: DecisionLogger,
     private readonly clock: Clock = SYSTEM_CLOCK,
     private readonly traits: NodeTraits = {},
+    private readonly reportUnreadable: ReportUnreadable = ignoreUnreadable,
   ) {
     this.time = new FleetTime(store);
   }
@@ -126,9 +133,9 @@
     const all = await readPartition(this.store, TABLE, '');
     if (all.isErr()) return;
     const { content, version } = all.value;
-    const present = content.filter((record) => !this.isExpired(record));
+    const present = this.read(content).filter(({ announcement }) => !this.isExpired(announcement));
     this.nodeCount = Math.max(1, present.length);
-    this.time.setNodeOffsets(present.flatMap((record) => parse(record).timeOffsetMs ?? []));
+    this.time.setNodeOffsets(present.flatMap(({ announcement }) => announcement.timeOffsetMs ?? []));
     this.report(`${this.nodeCount} nodes`, version);
   }
 
@@ -138,10 +145,12 @@
     const wrapsAround = following.length < MAX_PEERS;
     // If the second scan fails, the peers found by the first are enough until the next read.
     const records = wrapsAround ? [...following, ...((await this.scan(undefined)) ?? [])] : following;
-    const candidates = records.filter(({ key }) => key !== this.nodeName).slice(0, MAX_PEERS);
-    const expired = candidates.filter((record) => this.isExpired(record));
-    const present = candidates.filter((record) => !this.isExpired(record)).map(parse);
-    const byAddress = new Map(present.map((announcement) => [announcement.address, announcement]));
+    const others = records.filter(({ key }) => key !== this.nodeName);
+    const candidates = this.read(others).slice(0, MAX_PEERS);
+    const isOld = ({ announcement }: ReadAnnouncement) => this.isExpired(announcement);
+    const expired = candidates.filter(isOld).map(({ record }) => record);
+    const present = candidates.filter((candidate) => !isOld(candidate));
+    const byAddress = new Map(present.map(({ announcement }) => [announcement.address, announcement]));
     this.replacePeers([...byAddress.values()], records);
     for (const address of this.lastCallSucceeded.keys())
       if (!byAddress.has(address)) this.lastCallSucceeded.delete(address);
@@ -172,8 +181,16 @@
     return page.isOk() ? page.value.records : undefined;
   }
 
-  private isExpired(record: StoredRecord): boolean {
-    return isExpired(parse(record), this.store.nowMs());
+  /** The announcements in records; unreadable records are left out. */
+  private read(records: readonly StoredRecord[]): ReadAnnouncement[] {
+    return records.flatMap((record) => {
+      const announcement = readAnnouncement(record, this.reportUnreadable);
+      return announcement ? [{ record, announcement }] : [];
+    });
+  }
+
+  private isExpired(announcement: NodeAnnouncement): boolean {
+    return isExpired(announcement, this.store.nowMs());
   }
 
   /** Removes announcements of crashed nodes, unless they were renewed since the read. */
@@ -187,7 +204,3 @@
 function recordAddress(nodeName: string): RecordAddress {
   return { table: TABLE, partition: '', key: nodeName };
 }
-
-function parse({ value }: StoredRecord): NodeAnnouncement {
-  return parseAnnouncement(value);
-}
--- a/src/node/service/node-dispatch.ts
+++ b/src/node/service/node-dispatch.ts
@@ -20,6 +20,7 @@
 import type { ServiceSettings } from '../../protocol/service/service-settings.js';
 import type { RoutingTable } from '../../state/service/configuration/index.js';
 import type { ReplicaDirectory, ReplicaState } from '../../state/service/replicas/index.js';
+import type { ReportUnreadable } from '../../state/service/store/index.js';
 
 /** Limits of each queue: number of requests, and total body size as a fraction of the memory limit. */
 const MAX_QUEUED = 2_000;
@@ -34,6 +35,7 @@
   readonly directory: ReplicaDirectory;
   readonly exchange: ReplicaExchange;
   readonly callPeer: PeerCall;
+  readonly reportUnreadable: ReportUnreadable;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
@@ -45,7 +47,7 @@
 
   constructor(private readonly services: NodeDispatchDependencies) {
     const { store, settings, directory, exchange, callPeer, metrics, logger } = services;
-    this.fleet = new FleetDirectory(store);
+    this.fleet = new FleetDirectory(store, services.reportUnreadable);
     this.queues = new ServiceQueues({
       directory,
       exchange,
--- a/src/node/service/service-node.ts
+++ b/src/node/service/service-node.ts
@@ -60,10 +60,11 @@
   constructor(parts: ServiceNodeDependencies) {
     setMaxListeners(0, this.controller.signal);
     const context = createNodeContext(parts);
-    const { store, self, routing, metrics, logger } = context;
+    const { store, self, routing, metrics, logger, reportUnreadable } = context;
     const settings = parts.settings();
     const { zone, processorCores: capacity } = settings;
-    const peers = new PeerAddresses(store, self.node, logger, SYSTEM_CLOCK, { zone, capacity });
+    const traits = { zone, capacity };
+    const peers = new PeerAddresses(store, self.node, logger, SYSTEM_CLOCK, traits, reportUnreadable);
     const roles = new CombinedSessionRoles(() => peers.fleetSize);
     const sessions = new SessionMonitor(store, self, roles);
     const quarantine = new RequestQuarantine({ store, metrics, logger });
--- a/src/state/store/index.ts
+++ b/src/state/store/index.ts
@@ -1,2 +1,3 @@
 export { readCurrent } from './current-records.js';
 export { readRange } from './read-range.js';
+export { RecordFormat } from './record-format.js';
--- a/test/coordination/service/membership/peer-addresses.test.ts
+++ b/test/coordination/service/membership/peer-addresses.test.ts
@@ -9,6 +9,7 @@
   StoredRecord,
 } from '../../../../src/protocol/record-store.js';
 import { ManualClock } from '../../../support/manual-clock.js';
+import { ODD_VALUES } from '../../../support/odd-records.js';
 
 const NODES = 20;
 /** Most addresses that one node keeps. */
@@ -111,4 +112,19 @@
     expect(keys).to.not.include(name(1));
     expect(keys).to.have.length(NODES - 1);
   });
+
+  it('keeps the peers and counts the nodes while an odd record stands among theirs', async () => {
+    for (const [odd, value] of ODD_VALUES) {
+      const key = `${name(1)}-odd`;
+      const others = table.records.filter((record) => record.key !== key);
+      const record = { table: 'serving-nodes', partition: '', key, value, version: table.version };
+      table.records = [...others, record].sort((one, other) => (one.key < other.key ? -1 : 1));
+      await clock.advance(LONG_MS);
+      expect(peers[0]?.rankedAddresses(7), odd).to.deep.equal([1, 2, 3, 4, 5, 6, 7].map(address));
+      expect(peers[0]?.fleetSize, odd).to.equal(NODES);
+    }
+    controllers[2]?.abort();
+    await clock.advance(LONG_MS);
+    expect(peers[0]?.fleetSize, 'still counted afterwards').to.equal(NODES - 1);
+  });
 });
