A heartbeat or lease that cannot be read ends no observation

An odd record among the heartbeats and leases threw in the poll of the sessions, which ended for good: the node noticed no lost holder any more, took no lease, and answered 500 to submissions that asked for a fresh owner. Both records are parsed against a schema now. An odd heartbeat shows none. An odd lease counts as free with every target guarded; its successor's epoch is above the record's version, so fencing tokens keep rising: the store's version has risen with each epoch before.

Leases and heartbeats of earlier builds are read as before.

--- a/src/coordination/service/leadership/leader-lease.ts
+++ b/src/coordination/service/leadership/leader-lease.ts
@@ -2,13 +2,14 @@
  * Leader lease of a singleton task, such as scheduling weight loads. Before each action the leader confirms
  * the lease by a conditional write; the action may begin only while the confirmation is fresh. The record
  * lists the targets of recent actions, so that a successor waits for the handover guard only on those
- * targets.
+ * targets. An unreadable record is a free lease, which the next leader replaces.
  */
 import { ConditionVariable } from '../../../common/condition-variable.js';
 import type { DecisionLogger } from '../../../common/decision-logger.js';
 import { SYSTEM_TIME, startStopwatch, type TimeSources } from '../../../common/elapsed-time.js';
 import type { RecordAddress, RecordStore, StoredRecord } from '../../../protocol/record-store.js';
 import type { OwnerReference } from '../../../state/service/jobs/index.js';
+import { ignoreUnreadable, type ReportUnreadable } from '../../../state/service/store/index.js';
 import type { SessionMonitor } from '../membership/index.js';
 import {
   ABSENT_LEASE,
@@ -16,6 +17,7 @@
   leaseAddress,
   NO_HOLDER,
   parseLease,
+  replacementFor,
   type VersionedLease,
 } from './lease-record.js';
 import { acquisitionReason, confirmationValidityMs, guardedActions, isTakenOver } from './lease-rules.js';
@@ -59,6 +61,7 @@
     private readonly handoverGuardMs: () => number,
     private readonly logger: DecisionLogger,
     private readonly time: TimeSources = SYSTEM_TIME,
+    private readonly reportUnreadable: ReportUnreadable = ignoreUnreadable,
   ) {
     this.address = leaseAddress(task);
   }
@@ -157,7 +160,7 @@
       return;
     }
     if (this.lastKnown && this.lastKnown.version >= record.version) return;
-    const content = parseLease(record);
+    const content = this.contentOf(record);
     const previous = this.lastKnown?.content;
     if (previous?.epoch !== content.epoch) this.holderSeenAtMs = this.sessions.observedTimeMs;
     this.lastKnown = { content, version: record.version };
@@ -165,6 +168,13 @@
       this.handleLoss(`acquired by ${content.holder.node}`);
   }
 
+  private contentOf(record: StoredRecord): LeaseContent {
+    const parsed = parseLease(record);
+    if (parsed.isOk()) return parsed.value;
+    this.reportUnreadable(record, parsed.error);
+    return replacementFor(record);
+  }
+
   private async tryAcquire(): Promise<void> {
     if (!this.lastKnown) return;
     const { holder } = this.lastKnown.content;
--- a/src/coordination/service/leadership/lease-record.ts
+++ b/src/coordination/service/leadership/lease-record.ts
@@ -1,23 +1,36 @@
 /**
  * Stored record of a leader lease. It is in the session table, so that one scan reads leases and heartbeats.
  */
+import type { Result } from 'neverthrow';
+import Type, { type Static } from 'typebox';
 import type { RecordAddress, StoredRecord } from '../../../protocol/record-store.js';
 import type { OwnerReference } from '../../../state/service/jobs/index.js';
+import { RecordFormat } from '../../../state/store/index.js';
 import { SESSION_TABLE } from '../membership/index.js';
 import type { RecentAction } from './recent-actions.js';
 
+const NameSchema = Type.String({ maxLength: 300 });
+const CountSchema = Type.Integer({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER });
+
 /** Stored format. */
-export interface LeaseContent {
-  readonly holder: OwnerReference;
+const LeaseSchema = Type.Object({
+  holder: Type.Object({ node: NameSchema, life: NameSchema }),
   /** Increases with each change of the holder; serves as fencing token. */
-  readonly epoch: number;
+  epoch: CountSchema,
   /** Number of confirmations by this holder. */
-  readonly acts: number;
-  /** Validity of the last confirmation. */
-  readonly validMs: number;
+  acts: CountSchema,
+  /** Validity of the last confirmation; the first builds left it out. */
+  validMs: Type.Optional(Type.Number({ minimum: 0 })),
   /** Actions of this and earlier holders within the handover guard; absent in records of version 0.1.0. */
+  recent: Type.Optional(
+    Type.Array(Type.Object({ target: NameSchema, node: NameSchema, begunByMs: Type.Number() })),
+  ),
+});
+export type LeaseContent = Readonly<Omit<Static<typeof LeaseSchema>, 'recent'>> & {
   readonly recent?: readonly RecentAction[];
-}
+};
+
+const leaseFormat = new RecordFormat(LeaseSchema);
 
 /** A lease with the version of its record. */
 export interface VersionedLease {
@@ -39,6 +52,15 @@
   return { table: SESSION_TABLE, partition: '', key: `duty/${task}` };
 }
 
-export function parseLease({ value }: StoredRecord): LeaseContent {
-  return JSON.parse(value.toString('utf8')) as LeaseContent;
+/** The error says what is wrong with the record. */
+export function parseLease({ value }: StoredRecord): Result<LeaseContent, string> {
+  return leaseFormat.parse(value);
+}
+
+/**
+ * Stands for an unreadable record: free, but any target may have been acted on until now. The store's version
+ * has risen with each epoch, so the next epoch is higher than any before.
+ */
+export function replacementFor({ version }: StoredRecord): LeaseContent {
+  return { holder: NO_HOLDER, epoch: version, acts: 0 };
 }
--- a/src/coordination/service/membership/session-monitor.ts
+++ b/src/coordination/service/membership/session-monitor.ts
@@ -2,12 +2,15 @@
  * Failure detector for holders of jobs and leases: a holder writes heartbeats to the store, and every node
  * polls all heartbeats. A holder is lost when its heartbeat has not changed for `lossTimeoutMs` of observed
  * time. Observed time stops while this node cannot read the store, so that no holder is lost by an outage or a
- * pause of this process. In a large fleet idle nodes poll less often until a heartbeat is overdue.
+ * pause of this process. In a large fleet idle nodes poll less often until a heartbeat is overdue. A record
+ * that is no heartbeat shows none.
  */
 import { type Clock, SYSTEM_CLOCK } from '../../../common/clock.js';
 import { ConditionVariable } from '../../../common/condition-variable.js';
 import type { RecordStore, StoredRecord } from '../../../protocol/record-store.js';
 import type { OwnerReference } from '../../../state/service/jobs/index.js';
+import { ignoreUnreadable, type ReportUnreadable } from '../../../state/service/store/index.js';
+import { type Heartbeat, heartbeatFormat } from './heartbeat-record.js';
 import {
   HEARTBEAT_INTERVAL_MS,
   idlePollFactor,
@@ -27,17 +30,6 @@
 /** Bounds the delay of requests that wait for a refresh. */
 const REFRESH_TIMEOUT_MS = 200;
 
-/** A stored record. */
-interface Heartbeat {
-  /** Incarnation of the process: one run of it. */
-  readonly life: string;
-  readonly count: number;
-  /** Whether the process is draining and accepts no new jobs. */
-  readonly isLeaving: boolean;
-  /** Time of the write on the store's clock, milliseconds; nodes of version 0.1.0 leave it out. */
-  readonly atMs?: number;
-}
-
 interface ObservedSession {
   version: number;
   life: string;
@@ -79,6 +71,7 @@
     readonly self: OwnerReference,
     private readonly roles: SessionRoles,
     private readonly clock: Clock = SYSTEM_CLOCK,
+    private readonly reportUnreadable: ReportUnreadable = ignoreUnreadable,
   ) {}
 
   /** Registers a listener that is called after each poll with all records of the table. */
@@ -219,7 +212,12 @@
     const node = record.key.slice(HEARTBEAT_PREFIX.length);
     const previous = this.sessions.get(node);
     if (previous && previous.version >= version) return;
-    const { life, isLeaving, atMs = 0 } = JSON.parse(value.toString('utf8')) as Heartbeat;
+    const heartbeat = heartbeatFormat.parse(value);
+    if (heartbeat.isErr()) {
+      this.reportUnreadable(record, heartbeat.error);
+      return;
+    }
+    const { life, isLeaving = false, atMs = 0 } = heartbeat.value;
     this.sessions.set(node, { version, life, isLeaving, heartbeatAtMs: atMs, changedAtMs: this.observedMs });
   }
 }
--- a/src/node/service/service-node.ts
+++ b/src/node/service/service-node.ts
@@ -66,7 +66,7 @@
     const traits = { zone, capacity };
     const peers = new PeerAddresses(store, self.node, logger, SYSTEM_CLOCK, traits, reportUnreadable);
     const roles = new CombinedSessionRoles(() => peers.fleetSize);
-    const sessions = new SessionMonitor(store, self, roles);
+    const sessions = new SessionMonitor(store, self, roles, SYSTEM_CLOCK, reportUnreadable);
     const quarantine = new RequestQuarantine({ store, metrics, logger });
     const splitter = new TargetSplitter();
     const crashCheck = new CrashCheck(metrics);
--- a/src/node/service/singleton-tasks.ts
+++ b/src/node/service/singleton-tasks.ts
@@ -4,6 +4,7 @@
  * still counted in memory.
  */
 import { sleep } from '../../common/clock.js';
+import { SYSTEM_TIME } from '../../common/elapsed-time.js';
 import { LeaderLease } from '../../coordination/service/leadership/index.js';
 import type { PeerAddresses, SessionMonitor } from '../../coordination/service/membership/index.js';
 import { UsageAccounting } from '../../coordination/service/usage/index.js';
@@ -82,8 +83,9 @@
   }
 
   private createLease(task: string): LeaderLease {
-    const { store, self, settings, logger } = this.context;
-    return new LeaderLease(store, task, self, this.sessions, () => settings().leaseMs, logger);
+    const { store, self, settings, logger, reportUnreadable } = this.context;
+    const guardMs = () => settings().leaseMs;
+    return new LeaderLease(store, task, self, this.sessions, guardMs, logger, SYSTEM_TIME, reportUnreadable);
   }
 
   private createUsage(settings: UsageSettings, peers: PeerAddresses): UsageAccounting {
--- a/test/coordination/service/leadership/leader-lease.test.ts
+++ b/test/coordination/service/leadership/leader-lease.test.ts
@@ -3,6 +3,7 @@
 import { err, ok } from 'neverthrow';
 import { silentDecisionLogger } from '../../../../src/common/decision-logger.js';
 import { LeaderLease } from '../../../../src/coordination/service/leadership/leader-lease.js';
+import { parseLease } from '../../../../src/coordination/service/leadership/lease-record.js';
 import type { SessionMonitor } from '../../../../src/coordination/service/membership/session-monitor.js';
 import {
   type RecordStore,
@@ -10,6 +11,7 @@
   type RecordTransaction,
   type StoredRecord,
 } from '../../../../src/protocol/record-store.js';
+import { ODD_VALUES } from '../../../support/odd-records.js';
 
 const TASK = 'orders';
 const HANDOVER_GUARD_MS = 3_000;
@@ -29,6 +31,12 @@
   averageLatencyMs = () => 0;
   nowMs = () => this.clockMs - this.clockLagMs;
 
+  /** Another writer's record in place of the lease. */
+  overwrite(value: Buffer): void {
+    this.version += 1;
+    if (this.record) this.record = { ...this.record, value, version: this.version };
+  }
+
   async transact({ conditions, writes }: RecordTransaction) {
     this.transactions += 1;
     this.clockLagMs = 0;
@@ -190,4 +198,30 @@
     store.clockMs += AFTER_GUARD_MS;
     expect(second.allowsAction('replica-9999')).to.equal(true);
   });
+
+  for (const [name, value] of ODD_VALUES)
+    it(`replaces a lease that is ${name} under a higher epoch, and guards every target`, async () => {
+      const first = await acquire(leaseAt('node-1', 'life-1'));
+      for (let confirmations = 0; confirmations < 5; confirmations += 1) await first.confirm('replica-1');
+      const { epoch } = first;
+      store.overwrite(value);
+      expect(await first.confirm('replica-1'), 'its record is gone').to.equal(undefined);
+      expect(first.isHeld).to.equal(false);
+      const second = await acquire(leaseAt('node-2', 'life-2'));
+      expect(second.epoch).to.be.greaterThan(epoch);
+      expect(second.allowsAction('replica-2')).to.equal(false);
+      store.clockMs += AFTER_GUARD_MS;
+      expect(second.allowsAction('replica-2')).to.equal(true);
+      expect((await second.confirm('replica-2'))?.isFresh()).to.equal(true);
+      const third = await successor('node-3');
+      expect(third.epoch).to.equal(second.epoch + 1);
+    });
+
+  it('reads leases of earlier builds and of later ones', () => {
+    const early = { holder: { node: 'n', life: 'l' }, epoch: 4, acts: 2 };
+    for (const content of [early, { ...early, validMs: 250, recent: [], later: [1] }])
+      expect(
+        parseLease({ value: Buffer.from(JSON.stringify(content)) } as StoredRecord)._unsafeUnwrap(),
+      ).to.deep.equal(content);
+  });
 });
