An odd record among those of jobs costs no other job

Heads, kept texts and listed results were taken without validation. A head that is an object without an owner threw in the claim and ended the feed of jobs and crash reports; a kept text or result that is not JSON rejected the run of a job that had said that it never rejects: the job stayed owned and was never finished (LOST). They are parsed against schemas now. An odd head counts as absent and is logged once for each change, in the partitions of jobs only, since others may come to share the table; the item of an odd text starts over; an odd result keeps its position, and its item is listed again. jobs list and jobs show read the same way.

Heads of the first builds (no model, tokens, tenant) and unknown fields are kept.

--- a/src/cli/job-summary.ts
+++ b/src/cli/job-summary.ts
@@ -2,7 +2,7 @@
 
 import { ok, type Result } from 'neverthrow';
 import { MILLISECONDS_PER_SECOND } from '../common/clock.js';
-import type { JobHead, JobRepository } from '../state/service/jobs/index.js';
+import { type JobHead, type JobRepository, parseListedResult } from '../state/service/jobs/index.js';
 import type { StateError } from '../state/state-error.js';
 import { formatTable } from './output.js';
 
@@ -65,7 +65,7 @@
   return texts.map(({ size }) => ({
     ...account,
     listed: results.value.length,
-    dead: results.value.filter((result) => (JSON.parse(result) as { state: string }).state === 'dead').length,
+    dead: results.value.filter((result) => parseListedResult(result)?.state === 'dead').length,
     keptTexts: size,
   }));
 }
--- a/src/coordination/service/jobs/job-ownership.ts
+++ b/src/coordination/service/jobs/job-ownership.ts
@@ -12,11 +12,11 @@
 import type { ChangedRecord, RecordStore } from '../../../protocol/record-store.js';
 import type { JobSpecification } from '../../../protocol/service/batch-job.js';
 import {
+  isJobPartition,
   JOB_TABLE,
   type JobHead,
   type JobRepository,
   type OwnerReference,
-  toJobHead,
 } from '../../../state/service/jobs/index.js';
 import { applyEach, type FeedHandler } from '../../feeds/index.js';
 import type { SessionMonitor } from '../membership/index.js';
@@ -148,12 +148,10 @@
   }
 
   apply(change: ChangedRecord): void {
-    if (change.value === undefined) {
-      this.forget(change.key);
-      return;
-    }
-    const head = toJobHead({ key: change.key, value: change.value, version: change.version });
+    const { value } = change;
+    const head = value && this.services.repository.toHead({ ...change, value });
     if (head) this.updateHead(head);
+    else if (isJobPartition(change.partition)) this.forget(change.key);
   }
 
   /** Stores the texts of all jobs and releases the jobs, so that other nodes claim them at once. */
--- a/src/coordination/service/jobs/job-run.ts
+++ b/src/coordination/service/jobs/job-run.ts
@@ -14,7 +14,7 @@
   PartialText,
 } from '../../../protocol/service/batch-job.js';
 import type { Route } from '../../../protocol/service/routing-configuration.js';
-import type { JobHead, JobRepository } from '../../../state/service/jobs/index.js';
+import { type JobHead, type JobRepository, parseListedResult } from '../../../state/service/jobs/index.js';
 import type { ReplicaState } from '../../../state/service/replicas/index.js';
 import { DesiredGroups } from './desired-groups.js';
 import { ItemRun } from './item-run.js';
@@ -41,6 +41,8 @@
 
 interface LoadedJob {
   readonly specification: JobSpecification;
+  /** Number of listed results; an unreadable one keeps its position, and its item is listed again. */
+  readonly listedCount: number;
   readonly listedIds: ReadonlySet<string>;
   readonly texts: ReadonlyMap<string, PartialText>;
 }
@@ -109,7 +111,8 @@
     const lister = this.createLister(loaded, acceptedAtMs);
     this.startItems(loaded, acceptedAtMs, lister);
     const saving = this.savePeriodically();
-    const keptOwnership = await lister.run(loaded.specification.items.length);
+    const unreadableCount = loaded.listedCount - loaded.listedIds.size;
+    const keptOwnership = await lister.run(loaded.specification.items.length + unreadableCount);
     const wasStopped = this.controller.signal.aborted;
     this.stop();
     await saving;
@@ -117,10 +120,10 @@
     return wasStopped ? 'stopped' : 'finished';
   }
 
-  private createLister({ listedIds }: LoadedJob, acceptedAtMs: number): ResultLister {
+  private createLister({ listedCount }: LoadedJob, acceptedAtMs: number): ResultLister {
     const listed: ListedJob = {
       head: this.head,
-      listedCount: listedIds.size,
+      listedCount,
       acceptedAtMs,
       dueAgeMs: () => this.route?.resultDeadlineMs ?? 0,
       onListed: (itemId) => this.unlistedRuns.delete(itemId),
@@ -215,7 +218,12 @@
   /** Reads the job, retrying until the store answers. Resolves to `undefined` if stopped or unreadable. */
   private async load(): Promise<LoadedJob | undefined> {
     if (this.knownSpecification)
-      return { specification: this.knownSpecification, listedIds: new Set(), texts: new Map() };
+      return {
+        specification: this.knownSpecification,
+        listedCount: 0,
+        listedIds: new Set(),
+        texts: new Map(),
+      };
     let backoffMs = INITIAL_BACKOFF_MS;
     while (!this.controller.signal.aborted) {
       const loaded = await this.tryLoad();
@@ -237,7 +245,7 @@
     const specification = parseSubmission(submission.value);
     if (!specification) return undefined;
     cache.append(this.head.jobId, 0, results.value);
-    const listedIds = new Set(results.value.map((result) => (JSON.parse(result) as { id: string }).id));
-    return { specification, listedIds, texts: texts.value };
+    const listedIds = new Set(results.value.flatMap((result) => parseListedResult(result)?.id ?? []));
+    return { specification, listedCount: results.value.length, listedIds, texts: texts.value };
   }
 }
--- a/src/node/service/node-jobs.ts
+++ b/src/node/service/node-jobs.ts
@@ -38,7 +38,7 @@
     const { store, routing, directory, settings, parseSubmission } = context;
     const { zone, memoryBytes } = settings();
     const cache = new ResultCache(memoryBytes * RESULT_CACHE_FRACTION);
-    const repository = new JobRepository(store);
+    const repository = new JobRepository(store, context.reportUnreadable);
     this.placement = new Placement(directory, zone, ({ replica }) =>
       routing.current?.slowStartPerSecondPerOwner(replica.service),
     );
--- a/src/state/service/jobs/index.ts
+++ b/src/state/service/jobs/index.ts
@@ -1,4 +1,12 @@
-export { belongsTo, JOB_TABLE, type JobHead, type JobRecord, type OwnerReference } from './job-record.js';
-export { JobRepository, toJobHead } from './job-repository.js';
+export {
+  belongsTo,
+  isJobPartition,
+  JOB_TABLE,
+  type JobHead,
+  type JobRecord,
+  type OwnerReference,
+  parseListedResult,
+} from './job-record.js';
+export { JobRepository } from './job-repository.js';
 export { ResultCache } from './result-cache.js';
 export type { SubmittedJob } from './submitted-job.js';
--- a/src/state/service/jobs/job-contents.ts
+++ b/src/state/service/jobs/job-contents.ts
@@ -7,10 +7,11 @@
 import type { RecordStore, RecordWrite, StoredRecord } from '../../../protocol/record-store.js';
 import type { PartialText } from '../../../protocol/service/batch-job.js';
 import { StateError } from '../../state-error.js';
-import { readRange, transactWithRetry } from '../store/index.js';
+import { ignoreUnreadable, type ReportUnreadable, readRange, transactWithRetry } from '../store/index.js';
 import {
   headAddress,
   type JobHead,
+  parsePartialText,
   parseResultKey,
   partitionOf,
   RESULT_TABLE,
@@ -44,7 +45,10 @@
 export class JobContents {
   private readonly chunkBytes: number;
 
-  constructor(private readonly store: RecordStore) {
+  constructor(
+    private readonly store: RecordStore,
+    private readonly reportUnreadable: ReportUnreadable = ignoreUnreadable,
+  ) {
     this.chunkBytes = Math.floor(store.limits.recordBytes * RECORD_FILL_RATIO);
   }
 
@@ -177,16 +181,16 @@
     return err(new StateError(failure === 'conflict' ? 'lease-lost' : 'unavailable', effect, message));
   }
 
-  /** Returns the stored texts by item ID. */
+  /** Returns the stored texts by item ID; the item of an unreadable one starts over. */
   async texts(jobId: string): Promise<Result<Map<string, PartialText>, StateError>> {
     const records = await readRange(this.store, TEXT_TABLE, partitionOf(jobId), `${jobId}/`, rangeEnd(jobId));
     return records.map((found) => {
       const texts = new Map<string, PartialText>();
-      for (const record of found.records)
-        texts.set(
-          record.key.slice(jobId.length + 1),
-          JSON.parse(record.value.toString('utf8')) as PartialText,
-        );
+      for (const record of found.records) {
+        const text = parsePartialText(record.value);
+        if (text.isOk()) texts.set(record.key.slice(jobId.length + 1), text.value);
+        else this.reportUnreadable(record, text.error);
+      }
       return texts;
     });
   }
--- a/src/state/service/jobs/job-record.ts
+++ b/src/state/service/jobs/job-record.ts
@@ -1,6 +1,10 @@
 /** Stored records of batch jobs: tables, keys and fields. */
+import { err, ok, type Result } from 'neverthrow';
+import Type, { type Static } from 'typebox';
 import { fnv1aHash } from '../../../common/spread.js';
 import type { RecordAddress } from '../../../protocol/record-store.js';
+import type { PartialText } from '../../../protocol/service/batch-job.js';
+import { RecordFormat } from '../../store/index.js';
 import { FOLLOWED_TABLE } from '../store/index.js';
 
 export const JOB_TABLE = FOLLOWED_TABLE;
@@ -11,39 +15,64 @@
 /** Part of the stored keys, so it must not change. */
 const PARTITION_COUNT = 8;
 const POSITION_DIGITS = 7;
+/** Of a node or an incarnation, characters. */
+const MAX_NAME_LENGTH = 300;
 /** Sorts after all characters that keys use. */
 const KEY_UPPER_BOUND = '~';
 
-/** Owner of a job: one incarnation of a node. */
-export interface OwnerReference {
-  readonly node: string;
+const NameSchema = Type.String({ maxLength: MAX_NAME_LENGTH });
+const CountSchema = Type.Integer({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER });
+
+const OwnerSchema = Type.Object({
+  node: NameSchema,
   /** ID of the incarnation: one run of the process. */
-  readonly life: string;
-}
+  life: NameSchema,
+});
+/** Owner of a job: one incarnation of a node. */
+export type OwnerReference = Readonly<Static<typeof OwnerSchema>>;
 
-/** The stored head of a job. All writes of the owner are conditional on the version of this record. */
-export interface JobRecord {
-  readonly state: 'open' | 'ended';
+const JobSchema = Type.Object({
+  state: Type.Union([Type.Literal('open'), Type.Literal('ended')]),
   /** `null` after the last owner has released the job. */
-  readonly owner: OwnerReference | null;
+  owner: Type.Union([Type.Null(), OwnerSchema]),
   /** Incremented by each claim. */
-  readonly epoch: number;
-  readonly host: string;
-  readonly path: string;
+  epoch: CountSchema,
+  host: Type.String(),
+  path: Type.String(),
   /** Absent where there are no tenants. */
-  readonly tenant?: string;
-  readonly model: string;
+  tenant: Type.Optional(Type.String()),
+  /** The first builds left out the model and the tokens. */
+  model: Type.Optional(Type.String()),
   /** Upper bound of the tokens of all items, prompts and outputs. */
-  readonly tokens: number;
+  tokens: Type.Optional(Type.Number({ minimum: 0 })),
   /** Number of items; 0 if the job was ended before its submission arrived. */
-  readonly total: number;
+  total: CountSchema,
   /** Number of records that hold the submission. */
-  readonly chunks: number;
+  chunks: CountSchema,
   /** Name of the object that holds a submission too large for records. */
-  readonly object?: string;
+  object: Type.Optional(Type.String()),
   /** Store clock, milliseconds. */
-  readonly acceptedAtMs: number;
-}
+  acceptedAtMs: Type.Number(),
+});
+
+/** The stored head of a job. All writes of the owner are conditional on the version of this record. */
+export type JobRecord = Readonly<Static<typeof JobSchema>> & {
+  readonly model: string;
+  readonly tokens: number;
+};
+
+const ResultSchema = Type.Object({ id: Type.String(), state: Type.String() });
+
+const PartialTextSchema = Type.Object({
+  lastEventId: Type.Optional(Type.String()),
+  events: Type.Array(Type.String()),
+  versions: Type.Array(Type.Number()),
+  isWhole: Type.Boolean(),
+});
+
+const jobFormat = new RecordFormat(JobSchema);
+const resultFormat = new RecordFormat(ResultSchema);
+const partialTextFormat = new RecordFormat(PartialTextSchema);
 
 export interface JobHead {
   readonly jobId: string;
@@ -106,14 +135,29 @@
   return { position: Number(position), chunk: Number(chunk), chunks: Number(chunks) };
 }
 
-/** Parses a job's head; `undefined` for records that are not JSON. */
-export function parseJobRecord(value: Buffer): JobRecord | undefined {
-  try {
-    return JSON.parse(value.toString('utf8')) as JobRecord;
-  } catch {
-    // Crash reports share the table and are not JSON.
-    return undefined;
-  }
+/** The error says what is wrong with the record. */
+export function parseJobRecord(value: Buffer): Result<JobRecord, string> {
+  return jobFormat
+    .parse(value)
+    .map((record) => ({ ...record, model: record.model ?? '', tokens: record.tokens ?? 0 }));
+}
+
+/** The item and state of a listed result, which is JSON text; `undefined` if it is unreadable. */
+export function parseListedResult(result: string): Readonly<Static<typeof ResultSchema>> | undefined {
+  return resultFormat.parse(Buffer.from(result, 'utf8')).unwrapOr(undefined);
+}
+
+/** The error says what is wrong with the record. */
+export function parsePartialText(value: Buffer): Result<PartialText, string> {
+  return partialTextFormat.parse(value).andThen(({ lastEventId = '', ...text }) => {
+    const isResumable = text.events.length === 0 || lastEventId !== '';
+    return isResumable ? ok({ ...text, lastEventId }) : err('lastEventId: is required');
+  });
+}
+
+/** Whether a partition of the followed table is for jobs. */
+export function isJobPartition(partition: string): boolean {
+  return JOB_PARTITIONS.includes(partition);
 }
 
 function zeroPadded(number: number): string {
--- a/src/state/service/jobs/job-repository.ts
+++ b/src/state/service/jobs/job-repository.ts
@@ -8,11 +8,18 @@
 import type { RecordStore, RecordWrite, StoredRecord } from '../../../protocol/record-store.js';
 import { StateError } from '../../state-error.js';
 import { readCurrent } from '../../store/index.js';
-import { ConflictError, readRange, transactWithRetry } from '../store/index.js';
+import {
+  ConflictError,
+  ignoreUnreadable,
+  type ReportUnreadable,
+  readRange,
+  transactWithRetry,
+} from '../store/index.js';
 import { JobContents } from './job-contents.js';
 import {
   belongsTo,
   headAddress,
+  isJobPartition,
   JOB_PARTITIONS,
   JOB_TABLE,
   type JobHead,
@@ -36,16 +43,22 @@
   readonly version: number;
 }
 
-export function toJobHead(record: Pick<StoredRecord, 'key' | 'value' | 'version'>): JobHead | undefined {
-  const parsed = parseJobRecord(record.value);
-  return parsed && { jobId: record.key, record: parsed, version: record.version };
-}
-
 export class JobRepository {
   readonly contents: JobContents;
 
-  constructor(private readonly store: RecordStore) {
-    this.contents = new JobContents(store);
+  constructor(
+    private readonly store: RecordStore,
+    private readonly reportUnreadable: ReportUnreadable = ignoreUnreadable,
+  ) {
+    this.contents = new JobContents(store, reportUnreadable);
+  }
+
+  /** The head in a record; `undefined`, as without the record, after a report if it is unreadable. */
+  toHead(record: StoredRecord): JobHead | undefined {
+    const parsed = parseJobRecord(record.value);
+    if (parsed.isOk()) return { jobId: record.key, record: parsed.value, version: record.version };
+    if (isJobPartition(record.partition)) this.reportUnreadable(record, parsed.error);
+    return undefined;
   }
 
   /** Accepts a job once. Safe to retry; after an error with effect `unknown` the job may be accepted. */
@@ -82,7 +95,7 @@
     if (page.isErr() && page.error.failure !== 'stale')
       return err(new StateError('unavailable', 'none', page.error.message));
     const [record] = page.isOk() ? page.value.records : [];
-    return record?.key === jobId ? ok(toJobHead(record)) : this.readCurrentHead(jobId);
+    return record?.key === jobId ? ok(this.toHead(record)) : this.readCurrentHead(jobId);
   }
 
   async list(): Promise<Result<JobListing, StateError>> {
@@ -93,7 +106,7 @@
       if (records.isErr()) return err(records.error);
       version = Math.min(version, records.value.version);
       for (const record of records.value.records) {
-        const head = toJobHead(record);
+        const head = this.toHead(record);
         if (head) heads.push(head);
       }
     }
@@ -155,7 +168,7 @@
 
   private async readCurrentHead(jobId: string): Promise<Result<JobHead | undefined, StateError>> {
     const current = await readCurrent(this.store, [headAddress(jobId)]);
-    return current.map(({ records: [record] }) => record && toJobHead(record));
+    return current.map(({ records: [record] }) => record && this.toHead(record));
   }
 
   private async insert(
@@ -174,7 +187,7 @@
     if (outcome.isOk()) return ok({ head: { jobId, record, version: outcome.value }, isNew: true });
     if (!(outcome.error instanceof ConflictError)) return err(outcome.error);
     const existing = outcome.error.current.find((row) => row.key === jobId);
-    const head = existing && toJobHead(existing);
+    const head = existing && this.toHead(existing);
     if (!head)
       return err(
         new StateError('unavailable', 'unknown', 'the job was changed concurrently during its acceptance'),
