An odd usage record stops no report

Counts and reports were taken without validation: one that is not JSON rejected the reporter's pass, and no node of that incarnation reported usage again; an odd report of the next window was returned as its decision. They are parsed against schemas now, with the window of their key; an odd one counts as absent, and the report of its window replaces it.

--- a/src/coordination/service/usage/usage-accounting.ts
+++ b/src/coordination/service/usage/usage-accounting.ts
@@ -7,6 +7,7 @@
 import type { UsageSettings } from '../../../protocol/service/service-settings.js';
 import type { UsageSink } from '../../../protocol/service/usage.js';
 import type { OwnerReference } from '../../../state/service/jobs/index.js';
+import type { ReportUnreadable } from '../../../state/service/store/index.js';
 import { UsageRepository } from '../../../state/service/usage/index.js';
 import type { LeaderLease } from '../leadership/index.js';
 import type { PeerAddresses } from '../membership/index.js';
@@ -22,6 +23,7 @@
   readonly peers: PeerAddresses;
   readonly lease: LeaderLease;
   readonly self: OwnerReference;
+  readonly reportUnreadable: ReportUnreadable;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
@@ -35,7 +37,7 @@
   constructor(private readonly services: UsageAccountingServices) {
     const { settings, sink, store, peers, lease, self, metrics, logger } = services;
     const windows = new UsageWindows(() => peers.time.now(), settings.windowMs);
-    const repository = new UsageRepository(store);
+    const repository = new UsageRepository(store, services.reportUnreadable);
     this.lease = lease;
     this.counter = new UsageCounter(windows);
     this.writer = new UsageWriter(repository, self, this.counter, windows, () => peers.fleetSize);
--- a/src/coordination/service/usage/usage-reporter.ts
+++ b/src/coordination/service/usage/usage-reporter.ts
@@ -96,10 +96,12 @@
     if (this.progress?.epoch === epoch) return this.progress;
     const reports = await repository.reports();
     if (reports.isErr()) return undefined;
-    const newest = reports.value.at(-1)?.window;
+    // A report of a window that has not begun is another writer's, and would hold back all before it.
+    const decided = reports.value.filter(({ window }) => window <= windows.current);
+    const newest = decided.at(-1)?.window;
     const oldestBacklogWindow = windows.current - MAX_BACKLOG;
     const nextWindow = newest === undefined ? windows.current : Math.max(newest + 1, oldestBacklogWindow);
-    const unreported = reports.value.filter(({ isReported }) => !isReported);
+    const unreported = decided.filter(({ isReported }) => !isReported);
     this.progress = { epoch, unreported, nextWindow };
     return this.progress;
   }
--- a/src/state/service/usage/usage-repository.ts
+++ b/src/state/service/usage/usage-repository.ts
@@ -8,13 +8,20 @@
 import type { RecordAddress, RecordStore, StoredRecord } from '../../../protocol/record-store.js';
 import type { TenantCounts } from '../../../protocol/service/usage.js';
 import type { StateError } from '../../state-error.js';
-import { ConflictError, readRange, transactWithRetry } from '../store/index.js';
+import {
+  ConflictError,
+  ignoreUnreadable,
+  type ReportUnreadable,
+  readRange,
+  transactWithRetry,
+} from '../store/index.js';
 import {
   COUNT_PARTITIONS,
   COUNT_TABLE,
   type CountRecord,
   countAddress,
-  nodeOfKey,
+  parseCount,
+  parseReport,
   REPORT_PARTITION,
   REPORT_TABLE,
   type ReportRecord,
@@ -23,7 +30,6 @@
   type StoredReport,
   type UsageSource,
   windowKey,
-  windowOfKey,
 } from './usage-record.js';
 
 /** Below the store's limit of 100 entries for a transaction. */
@@ -31,7 +37,10 @@
 const REPORT_TIMEOUT_MS = 2_000;
 
 export class UsageRepository {
-  constructor(private readonly store: RecordStore) {}
+  constructor(
+    private readonly store: RecordStore,
+    private readonly reportUnreadable: ReportUnreadable = ignoreUnreadable,
+  ) {}
 
   /**
    * Replaces the counts of `source` in a window. `version` is that of its last write, 0 before the first.
@@ -54,16 +63,21 @@
     const found = await Promise.all(
       COUNT_PARTITIONS.map((partition) => readRange(this.store, COUNT_TABLE, partition, from, until)),
     );
-    return Result.combine(found).map((parts) => parts.flatMap(({ records }) => records.map(toCount)));
+    return Result.combine(found).map((parts) =>
+      parts.flatMap(({ records }) => this.read(records, parseCount)),
+    );
   }
 
   /** All stored reports, in the order of their windows. */
   async reports(): Promise<Result<StoredReport[], StateError>> {
     const found = await readRange(this.store, REPORT_TABLE, REPORT_PARTITION);
-    return found.map(({ records }) => records.map(toReport));
+    return found.map(({ records }) => this.read(records, parseReport));
   }
 
-  /** Creates the report of a window. Resolves to the existing report if another node created it first. */
+  /**
+   * Creates the report of a window. Resolves to the existing report if another node created it first; one that
+   * is unreadable is replaced.
+   */
   async decide(
     window: number,
     counts: TenantCounts,
@@ -75,7 +89,11 @@
     if (written.isOk()) return ok({ ...record, window, version: written.value });
     const { error } = written;
     const [existing] = error instanceof ConflictError ? error.current : [];
-    return existing ? ok(toReport(existing)) : err(error);
+    if (!existing) return err(error);
+    const [report] = this.read([existing], parseReport);
+    if (report) return ok(report);
+    const replaced = await this.replace(reportAddress(window), record, existing.version, deadlineMs);
+    return replaced.map((version) => ({ ...record, window, version }));
   }
 
   /** Records that the collector has accepted a report. */
@@ -91,6 +109,16 @@
     await this.removeRange(REPORT_TABLE, REPORT_PARTITION, windowKey(reportsBefore));
   }
 
+  /** The readable ones of the records; the others are reported. */
+  private read<T>(records: readonly StoredRecord[], parse: (record: StoredRecord) => Result<T, string>): T[] {
+    return records.flatMap((record) => {
+      const parsed = parse(record);
+      if (parsed.isOk()) return [parsed.value];
+      this.reportUnreadable(record, parsed.error);
+      return [];
+    });
+  }
+
   private async replace(
     address: RecordAddress,
     record: CountRecord | ReportRecord,
@@ -126,15 +154,3 @@
     }
   }
 }
-
-function parse<T>(value: Buffer): T {
-  return JSON.parse(value.toString('utf8')) as T;
-}
-
-function toCount({ key, value }: StoredRecord): StoredCount {
-  return { window: windowOfKey(key), node: nodeOfKey(key), ...parse<CountRecord>(value) };
-}
-
-function toReport({ key, value, version }: StoredRecord): StoredReport {
-  return { ...parse<ReportRecord>(value), window: windowOfKey(key), version };
-}
