An odd row of the operator's table takes no route and names no version for good

A row for the configuration with a version of 1e300, or without lists of routes and services, was put in force: every route was gone (503), and no later configuration was newer than it until a restart. A named version of 1e300 stayed the newest for as long.

--- a/src/coordination/service/membership/announcements.ts
+++ b/src/coordination/service/membership/announcements.ts
@@ -16,6 +16,7 @@
 import type { RoutingConfiguration } from '../../../protocol/service/routing-configuration.js';
 import type { RoutingTable } from '../../../state/service/configuration/index.js';
 import type { ReplicaDirectory, WeightVersions } from '../../../state/service/replicas/index.js';
+import { ignoreUnreadable, type ReportUnreadable } from '../../../state/service/store/index.js';
 import { applyEach, type FeedHandler, readPartition } from '../../feeds/index.js';
 
 /** Tables, keys and parsers of the records that operators and replicas write. */
@@ -52,6 +53,7 @@
     private readonly directory: ReplicaDirectory,
     private readonly metrics: ServiceMetrics,
     private readonly logger: DecisionLogger,
+    private readonly reportUnreadable: ReportUnreadable = ignoreUnreadable,
   ) {}
 
   get table(): string {
@@ -89,8 +91,11 @@
     const zone = this.format.evacuatedZoneOf(change.key);
     if (zone !== undefined) this.applyEvacuation(zone, change.value !== undefined, change.version);
     if (zone !== undefined || change.value === undefined) return;
-    if (change.key === this.format.configurationKey) this.applyConfiguration(change.value);
-    else this.applyWeightVersion(change.key, change.value);
+    const isReadable =
+      change.key === this.format.configurationKey
+        ? this.applyConfiguration(change.value)
+        : this.applyWeightVersion(change.key, change.value);
+    if (!isReadable) this.reportUnreadable(change, 'no configuration or named version');
   }
 
   /** The current configuration as the operator wrote it. */
@@ -98,12 +103,15 @@
     return this.configurationRecord;
   }
 
-  /** Applies a configuration record from the store or from a peer. Older versions are ignored. */
-  applyConfiguration(value: Buffer): void {
+  /**
+   * Applies a configuration record from the store or from a peer. Older versions are ignored. Returns false if
+   * it is unreadable.
+   */
+  applyConfiguration(value: Buffer): boolean {
     const configuration = this.format.parseConfiguration(value);
     if (!configuration) {
-      this.reportUnreadable(value);
-      return;
+      this.logKept(value);
+      return false;
     }
     const isInstalled = this.routing.install(configuration);
     if (isInstalled) this.configurationRecord = value;
@@ -115,6 +123,7 @@
       change: isInstalled ? 'in force' : 'older than the one in force',
       version: configuration.version,
     });
+    return true;
   }
 
   private applyEvacuation(zone: string, isEvacuated: boolean, version: number): void {
@@ -123,7 +132,7 @@
     this.logger.record({ event: 'belief-changed', subject: 'zone', name: zone, change, version });
   }
 
-  private reportUnreadable(value: Buffer): void {
+  private logKept(value: Buffer): void {
     this.logger.record({
       event: 'belief-changed',
       subject: 'configuration',
@@ -133,9 +142,11 @@
     });
   }
 
-  private applyWeightVersion(key: string, value: Buffer): void {
+  /** Returns false if the record is unreadable. */
+  private applyWeightVersion(key: string, value: Buffer): boolean {
     const parsed = this.format.parseWeightVersion(key, value);
-    if (!parsed || !this.versions.record(parsed.model, parsed.version)) return;
+    if (!parsed) return false;
+    if (!this.versions.record(parsed.model, parsed.version)) return true;
     this.logger.record({
       event: 'belief-changed',
       subject: 'weight-version',
@@ -143,5 +154,6 @@
       change: 'named',
       version: parsed.version,
     });
+    return true;
   }
 }
--- a/src/node/service/node-feeds.ts
+++ b/src/node/service/node-feeds.ts
@@ -65,7 +65,16 @@
       isFeedCurrent: () => isFeedCurrent(this.freshnessOf(replicaFeed)),
     });
     const replicaFeed = createFeed(replicas);
-    this.operators = new OperatorAnnouncements(store, format, routing, versions, directory, metrics, logger);
+    this.operators = new OperatorAnnouncements(
+      store,
+      format,
+      routing,
+      versions,
+      directory,
+      metrics,
+      logger,
+      context.reportUnreadable,
+    );
     this.operatorFeed = createFeed(this.operators);
     const jobs = new SharedTable(services.ownership, {
       partition: CRASH_PARTITION,
--- a/test/platform/platform-parsers.test.ts
+++ b/test/platform/platform-parsers.test.ts
@@ -11,6 +11,7 @@
   type StreamEvent,
 } from '../../src/protocol/service/event-stream.js';
 import { RoutingSnapshot } from '../../src/state/service/configuration/routing-table.js';
+import { ODD_VALUES } from '../support/odd-records.js';
 import { usualConfiguration } from '../support/service-system.js';
 
 const RUNS = 400;
@@ -71,6 +72,30 @@
     );
   });
 
+  const oddOperatorRows: readonly (readonly [name: string, value: Buffer])[] = [
+    ...ODD_VALUES,
+    ...['1e300', '9007199254740993', '-1', '1.5', '"2"', 'null', '1e400'].map(
+      (version) =>
+        [
+          `the version ${version}`,
+          Buffer.from(`{"version":${version},"model":"m","routes":[],"services":[],"limits":{}}`),
+        ] as const,
+    ),
+  ];
+  for (const [name, value] of oddOperatorRows)
+    it(`takes neither a configuration nor a named version from ${name}, which would stay in force`, () => {
+      expect(parseConfiguration(value)).to.equal(undefined);
+      expect(parseWeightVersion('version/m', value)).to.equal(undefined);
+    });
+
+  it('takes no configuration without lists of routes and services', () => {
+    for (const field of ['routes', 'services'])
+      for (const wrong of [undefined, null, {}, 'x', 5]) {
+        const row = { ...usualConfiguration(2), [field]: wrong };
+        expect(parseConfiguration(Buffer.from(JSON.stringify(row)))).to.equal(undefined);
+      }
+  });
+
   it('accepts or rejects a named version', () => {
     fc.assert(
       fc.property(bytes, (value) => {
