Crash reports bound their texts

An odd report of up to a record's size was kept in memory, sent to peers, which reject the whole message above 200 characters, and logged with each line. Longer keys and addresses are no reports now.

--- a/src/state/service/replicas/crash-record.ts
+++ b/src/state/service/replicas/crash-record.ts
@@ -12,6 +12,10 @@
 const KEY_SEPARATOR = '/';
 const FIELD_SEPARATOR = '\n';
 
+/** Bound what is kept, sent to other nodes and logged; in characters. */
+const MAX_KEY_LENGTH = 200;
+const MAX_TEXT_LENGTH = 100;
+
 /** Stored in place of the replica's id and address in the record of an answer. */
 const ANSWERED_MARKER = 'served';
 
@@ -48,6 +52,7 @@
   const [text, time] = (value?.toString('utf8') ?? '').split(FIELD_SEPARATOR);
   const timeMs = Number(time);
   if (!digest || !text || !time || !Number.isFinite(timeMs)) return undefined;
+  if (key.length > MAX_KEY_LENGTH || text.length > MAX_TEXT_LENGTH) return undefined;
   if (text === ANSWERED_MARKER) return { kind: 'served', run: { digest, servedAtMs: timeMs } };
   return { kind: 'ended', run: { digest, address: text, endedAtMs: timeMs } };
 }
