A delay from a record beyond 2^31 ms does not fire at once

Node fires a timer with a longer delay after 1 ms: a job whose record is dated far ahead was removed at once, and a request of a route with such a time-out ended at once. Delays that stem from records are cut at the longest timer.

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -15,6 +15,9 @@
   return new Date().toISOString();
 }
 
+/** Longest delay of a timer, milliseconds: Node fires one with a longer delay at once. */
+export const MAX_TIMER_MS = 2_147_483_647;
+
 /** Resolves after `ms` milliseconds, or at once when `signal` is aborted. Never rejects. */
 export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
@@ -27,7 +30,7 @@
       signal?.removeEventListener('abort', finish);
       resolve();
     };
-    const timer = setTimeout(finish, ms);
+    const timer = setTimeout(finish, Math.min(ms, MAX_TIMER_MS));
     signal?.addEventListener('abort', finish, { once: true });
   });
 }
--- a/src/coordination/service/jobs/job-ownership.ts
+++ b/src/coordination/service/jobs/job-ownership.ts
@@ -6,7 +6,7 @@
  * Jobs of lost owners are claimed (`job-claimer.ts`). All writes of an owner are conditional on the head, so a
  * replaced owner cannot list results.
  */
-import { monotonicMs } from '../../../common/clock.js';
+import { MAX_TIMER_MS, monotonicMs } from '../../../common/clock.js';
 import type { DecisionLogger } from '../../../common/decision-logger.js';
 import type { ServiceMetrics } from '../../../common/service-metrics.js';
 import type { ChangedRecord, RecordStore } from '../../../protocol/record-store.js';
@@ -258,7 +258,8 @@
     if (!shouldRemove(head.record, this.self)) return;
     const ageMs = this.services.store.nowMs() - head.record.acceptedAtMs;
     const delayMs = removalDelayMs(ageMs, this.services.retentionMs());
-    setTimeout(() => void this.services.repository.remove(head), delayMs).unref();
+    const timerMs = Math.min(delayMs, MAX_TIMER_MS);
+    setTimeout(() => void this.services.repository.remove(head), timerMs).unref();
   }
 
   private report(head: JobHead, change: string, detail?: string): void {
--- a/src/coordination/service/requests/relay-run.ts
+++ b/src/coordination/service/requests/relay-run.ts
@@ -2,7 +2,7 @@
  * Runs one relayed request: starts attempts, retries and hedges by `relay-policy.ts` until there is an
  * outcome.
  */
-import { monotonicMs } from '../../../common/clock.js';
+import { MAX_TIMER_MS, monotonicMs } from '../../../common/clock.js';
 import type { BufferedAnswer, DispatchCall, DispatchResult } from '../dispatch/index.js';
 import { type ExecutionCounter, ExecutionTracker } from './execution-tracker.js';
 import {
@@ -158,7 +158,7 @@
     let timer: NodeJS.Timeout | undefined;
     const timeout = new Promise<'timeout' | 'hedge'>((resolve) => {
       const expire = () => resolve(hedgeMs < remainingMs ? 'hedge' : 'timeout');
-      timer = setTimeout(expire, Math.min(remainingMs, hedgeMs));
+      timer = setTimeout(expire, Math.min(remainingMs, hedgeMs, MAX_TIMER_MS));
     });
     try {
       return await Promise.race([...this.pending, timeout]);
