--- a/src/state/service/store/index.ts
+++ b/src/state/service/store/index.ts
@@ -5,6 +5,5 @@
 export {
   ignoreUnreadable,
   type ReportUnreadable,
-  type UnreadableRecord,
   UnreadableRecords,
 } from './unreadable-records.js';
--- a/src/state/service/store/unreadable-records.ts
+++ b/src/state/service/store/unreadable-records.ts
@@ -12,7 +12,7 @@
 const MAX_REPORTED = 1_000;
 
 /** A record as read; without a partition if it is not known. */
-export interface UnreadableRecord {
+interface UnreadableRecord {
   readonly table: string;
   readonly partition?: string;
   readonly key: string;
