--- a/src/coordination/service/jobs/job-ownership.ts
+++ b/src/coordination/service/jobs/job-ownership.ts
@@ -6,19 +6,19 @@
  * Jobs of lost owners are claimed (`job-claimer.ts`). All writes of an owner are conditional on the head, so a
  * replaced owner cannot list results.
  */
-import { monotonicMs } from '../../../common/clock.js';
+import { MAX_TIMER_MS, monotonicMs } from '../../../common/clock.js';
 import type { DecisionLogger } from '../../../common/decision-logger.js';
 import type { ServiceMetrics } from '../../../common/service-metrics.js';
 import type { ChangedRecord, RecordStore } from '../../../protocol/record-store.js';
 import type { JobSpecification } from '../../../protocol/service/batch-job.js';
 import {
+  isJobPartition,
   JOB_TABLE,
   type JobHead,
   type JobRepository,
   type OwnerReference,
-  toJobHead,
 } from '../../../state/service/jobs/index.js';
-import type { FeedHandler } from '../../feeds/index.js';
+import { applyEach, type FeedHandler } from '../../feeds/index.js';
 import type { SessionMonitor } from '../membership/index.js';
 import { JobClaimer } from './job-claimer.js';
 import type { JobHeads } from './job-heads.js';
@@ -142,16 +142,18 @@
   replaceAll(content: readonly JobHead[]): void {
     const jobIds = new Set(content.map((head) => head.jobId));
     for (const jobId of this.heads.ids) if (!jobIds.has(jobId)) this.forget(jobId);
-    for (const head of content) this.updateHead(head);
+    applyEach(
+      content,
+      ({ jobId }) => jobId,
+      (head) => this.updateHead(head),
+    );
   }
 
   apply(change: ChangedRecord): void {
-    if (change.value === undefined) {
-      this.forget(change.key);
-      return;
-    }
-    const head = toJobHead({ key: change.key, value: change.value, version: change.version });
+    const { value } = change;
+    const head = value && this.services.repository.toHead({ ...change, value });
     if (head) this.updateHead(head);
+    else if (isJobPartition(change.partition)) this.forget(change.key);
   }
 
   confirm(asOfMs: number): void {
@@ -262,7 +264,8 @@
     if (!shouldRemove(head.record, this.self)) return;
     const ageMs = this.services.store.nowMs() - head.record.acceptedAtMs;
     const delayMs = removalDelayMs(ageMs, this.services.retentionMs());
-    setTimeout(() => void this.services.repository.remove(head), delayMs).unref();
+    const timerMs = Math.min(delayMs, MAX_TIMER_MS);
+    setTimeout(() => void this.services.repository.remove(head), timerMs).unref();
   }
 
   private report(head: JobHead, change: string, detail?: string): void {
--- a/src/coordination/service/membership/replica-announcements.ts
+++ b/src/coordination/service/membership/replica-announcements.ts
@@ -10,7 +10,7 @@
 import type { ChangedRecord, RecordStore } from '../../../protocol/record-store.js';
 import type { Replica } from '../../../protocol/service/replica.js';
 import type { IncarnationOrder, ReplicaDirectory } from '../../../state/service/replicas/index.js';
-import { type FeedHandler, readPartition } from '../../feeds/index.js';
+import { applyEach, type FeedHandler, readPartition } from '../../feeds/index.js';
 import {
   ALLOW_STALE,
   ANNOUNCEMENT_PARTITION,
@@ -36,6 +36,8 @@
 export class ReplicaAnnouncements implements FeedHandler<AnnouncementRecords> {
   /** Incarnations with an earlier start time than the known ones, by replica id. */
   private readonly unconfirmed = new Map<string, Replica>();
+  /** Versions of the rejected records, by replica id: each is reported once, however often it is read. */
+  private readonly rejected = new Map<string, number>();
 
   constructor(
     private readonly services: ReplicaAnnouncementServices,
@@ -60,9 +62,13 @@
 
   replaceAll(content: AnnouncementRecords): void {
     const present = new Set(content.map((record) => record.key));
-    for (const id of this.services.directory.ids)
+    for (const id of [...this.services.directory.ids, ...this.rejected.keys()])
       if (!present.has(id)) this.remove(id, 'announcement removed', 0);
-    for (const record of content) this.apply(record);
+    applyEach(
+      content,
+      ({ key }) => key,
+      (record) => this.apply(record),
+    );
   }
 
   apply({ key, value, version }: ChangedRecord): void {
@@ -91,6 +97,7 @@
     version: number,
   ): void {
     this.unconfirmed.delete(replica.id);
+    this.rejected.delete(replica.id);
     const name = replica.id;
     if (order === 'first') this.report(name, `joined ${replica.service} at ${replica.address}`, version);
     else if (order === 'next') this.report(name, `restarted, started at ${replica.startedAtMs}`, version);
@@ -100,6 +107,7 @@
 
   private awaitConfirmation(replica: Replica, version: number): void {
     this.unconfirmed.set(replica.id, replica);
+    this.rejected.delete(replica.id);
     this.services.directory.markUnconfirmed(replica.id);
     this.report(
       replica.id,
@@ -124,13 +132,16 @@
   }
 
   private rejectRecord(id: string, problem: string, version: number): void {
+    if (this.rejected.get(id) === version) return;
     this.services.metrics.unreadableReplicas.inc({});
     this.report(id, `invalid announcement: ${problem}`, version);
     this.remove(id, 'gone with its record', version);
+    this.rejected.set(id, version);
   }
 
   private remove(id: string, change: string, version: number): void {
     this.unconfirmed.delete(id);
+    this.rejected.delete(id);
     if (!this.services.directory.get(id)) return;
     this.services.directory.remove(id);
     this.report(id, change, version);
--- a/src/node/service/node-dispatch.ts
+++ b/src/node/service/node-dispatch.ts
@@ -25,6 +25,7 @@
 import type { RejectionReason } from '../../state/service/admission/index.js';
 import type { RoutingTable } from '../../state/service/configuration/index.js';
 import type { ReplicaDirectory, ReplicaState } from '../../state/service/replicas/index.js';
+import type { ReportUnreadable } from '../../state/service/store/index.js';
 
 /** Limits of each queue: number of requests, and total body size as a fraction of the memory limit. */
 const MAX_QUEUED = 2_000;
@@ -40,6 +41,7 @@
   readonly exchange: ReplicaExchange;
   readonly dispatchAtPeer: PeerCall;
   readonly jobGate: JobGate;
+  readonly reportUnreadable: ReportUnreadable;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
@@ -51,7 +53,7 @@
 
   constructor(private readonly services: NodeDispatchDependencies) {
     const { store, settings, directory, exchange, dispatchAtPeer, metrics, logger } = services;
-    this.fleet = new FleetDirectory(store);
+    this.fleet = new FleetDirectory(store, services.reportUnreadable);
     this.queues = new ServiceQueues({
       directory,
       exchange,
