Items and their scoring calls are never quarantined

What callers saw: during a burst of crashes, several replicas died while they ran the same sound item. Afterwards all was calm and replicas had free slots, but the item was never placed again.

Cause: three crashes under one item put its digest into quarantine for 10 minutes, longer than any job, at every node and for every later job with the same item; only an answer elsewhere clears it, and a quarantined item runs nowhere. A scoring call passes the same relay and was rejected the same way, so its item was never listed. An attempt that resumed after earlier events but had none of its own counted too.

Change: crashes under work of jobs are recorded under a digest of its own (prefix job-), for which the verdict is never a quarantine, whoever reports it. It is still recorded: a lookup that ran at the same replica would otherwise be the only suspect, and be quarantined a crash sooner. The verdicts of lookups follow the same rules as before.

What remains as a bound: after a crash without new events an item waits 100 ms, doubling to 1 s, without a slot (CrashBackoff); new events reset it. A scoring call waits the same after an attempt that may have run and was not answered.

--- a/src/coordination/service/dispatch/request-digest.ts
+++ b/src/coordination/service/dispatch/request-digest.ts
@@ -11,6 +11,8 @@
   readonly host: string;
   readonly tenant?: string;
   readonly body: Buffer;
+  /** An item of a job or its scoring call, which is never quarantined. Default false. */
+  readonly isJobWork?: boolean;
 }
 
 const DIGEST_LENGTH = 32;
--- a/src/coordination/service/generation/sample-scorer.ts
+++ b/src/coordination/service/generation/sample-scorer.ts
@@ -3,6 +3,7 @@
  * call is retried until it succeeds, error statuses have used up the attempts of its route, the route is
  * removed, or the job ends. Rejected calls and lost responses do not count as attempts.
  */
+import { exponentialBackoffMs } from '../../../common/backoff.js';
 import { monotonicMs, sleep } from '../../../common/clock.js';
 import type { ScoringCall } from '../../../protocol/service/batch-job.js';
 import type { Route } from '../../../protocol/service/routing-configuration.js';
@@ -17,6 +18,8 @@
 
 interface ScoringProgress {
   failures: number;
+  /** Consecutive attempts that may have run and were not answered. */
+  lostAttempts: number;
   /** When the route was last present, on the monotonic clock, milliseconds. */
   routeSeenAtMs: number;
 }
@@ -24,6 +27,12 @@
 /** Backoff between attempts, randomized by up to half. */
 const INITIAL_BACKOFF_MS = 20;
 const MAX_BACKOFF_MS = 400;
+/**
+ * Least backoff after an attempt that may have run and was not answered, such as at a replica that crashed;
+ * doubles with each one, so that a call cannot crash the replicas of a service at full speed.
+ */
+const LOST_BACKOFF_MS = 100;
+const MAX_LOST_BACKOFF_MS = 1_000;
 /** Fair-queuing flow of scoring calls. */
 const SCORING_FLOW = 'scoring';
 /** Redirects are failures too, since they carry no score. */
@@ -37,6 +46,16 @@
   return isFramed && signature ? { kind: 'scored', score: signature } : 'retry';
 }
 
+function isLost(outcome: RelayOutcome): boolean {
+  return outcome.kind === 'failed' && !outcome.isTimeout;
+}
+
+/** Backoff after `lostAttempts` consecutive lost attempts, milliseconds. */
+function lostBackoffMs(lostAttempts: number): number {
+  if (lostAttempts === 0) return 0;
+  return exponentialBackoffMs(LOST_BACKOFF_MS, lostAttempts - 1, MAX_LOST_BACKOFF_MS);
+}
+
 /** Scores samples. The dispatcher of the scoring service limits the concurrency of the calls. */
 export class SampleScorer {
   constructor(
@@ -46,12 +65,13 @@
 
   /** Retries the call until it succeeds, fails permanently, or `signal` is aborted. Never rejects. */
   async score(call: ScoringCall, signal: AbortSignal): Promise<ScoringOutcome> {
-    const progress = { failures: 0, routeSeenAtMs: monotonicMs() };
+    const progress = { failures: 0, lostAttempts: 0, routeSeenAtMs: monotonicMs() };
     let backoffMs = INITIAL_BACKOFF_MS;
     while (!signal.aborted) {
       const outcome = await this.attempt(call, signal, progress);
       if (outcome) return outcome;
-      await sleep(backoffMs * (0.5 + Math.random()), signal);
+      const pauseMs = Math.max(backoffMs * (0.5 + Math.random()), lostBackoffMs(progress.lostAttempts));
+      await sleep(pauseMs, signal);
       backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
     }
     return { kind: 'cancelled' };
@@ -73,7 +93,9 @@
         : undefined;
     }
     progress.routeSeenAtMs = monotonicMs();
-    const result = classifyScoring(await this.send(call, signal, snapshot, route));
+    const sent = await this.send(call, signal, snapshot, route);
+    progress.lostAttempts = isLost(sent) ? progress.lostAttempts + 1 : 0;
+    const result = classifyScoring(sent);
     if (typeof result === 'object') return result;
     if (result === 'failed') progress.failures += 1;
     if (progress.failures < route.maxAttempts) return undefined;
@@ -103,6 +125,7 @@
       priority: route.priority,
       flow: SCORING_FLOW,
       isBackground: true,
+      isJobWork: true,
       targetAtMs: deadlineMs,
     });
   }
--- a/src/coordination/service/jobs/item-attempts.ts
+++ b/src/coordination/service/jobs/item-attempts.ts
@@ -17,6 +17,7 @@
   type PlacementRequest,
   type SampleText,
 } from '../generation/index.js';
+import { CrashBackoff } from './crash-backoff.js';
 import { attemptTimeoutMs, placementPriority, replicaFeedback, stallTimeoutMs } from './item-policy.js';
 import type { ItemRoute } from './item-route.js';
 import type { ItemJob, ItemServices } from './item-services.js';
@@ -39,7 +40,10 @@
   private attempts = 0;
   /** Whether the item was placed before, here or by an earlier owner; it then precedes new items. */
   private isStarted: boolean;
+  /** Pause after the last attempt, milliseconds. */
+  private pauseMs = 0;
   private readonly movePolicy = new MovePolicy();
+  private readonly crashBackoff = new CrashBackoff();
 
   constructor(
     private readonly services: ItemServices,
@@ -56,6 +60,11 @@
     return this.attempts;
   }
 
+  /** Time to wait before the next attempt, milliseconds. */
+  get backoffMs(): number {
+    return this.pauseMs;
+  }
+
   /** Makes one attempt. Resolves to `undefined` if the job was stopped while the item waited for a slot. */
   async run(route: Route): Promise<GenerationOutcome | undefined> {
     const { placement, client } = this.services;
@@ -79,7 +88,7 @@
     const hasCrashed = await this.hasCrashed(state, outcome);
     const events = this.text.eventCount - eventsBefore;
     const ended: EndedAttempt = { state, outcome, events, hasCrashed, waitedMs, tookMs };
-    this.updateQuarantine(ended);
+    this.recordCrash(ended);
     this.updateReplica(ended);
     this.report(ended);
     return outcome;
@@ -163,10 +172,15 @@
     return this.services.routing.current?.slotsOf(state.replica) ?? state.replica.slots;
   }
 
-  /** A crash after events does not incriminate the item: the next attempt continues after them. */
-  private updateQuarantine({ state, outcome, events, hasCrashed }: EndedAttempt): void {
+  /**
+   * The item is reported for the sake of lookups that ran at the same replica: they are not the only suspects.
+   * After events it is none, since the next attempt continues after them.
+   */
+  private recordCrash({ state, outcome, events, hasCrashed }: EndedAttempt): void {
     const { quarantine } = this.services;
-    if (hasCrashed && events === 0 && !state.isLeaving) quarantine.reportCrash(this.identity, state.replica);
+    const isCrash = hasCrashed === true && !state.isLeaving;
+    this.pauseMs = this.crashBackoff.recordAttempt(isCrash, events > 0);
+    if (isCrash && events === 0) quarantine.reportCrash(this.identity, state.replica);
     if (outcome.kind === 'whole') quarantine.reportServed(this.identity);
   }
 
--- a/src/coordination/service/jobs/item-policy.ts
+++ b/src/coordination/service/jobs/item-policy.ts
@@ -11,8 +11,6 @@
 /** Bounds of the time that a replica may spend on an attempt. */
 const MAX_ATTEMPT_MS = 60_000;
 const MIN_ATTEMPT_MS = 1_000;
-/** Interval of quarantine checks; an answer to the same request elsewhere may clear the item. */
-const QUARANTINE_POLL_INTERVAL_MS = 250;
 
 export function placementPriority(isStarted: boolean): number {
   return isStarted ? PRIORITY_STARTED : PRIORITY_NEW;
@@ -28,11 +26,6 @@
   return Math.min(MAX_ATTEMPT_MS, Math.max(MIN_ATTEMPT_MS, maxQueueMs - ageMs));
 }
 
-/** Pause before a quarantined item is checked again, milliseconds. */
-export function quarantinePauseMs(retryAfterMs: number): number {
-  return Math.min(QUARANTINE_POLL_INTERVAL_MS, retryAfterMs);
-}
-
 /** Whether a stored text may be continued: no event is of an older weight version than the job allows. */
 export function isTextUsable(versions: readonly number[], minVersion: number): boolean {
   return versions.every((version) => version >= minVersion);
--- a/src/coordination/service/jobs/item-run.ts
+++ b/src/coordination/service/jobs/item-run.ts
@@ -1,6 +1,6 @@
 /**
  * Runs one item of a job from its first event to its score. Attempts are repeated until the text is complete,
- * the item is dead or expired, or the job is stopped. A quarantined item waits without occupying a slot.
+ * the item is dead or expired, or the job is stopped. An item is never quarantined (`crash-backoff.ts`).
  */
 import { monotonicMs, sleep } from '../../../common/clock.js';
 import type { JobItem, JobResult, PartialText } from '../../../protocol/service/batch-job.js';
@@ -8,18 +8,15 @@
 import type { IdentifiedRequest } from '../dispatch/index.js';
 import { type GenerationOutcome, SampleText } from '../generation/index.js';
 import { ItemAttempts } from './item-attempts.js';
-import { decideRetry, isTextUsable, quarantinePauseMs } from './item-policy.js';
+import { decideRetry, isTextUsable } from './item-policy.js';
 import { ItemRoute } from './item-route.js';
 import type { ItemJob, ItemServices } from './item-services.js';
 
 export class ItemRun {
   readonly text: SampleText;
   private failures = 0;
-  private isQuarantined = false;
   private readonly route: ItemRoute;
   private readonly attempts: ItemAttempts;
-  /** Identifies the item to the quarantine; the same for every run of it, also in another job. */
-  private readonly identity: IdentifiedRequest;
 
   /** `storedText`: text that an earlier owner stored. */
   constructor(
@@ -31,9 +28,16 @@
     const { host, tenant, specification } = job;
     const isUsable = storedText && isTextUsable(storedText.versions, specification.minVersion);
     this.text = isUsable ? SampleText.from(storedText) : new SampleText();
-    this.identity = { method: 'POST', path: item.path, host, tenant, body: item.body };
+    const identity: IdentifiedRequest = {
+      method: 'POST',
+      path: item.path,
+      host,
+      tenant,
+      body: item.body,
+      isJobWork: true,
+    };
     this.route = new ItemRoute(services, job, item);
-    this.attempts = new ItemAttempts(services, job, item, this.text, this.route, this.identity);
+    this.attempts = new ItemAttempts(services, job, item, this.text, this.route, identity);
   }
 
   /** Resolves to the result, or to `undefined` if the job was stopped first. Never rejects. */
@@ -45,41 +49,21 @@
     return this.text.isComplete ? this.score() : undefined;
   }
 
-  /**
-   * Makes one attempt or waits in quarantine. Resolves to the final result, or to `undefined` to continue.
-   */
+  /** Makes one attempt and backs off after it. Resolves to the final result, or to `undefined` to continue. */
   private async runOnce(): Promise<JobResult | undefined> {
     const route = await this.route.wait();
     if (!route) return this.job.signal.aborted ? undefined : this.toDeadResult('the route was removed');
     if (this.ageMs > route.maxQueueMs) return this.toDeadResult('the maximum time in the queue has passed');
-    if (await this.waitIfQuarantined(route)) return undefined;
     const outcome = await this.attempts.run(route);
-    return outcome && this.handleOutcome(outcome, route);
+    const result = outcome && this.handleOutcome(outcome, route);
+    if (!result && this.attempts.backoffMs > 0) await sleep(this.attempts.backoffMs, this.job.signal);
+    return result;
   }
 
   private get ageMs(): number {
     return monotonicMs() - this.job.acceptedAtMs;
   }
 
-  /**
-   * Waits one check interval if quarantined. Crashes alone do not make an item dead: it waits until it
-   * expires.
-   */
-  private async waitIfQuarantined(route: Route): Promise<boolean> {
-    const verdict = this.services.quarantine.evaluate(this.identity);
-    if (verdict.kind !== 'held') {
-      this.isQuarantined = false;
-      return false;
-    }
-    if (!this.isQuarantined) {
-      this.report('quarantined', `${verdict.ends} replicas crashed while running it`);
-      this.services.quarantine.countQuarantined(route.targets[0]?.service ?? '');
-    }
-    this.isQuarantined = true;
-    await sleep(quarantinePauseMs(verdict.retryAfterMs), this.job.signal);
-    return true;
-  }
-
   /** Returns the final result after an attempt, or `undefined` to continue. */
   private handleOutcome(outcome: GenerationOutcome, route: Route): JobResult | undefined {
     if (outcome.kind === 'failed') this.failures += 1;
--- a/src/coordination/service/requests/relayed-request.ts
+++ b/src/coordination/service/requests/relayed-request.ts
@@ -25,6 +25,8 @@
   readonly flow: string;
   /** Background work yields to interactive requests. */
   readonly isBackground: boolean;
+  /** Scoring call of a job, which is never quarantined. Default false. */
+  readonly isJobWork?: boolean;
   /** Latency target as a time on the monotonic clock. */
   readonly targetAtMs: number;
 }
--- a/src/coordination/service/requests/request-quarantine.ts
+++ b/src/coordination/service/requests/request-quarantine.ts
@@ -1,6 +1,6 @@
 /**
  * Quarantines requests that crash replicas. Senders request a verdict before each attempt and report crashes;
- * the rules are in `crash-history.ts`. Reports are shared with all nodes through the store. Verdicts never
+ * the rules are in `crash-history.ts`. Work of jobs is reported but never quarantined. Reports are shared with all nodes through the store. Verdicts never
  * wait for the store: they use the reports known to this node.
  */
 import type { DecisionLogger } from '../../../common/decision-logger.js';
@@ -16,6 +16,7 @@
   type QuarantineVerdict,
   toAnswerRecord,
   toCrashRecord,
+  toJobWorkDigest,
 } from '../../../state/service/replicas/index.js';
 import { FOLLOWED_TABLE } from '../../../state/service/store/index.js';
 import { type FeedHandler, readPartition } from '../../feeds/index.js';
@@ -25,6 +26,11 @@
 const CLEAR: QuarantineVerdict = { kind: 'clear' };
 const CRASH_ADDRESS = { table: FOLLOWED_TABLE, partition: CRASH_PARTITION } as const;
 
+/** Digest under which the crashes of a request are recorded. */
+function suspectDigestOf(request: IdentifiedRequest): string {
+  return request.isJobWork ? toJobWorkDigest(digestOf(request)) : digestOf(request);
+}
+
 export interface QuarantineServices {
   readonly store: RecordStore;
   readonly metrics: Pick<ServiceMetrics, 'quarantinedRequests' | 'suspectRequests'>;
@@ -49,7 +55,7 @@
   /** Whether a request may be sent to a replica now. */
   evaluate(request: IdentifiedRequest): QuarantineVerdict {
     if (this.history.size === 0) return CLEAR;
-    return this.history.verdictOf(digestOf(request), this.services.store.nowMs());
+    return this.history.verdictOf(suspectDigestOf(request), this.services.store.nowMs());
   }
 
   /** Counts a request that was not sent because of its verdict. */
@@ -59,14 +65,14 @@
 
   /** Reports that a replica crashed while running the request. Not to be called for a planned shutdown. */
   reportCrash(request: IdentifiedRequest, { id, address }: AttemptedReplica): void {
-    const crash = { digest: digestOf(request), address, endedAtMs: this.services.store.nowMs() };
+    const crash = { digest: suspectDigestOf(request), address, endedAtMs: this.services.store.nowMs() };
     if (this.addCrash(crash, 'here', id)) this.reports.enqueue(toCrashRecord(crash, id));
   }
 
   /** Reports that a replica answered the request, which clears it of suspicion. */
   reportServed(request: IdentifiedRequest): void {
     if (this.history.size === 0) return;
-    const digest = digestOf(request);
+    const digest = suspectDigestOf(request);
     if (!this.history.isSuspect(digest)) return;
     const run = { digest, servedAtMs: this.services.store.nowMs() };
     this.history.recordAnswer(run);
--- a/src/state/service/replicas/crash-history.ts
+++ b/src/state/service/replicas/crash-history.ts
@@ -3,6 +3,9 @@
  * were. Since a replica may crash for other reasons, every request that ran there is only a suspect, and an
  * answer clears it. Kept in memory with a bounded size; nodes exchange crash reports. Times are on the clock
  * of the store.
+ *
+ * Work of batch jobs is never quarantined. Its digests have a prefix, so that builds without this rule find no
+ * crashes of it, while it remains a suspect beside other requests that ran at the same replica.
  */
 
 /** A replica crashed while it ran a request. */
@@ -52,6 +55,13 @@
 /** Age at which a crash expires, milliseconds. */
 export const CRASH_EXPIRY_MS = LONG_QUARANTINE_MS;
 
+const JOB_WORK_PREFIX = 'job-';
+
+/** Digest under which the crashes of an item, or of its scoring call, are recorded. */
+export function toJobWorkDigest(digest: string): string {
+  return JOB_WORK_PREFIX + digest;
+}
+
 const CLEAR: QuarantineVerdict = { kind: 'clear' };
 
 /** A crash and the digests of the requests that were running. */
@@ -106,6 +116,7 @@
     const crashes = this.crashesByDigest.get(digest);
     if (!crashes) return CLEAR;
     const count = crashes.length;
+    if (digest.startsWith(JOB_WORK_PREFIX)) return { kind: 'suspected', ends: count };
     const lastMs = Math.max(...crashes.map(({ endedAtMs }) => endedAtMs));
     const retryAfterMs = lastMs + this.quarantineMs(digest, crashes) - nowMs;
     return retryAfterMs > 0
--- a/src/state/service/replicas/index.ts
+++ b/src/state/service/replicas/index.ts
@@ -1,4 +1,10 @@
-export { CRASH_EXPIRY_MS, type Crash, CrashHistory, type QuarantineVerdict } from './crash-history.js';
+export {
+  CRASH_EXPIRY_MS,
+  type Crash,
+  CrashHistory,
+  type QuarantineVerdict,
+  toJobWorkDigest,
+} from './crash-history.js';
 export {
   CRASH_PARTITION,
   parseCrashReport,
--- a/test/state/service/replicas/crash-history.test.ts
+++ b/test/state/service/replicas/crash-history.test.ts
@@ -4,6 +4,7 @@
   CRASH_EXPIRY_MS,
   type Crash,
   CrashHistory,
+  toJobWorkDigest,
 } from '../../../../src/state/service/replicas/crash-history.js';
 import {
   parseCrashReport,
@@ -56,6 +57,18 @@
     expect(history.verdictOf('other', 300).kind).to.equal('suspected');
   });
 
+  it('never quarantines work of jobs, however many replicas crashed or how the clocks of nodes differ', () => {
+    for (const address of ['a', 'b', 'c', 'd']) crash(address, 100, toJobWorkDigest('item'));
+    expect(history.verdictOf(toJobWorkDigest('item'), 0)).to.deep.equal({ kind: 'suspected', ends: 4 });
+    expect(history.verdictOf('item', 0).kind).to.equal('clear');
+  });
+
+  it('does not make a request the only suspect when work of jobs ran beside it', () => {
+    crash('a', 0, 'lookup', toJobWorkDigest('item'));
+    crash('b', 100, 'lookup', toJobWorkDigest('item'));
+    expect(history.verdictOf('lookup', 200)).to.deep.equal({ kind: 'suspected', ends: 2 });
+  });
+
   it('counts repeated reports of one crash once', () => {
     crash('a', 0, 'fatal');
     crash('a', 900, 'fatal');
