A scoring call that replicas did not answer in time does not cost its item

What callers saw: nothing reported; found by going through the states by which failures of replicas put due work aside.

Cause: every status of 300 and above counted as a failure of the scoring call, so an item was dead after as many time-outs of a slow service (504 of the replica at its deadline) as its route allows attempts, though the call itself had never failed.

Evidence: scoring-failures.test.ts failed before: "waited in vain until each call was made more often" than the three attempts that its route allows. Its second test, three answers of 500 make an item dead, passed before and passes after.

Change: 502, 503 and 504 say that the service did not answer and are retried with the usual backoff until the job ends.

--- a/src/coordination/service/generation/sample-scorer.ts
+++ b/src/coordination/service/generation/sample-scorer.ts
@@ -1,7 +1,7 @@
 /**
  * Scores finished samples by a call to an application service; the signature of the response is the score. A
  * call is retried until it succeeds, error statuses have used up the attempts of its route, the route is
- * removed, or the job ends. Rejected calls and lost responses do not count as attempts.
+ * removed, or the job ends. Rejected calls, time-outs and lost responses do not count as attempts.
  */
 import { exponentialBackoffMs } from '../../../common/backoff.js';
 import { monotonicMs, sleep } from '../../../common/clock.js';
@@ -37,11 +37,17 @@
 const SCORING_FLOW = 'scoring';
 /** Redirects are failures too, since they carry no score. */
 const MIN_FAILURE_STATUS = 300;
+/** Bad gateway, unavailable, time-out: say that the service did not answer, nothing about the call. */
+const UNANSWERED_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
 
-/** `retry`: the call was rejected, or its response was lost or has no score; not counted as a failure. */
+/**
+ * `retry`: the call was rejected or not answered in time, or its response was lost or has no score; not
+ * counted as a failure.
+ */
 function classifyScoring(outcome: RelayOutcome): { kind: 'scored'; score: string } | 'failed' | 'retry' {
   if (outcome.kind !== 'answered') return 'retry';
   const { status, isFramed, signature } = outcome.answer;
+  if (UNANSWERED_STATUSES.has(status)) return 'retry';
   if (status >= MIN_FAILURE_STATUS) return 'failed';
   return isFramed && signature ? { kind: 'scored', score: signature } : 'retry';
 }
