Usage is counted in the right window though the store's first answers came late

Cause: a node announces the offset of its clock from the store's right after the store's first answer, for a minute. A late answer makes that offset too large by its lateness; the node's estimate is better soon after, the announcement is not. Nodes that start together are all off, so the median of the offsets is, too, and the time of the windows is ahead by as much.

Change: an announcement is replaced within 1.5 s once the store's clock proves to be more than 10 ms ahead of what it was taken for; a node whose own was replaced after it had counted the nodes counts them again at its next read. Steps of the time of day do not count, as before. The stored record is the same.

--- a/src/coordination/service/membership/peer-addresses.ts
+++ b/src/coordination/service/membership/peer-addresses.ts
@@ -17,6 +17,9 @@
 const MAX_PEERS = 8;
 /** At most a third of the expiry of an announcement. */
 const ANNOUNCE_INTERVAL_MS = 60_000;
+const CLOCK_CHECK_INTERVAL_MS = 1_500;
+/** An announcement whose time is off by more is replaced at the next check. */
+const CLOCK_TOLERANCE_MS = 10;
 const READ_INTERVAL_MS = 10_000;
 /** For the first reads, while other nodes are still starting. */
 const STARTUP_READ_INTERVAL_MS = 1_500;
@@ -29,12 +32,13 @@
 export type NodeTraits = Pick<NodeAnnouncement, 'zone' | 'capacity'>;
 
 export class PeerAddresses {
-  readonly time: FleetTime;
   private peers: readonly NodeAnnouncement[] = [];
   private nodeCount = 1;
   /** Whether the last call forwarded to a peer succeeded, by address. */
   private readonly lastCallSucceeded = new Map<string, boolean>();
   private isWithdrawn = false;
+  /** Whether this node replaced an announcement whose time was off since it last counted the nodes. */
+  private hasCorrectedTime = false;
 
   constructor(
     private readonly store: RecordStore,
@@ -42,9 +46,8 @@
     private readonly logger: DecisionLogger,
     private readonly clock: Clock = SYSTEM_CLOCK,
     private readonly traits: NodeTraits = {},
-  ) {
-    this.time = new FleetTime(store);
-  }
+    readonly time = new FleetTime(store),
+  ) {}
 
   /** Up to `count` addresses for callers (`IP:PORT`), ranked by the outcome of the last forwarded call. */
   rankedAddresses(count: number): string[] {
@@ -93,13 +96,33 @@
     peerAddress: string | undefined,
     signal: AbortSignal,
   ): Promise<void> {
-    let isAnnounced = false;
     while (!signal.aborted && !this.isWithdrawn) {
-      isAnnounced = await this.announce(address, peerAddress);
-      await this.clock.sleep(isAnnounced ? ANNOUNCE_INTERVAL_MS : STARTUP_READ_INTERVAL_MS, signal);
+      const { storeOffsetMs } = this;
+      const isAnnounced = await this.announce(address, peerAddress);
+      if (isAnnounced) await this.waitUntilOutdated(storeOffsetMs, signal);
+      else await this.clock.sleep(STARTUP_READ_INTERVAL_MS, signal);
+    }
+  }
+
+  /**
+   * Waits until an announcement is due again. It is due early once a prompter answer of the store shows that
+   * the offset which it was made with was estimated from late ones.
+   */
+  private async waitUntilOutdated(announcedOffsetMs: number, signal: AbortSignal): Promise<void> {
+    const dueMs = this.clock.now() + ANNOUNCE_INTERVAL_MS;
+    while (!signal.aborted && this.clock.now() < dueMs) {
+      await this.clock.sleep(CLOCK_CHECK_INTERVAL_MS, signal);
+      if (this.storeOffsetMs <= announcedOffsetMs + CLOCK_TOLERANCE_MS) continue;
+      this.hasCorrectedTime = true;
+      return;
     }
   }
 
+  /** Offset of the store's clock from the monotonic one. Late answers make it too small. */
+  private get storeOffsetMs(): number {
+    return this.store.nowMs() - this.clock.now();
+  }
+
   private async announce(address: string, peerAddress: string | undefined): Promise<boolean> {
     const announcement: NodeAnnouncement = {
       address,
@@ -118,11 +141,14 @@
       const intervalMs = reads < 2 ? STARTUP_READ_INTERVAL_MS : READ_INTERVAL_MS;
       await this.clock.sleep(intervalMs * (1 + READ_JITTER * (this.clock.random() - 0.5)), signal);
       if (!signal.aborted) await this.refreshPeers();
-      if (!signal.aborted && reads % READS_PER_NODE_COUNT === 1) await this.countNodes();
+      const isCountDue = reads % READS_PER_NODE_COUNT === 1 || (reads > 1 && this.hasCorrectedTime);
+      if (!signal.aborted && isCountDue) await this.countNodes();
     }
   }
 
+  /** Also reads the nodes' offsets; early if this node's was off, since those of the others were then, too. */
   private async countNodes(): Promise<void> {
+    this.hasCorrectedTime = false;
     const all = await readPartition(this.store, TABLE, '');
     if (all.isErr()) return;
     const { content, version } = all.value;
--- a/test/coordination/service/membership/peer-addresses.test.ts
+++ b/test/coordination/service/membership/peer-addresses.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { ok } from 'neverthrow';
 import type { DecisionLogger } from '../../../../src/common/decision-logger.js';
+import { FleetTime } from '../../../../src/coordination/service/membership/fleet-time.js';
 import { PeerAddresses } from '../../../../src/coordination/service/membership/peer-addresses.js';
 import type {
   RecordRange,
@@ -16,11 +17,17 @@
 const LONG_MS = 600_000;
 /** Offset of the store's clock from those of the nodes, milliseconds. */
 const STORE_AHEAD_MS = 3_600_000;
+/** Time of day when the clock of the test is 0. */
+const DAY_MS = 1_700_000_000_000;
+/** Delay of late answers of the store, milliseconds. */
+const LATE_MS = 400;
 
 /** An in-memory table, sorted by key. */
 class Table {
   records: StoredRecord[] = [];
   version = 0;
+  /** Until this time all answers are late. */
+  lateUntilMs = 0;
 }
 
 /** The store as one node sees it. */
@@ -32,9 +39,10 @@
     private readonly clock: ManualClock,
   ) {}
 
-  /** As a client estimates it: the local clock until the store has answered. */
+  /** As a client estimates it: the local clock until the store has answered, behind until it is prompt. */
   nowMs(): number {
-    return this.clock.now() + (this.hasAnswered ? STORE_AHEAD_MS : 0);
+    const behindMs = this.clock.now() < this.table.lateUntilMs ? LATE_MS : 0;
+    return this.clock.now() + (this.hasAnswered ? STORE_AHEAD_MS - behindMs : 0);
   }
 
   async transact({ writes, removals }: RecordTransaction) {
@@ -62,26 +70,34 @@
   let controllers: AbortController[];
   let peers: PeerAddresses[];
 
-  beforeEach(async () => {
+  beforeEach(() => start());
+
+  async function start(lateUntilMs = 0): Promise<void> {
     clock = new ManualClock(() => 0.5);
     table = new Table();
+    table.lateUntilMs = lateUntilMs;
     controllers = [];
     peers = [];
     for (let index = 0; index < NODES; index += 1) {
       const controller = new AbortController();
       const logger = { record: () => {} } as unknown as DecisionLogger;
       const store = new TableStore(table, clock);
-      const own = new PeerAddresses(store as unknown as RecordStore, name(index), logger, clock);
+      const time = new FleetTime(store, () => DAY_MS + clock.now());
+      const own = new PeerAddresses(store as unknown as RecordStore, name(index), logger, clock, {}, time);
       void own.run(address(index), controller.signal);
       controllers.push(controller);
       peers.push(own);
     }
     await clock.advance(10_000);
-  });
+  }
+
+  afterEach(stop);
 
-  afterEach(() => {
+  function stop(): void {
     for (const controller of controllers) controller.abort();
-  });
+  }
+
+  const timeErrorsMs = () => peers.map(({ time }) => time.now() - DAY_MS - clock.now());
 
   it('keeps the addresses of the next nodes by name, wrapping around at the last', () => {
     const rankedBy = (index: number) => peers[index]?.rankedAddresses(NODES);
@@ -111,4 +127,23 @@
     expect(keys).to.not.include(name(1));
     expect(keys).to.have.length(NODES - 1);
   });
+
+  it("does not keep a wrong time of day because the store's first answers came late", async () => {
+    stop();
+    await start(1_000);
+    expect(timeErrorsMs()).to.deep.equal(peers.map(() => 0));
+  });
+
+  it('corrects the time of day when the store has become prompt only after the nodes were counted', async () => {
+    stop();
+    await start(4_500);
+    await clock.advance(15_000);
+    expect(timeErrorsMs()).to.deep.equal(peers.map(() => 0));
+  });
+
+  it('does not repeat an announcement whose time is right', async () => {
+    const { version } = table;
+    await clock.advance(40_000);
+    expect(table.version).to.equal(version);
+  });
 });
