A crash is recognized though the node was paused while it probed the address

Cause: after a pause of the process (300 ms without the processor) the timer of the probe fires before the refusal, which has already arrived, is read.

Evidence: listener-probe.test.ts holds up its own process for longer than the time-out; before: 'unknown' in place of 'refused'. crash-check.test.ts passes.

Change: when the time is up, what has arrived is read first.

--- a/src/transport/listener-probe.ts
+++ b/src/transport/listener-probe.ts
@@ -14,7 +14,8 @@
       socket.destroy();
       resolve(state);
     };
-    const timer = setTimeout(() => finish('unknown'), timeoutMs);
+    // After a pause of this process the timer fires first; an answer that has arrived is read before the immediate.
+    const timer = setTimeout(() => setImmediate(finish, 'unknown'), timeoutMs);
     socket.once('connect', () => finish('listening'));
     socket.once('error', (error: NodeJS.ErrnoException) =>
       finish(error.code === 'ECONNREFUSED' ? 'refused' : 'unknown'),
