The quarantine tests send a crashing request when all nodes know its crashes

Cause: the test's pace. The short quarantine ends in the middle of its rounds. When the third crash falls into the turn of the last node, the request is sent to the first one 1 ms after the answer, before the report of the crash (4 to 14 ms at rest) can be there. Which turn it is depends on the load alone. The users allow three replicas and a few more at once; no node can know a crash 1 ms after it.

Change: before it is sent, every running node must have logged every crash; a crash that a node never learns of now fails the test. The bound of three stays.

--- a/test/coordination/service/requests/request-quarantine.test.ts
+++ b/test/coordination/service/requests/request-quarantine.test.ts
@@ -5,8 +5,10 @@
 import { expect } from 'chai';
 import { itemIds } from '../../../../emulator/clients/job-trainer.js';
 import type { ReplicaServer } from '../../../../emulator/replica/replica-server.js';
+import { digestOf } from '../../../../src/coordination/service/dispatch/index.js';
 import { job } from '../../../support/jobs.js';
 import {
+  HOST,
   kill,
   LOOKUP_PATH,
   type ServiceNodeProcess,
@@ -22,6 +24,12 @@
 const SHORT_QUARANTINE_S = 4;
 const FATAL_PATH = `${LOOKUP_PATH}fatal`;
 const FATAL_BODY = 'ends whoever runs it';
+const FATAL_DIGEST = digestOf({
+  method: 'POST',
+  host: HOST,
+  path: FATAL_PATH,
+  body: Buffer.from(FATAL_BODY),
+});
 /** Long enough that a hedge is sent while the replica works. */
 const WORK_MS = 300;
 
@@ -54,7 +62,17 @@
     return `request-${requestCount}`;
   };
 
-  const sendFatal = (node: ServiceNodeProcess) => system.lookup(node, nextId(), {}, FATAL_PATH, FATAL_BODY);
+  const knownCrashes = ({ log }: ServiceNodeProcess) =>
+    log.filter(({ message, context }) => message === 'request-suspected' && context.digest === FATAL_DIGEST)
+      .length;
+
+  /** Sends the crashing request when all nodes know its crashes: one that does not know them may run it. */
+  async function sendFatal(node: ServiceNodeProcess) {
+    await until('all nodes know all crashes', () =>
+      nodes.every((each) => knownCrashes(each) >= crashed.length),
+    );
+    return system.lookup(node, nextId(), {}, FATAL_PATH, FATAL_BODY);
+  }
 
   /** Sends the crashing request to each node in turn, after restarting crashed replicas. */
   async function sendRepeatedly(rounds: number): Promise<(number | undefined)[]> {
