--- a/src/coordination/service/dispatch/dispatch-messages.ts
+++ b/src/coordination/service/dispatch/dispatch-messages.ts
@@ -13,10 +13,22 @@
 } from '../../../protocol/service/dispatch-peer.js';
 import type { DispatchCall, DispatchResult } from './dispatch-call.js';
 import type { AttemptOutcome } from './replica-exchange.js';
+import { deductibleMs } from './transit.js';
 
 const NO_BODY = Buffer.alloc(0);
 
-export function toMessage(call: DispatchCall, isStoreAnswering: boolean): Framed<DispatchMessage> {
+/** What a node knows of the store when it sends a call. */
+export interface SenderState {
+  /** Whether the store answers the node. */
+  readonly isStoreAnswering: boolean;
+  /** The clock of the store, milliseconds; `undefined` while unknown. */
+  readonly storeTimeMs: number | undefined;
+}
+
+export function toMessage(
+  call: DispatchCall,
+  { isStoreAnswering, storeTimeMs }: SenderState,
+): Framed<DispatchMessage> {
   const nowMs = monotonicMs();
   const { id, method, path, host, headers, tenant, body } = call.request;
   return {
@@ -39,13 +51,19 @@
       excluded: [...call.excluded],
       configVersion: call.configVersion,
       isServed: isStoreAnswering,
+      ...(call.jobId === undefined ? {} : { jobId: call.jobId }),
+      ...(storeTimeMs === undefined ? {} : { sentAtMs: storeTimeMs }),
     },
     body,
   };
 }
 
 /** Converts the message of another node to a call. `signal` aborts it. */
-export function toCall({ message, body }: Framed<DispatchMessage>, signal: AbortSignal): DispatchCall {
+export function toCall(
+  { message, body }: Framed<DispatchMessage>,
+  transitMs: number | undefined,
+  signal: AbortSignal,
+): DispatchCall {
   const {
     service,
     workKind,
@@ -59,9 +77,11 @@
     excluded,
     configVersion,
     isServed: _,
+    jobId,
+    sentAtMs: _sentAtMs,
     ...request
   } = message;
-  const nowMs = monotonicMs();
+  const asOfMs = monotonicMs() - deductibleMs(transitMs);
   return {
     service,
     workKind,
@@ -71,10 +91,12 @@
     isBackground,
     isHedge,
     isRetry,
-    targetAtMs: nowMs + aimMs,
-    deadlineMs: nowMs + leftMs,
+    targetAtMs: asOfMs + aimMs,
+    deadlineMs: asOfMs + leftMs,
     excluded: new Set(excluded),
     configVersion,
+    jobId,
+    transitMs,
     signal,
   };
 }
--- a/src/node/service/node-dispatch.ts
+++ b/src/node/service/node-dispatch.ts
@@ -3,13 +3,17 @@
 import type { ServiceMetrics } from '../../common/service-metrics.js';
 import {
   type DispatchCall,
+  isLate,
   type PeerCall,
   RemoteDispatch,
   type ReplicaExchange,
+  reportLateCall,
   ServiceQueues,
   toCall,
   toOutcomeMessage,
+  transitMsOf,
 } from '../../coordination/service/dispatch/index.js';
+import type { JobGate } from '../../coordination/service/jobs/index.js';
 import { FleetDirectory } from '../../coordination/service/membership/index.js';
 import type { RecordStore } from '../../protocol/record-store.js';
 import type {
@@ -18,6 +22,7 @@
   Framed,
 } from '../../protocol/service/dispatch-peer.js';
 import type { ServiceSettings } from '../../protocol/service/service-settings.js';
+import type { RejectionReason } from '../../state/service/admission/index.js';
 import type { RoutingTable } from '../../state/service/configuration/index.js';
 import type { ReplicaDirectory, ReplicaState } from '../../state/service/replicas/index.js';
 
@@ -33,7 +38,8 @@
   readonly routing: RoutingTable;
   readonly directory: ReplicaDirectory;
   readonly exchange: ReplicaExchange;
-  readonly callPeer: PeerCall;
+  readonly dispatchAtPeer: PeerCall;
+  readonly jobGate: JobGate;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
@@ -44,7 +50,7 @@
   private readonly queues: ServiceQueues;
 
   constructor(private readonly services: NodeDispatchDependencies) {
-    const { store, settings, directory, exchange, callPeer, metrics, logger } = services;
+    const { store, settings, directory, exchange, dispatchAtPeer, metrics, logger } = services;
     this.fleet = new FleetDirectory(store);
     this.queues = new ServiceQueues({
       directory,
@@ -52,7 +58,7 @@
       slotsOf: (state) => this.slotsOf(state),
       slowStartPerSecond: ({ replica }) => this.slowStartPerSecond(replica.service),
       zonePenalty: (state) => this.zonePenalty(state),
-      isRouted: (call) => this.isAllowed(call),
+      obstacle: (call) => this.obstacleOf(call),
       queueLimits: { count: MAX_QUEUED, bytes: settings.memoryBytes * QUEUED_MEMORY_FRACTION },
       metrics,
       logger,
@@ -64,7 +70,8 @@
       directory,
       queues: this.queues,
       isStoreAnswering: () => store.isAnswering(),
-      call: callPeer,
+      storeTimeMs: () => store.clockMs(),
+      call: dispatchAtPeer,
       metrics,
       logger,
     });
@@ -72,14 +79,22 @@
     directory.onChange(() => this.remote.invalidateSelections());
   }
 
-  /** Queues a request from a peer; `undefined` while draining, or while only the peer reaches the store. */
+  /**
+   * Queues a request from a peer; `undefined` while draining, while only the peer reaches the store, or if the
+   * request took too long to arrive.
+   */
   dispatchForPeer(
     framed: Framed<DispatchMessage>,
     signal: AbortSignal,
   ): Promise<Framed<DispatchOutcomeMessage>> | undefined {
     const isStale = framed.message.isServed && !this.services.store.isAnswering();
     if (this.queues.areClosed || isStale) return undefined;
-    return this.queues.dispatch(toCall(framed, signal)).then(toOutcomeMessage);
+    const transitMs = transitMsOf(framed.message, this.services.store.clockMs());
+    if (transitMs !== undefined && isLate(transitMs)) {
+      reportLateCall(this.services, framed.message, transitMs);
+      return undefined;
+    }
+    return this.queues.dispatch(toCall(framed, transitMs, signal)).then(toOutcomeMessage);
   }
 
   /** Stops dispatching: queued requests are rejected and retried at other nodes. */
@@ -115,6 +130,12 @@
     return perSecond / Math.max(1, this.fleet.members.length);
   }
 
+  private obstacleOf(call: DispatchCall): RejectionReason | undefined {
+    if (!this.isAllowed(call)) return 'route-removed';
+    const verdict = call.jobId === undefined ? 'open' : this.services.jobGate.check(call.jobId);
+    return verdict === 'open' ? undefined : `job-${verdict}`;
+  }
+
   /** Whether a queued request still has a route to its service under the current configuration. */
   private isAllowed({ service, request, configVersion }: DispatchCall): boolean {
     const snapshot = this.services.routing.current;
