--- a/test/support/service-system.ts
+++ b/test/support/service-system.ts
@@ -177,13 +177,17 @@
   }
 
   /** Starts a node under a name; a second start under the same name is its next incarnation. */
-  async addNode(name: string, settings: Readonly<Record<string, string>> = {}): Promise<ServiceNodeProcess> {
+  async addNode(
+    name: string,
+    settings: Readonly<Record<string, string>> = {},
+    program = PROGRAM,
+  ): Promise<ServiceNodeProcess> {
     const proxy = await FaultProxy.start(`http://${this.storeAddress}`);
     const relay = this.relays && (await LateRelay.start());
     if (relay) this.relays?.set(name, relay);
     const file = join(this.folder, `${name}-${this.nodes.length}.conf`);
     writeFileSync(file, this.settingsText(name, proxy, settings));
-    const args = [PROGRAM, '--metrics-port', '0'];
+    const args = [program, '--metrics-port', '0'];
     const child = spawn(process.execPath, args, { env: { ...process.env, [SETTINGS_VARIABLE]: file } });
     child.once('exit', () => relay?.refuse());
     const log: LoggedRecord[] = [];
