--- a/test/support/service-system.ts
+++ b/test/support/service-system.ts
@@ -290,8 +290,8 @@
 function relayed(row: PutRow, relays: ReadonlyMap<string, LateRelay>): PutRow {
   const relay = row.table === NODE_TABLE ? relays.get(row.key) : undefined;
   if (!relay) return row;
-  const announcement = parseAnnouncement(Buffer.from(row.value, 'base64'));
-  if (announcement.peerAddress === undefined) return row;
+  const announcement = parseAnnouncement(Buffer.from(row.value, 'base64')).unwrapOr(undefined);
+  if (announcement?.peerAddress === undefined) return row;
   relay.setTarget(announcement.peerAddress);
   const stored = JSON.stringify({ ...announcement, peerAddress: relay.address });
   return { ...row, value: Buffer.from(stored, 'utf8').toString('base64') };
