A response of a server is bounded by its size, whatever it consists of

Seen by callers of the client: a status line, spaces before a header value, line breaks before the head, interim responses (102) or a chunk extension without end were read until the deadline of the request, at full speed; line breaks after a whole answer were read on the idle connection until its keep-alive was over (214 MB in 1.5 s on the loopback interface).

Cause: undici counts the names and values of headers and the body that it hands on, nothing else; interim responses even restart the time-out of the head.

The phase of a connection is known from undici's diagnostics channels.

--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -9,6 +9,7 @@
 import { monotonicMs, sleep } from '../../src/common/clock.js';
 import { LoopbackServer, receiveBody } from '../loopback-server.js';
 import type { RowStore } from '../store/row-store.js';
+import { type EndlessKind, sendEndlessly } from './endless-answers.js';
 import { cutStream, eventText, idOf, numeric, rawHead, signed, writeStreamHead } from './replica-answers.js';
 
 /** How a replica is set up. */
@@ -84,6 +85,12 @@
   readonly versions: Map<string, number>;
   /** Takes requests and never answers. */
   isSilent = false;
+  /** What every call gets until it is unset: bytes without end, at full speed or one piece each `endlessPaceMs`. */
+  endless: EndlessKind | undefined;
+  endlessPaceMs = 0;
+  /** Calls that got bytes without end, and these bytes. */
+  endlessCalls = 0;
+  endlessBytes = 0;
   /** Status that every request gets, as a failure that ran. */
   failWith: number | undefined;
   /** A request whose body begins like this ends the replica while it runs. */
@@ -243,6 +250,7 @@
     const body = await receiveBody(request);
     if (body && this.isSilent) this.unansweredIds.push(idOf(request));
     if (!body || this.isSilent) return;
+    if (this.endless) return this.answerEndlessly(request, this.endless);
     if (request.url === REPLICA_PATH.report) return this.report(response);
     const expected = request.headers[HEADER.expectReplica];
     if (expected !== undefined && expected !== this.id) {
@@ -298,6 +306,14 @@
     return this.answer(request, response, id);
   }
 
+  private answerEndlessly(request: IncomingMessage, kind: EndlessKind): Promise<void> {
+    this.endlessCalls += 1;
+    const onSent = (bytes: number) => {
+      this.endlessBytes += bytes;
+    };
+    return sendEndlessly(request.socket, kind, idOf(request), { paceMs: this.endlessPaceMs, onSent });
+  }
+
   private async cutUnframed({ socket }: IncomingMessage, id: string): Promise<void> {
     socket.write(`${rawHead(id, `signed-${id}`)}connection: close\r\n\r\nansw`);
     await sleep(this.workMs);
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -8,6 +8,7 @@
 import type { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
 import { Agent, buildConnector, DecoratorHandler, type Dispatcher } from 'undici';
+import { limitReceivedBytes } from './receive-limits.js';
 import { TransportError, toTransportError } from './transport-error.js';
 
 /** Header names are in lower case. */
@@ -66,6 +67,8 @@
   readonly connectTimeoutMs?: number;
   /** Lifetime of an idle connection unless the server specifies one, milliseconds. Default 4,000. */
   readonly keepAliveMs?: number;
+  /** Maximum size of a response as it is sent, head and framing included, bytes. Default: no limit. */
+  readonly maxResponseBytes?: number;
 }
 
 const DEFAULT_CONNECTIONS_PER_ORIGIN = 256;
@@ -165,14 +168,19 @@
   };
 }
 
-/** Opens connections with both corrections of undici. */
-function createConnector(timeoutMs: number, localAddress: string | undefined): buildConnector.connector {
+/** Opens connections with both corrections of undici, and limits of received bytes. */
+function createConnector(
+  timeoutMs: number,
+  maxResponseBytes: number,
+  localAddress: string | undefined,
+): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs, ...(localAddress ? { localAddress } : {}) });
   return (options, callback) =>
     connect(options, (...result: buildConnector.CallbackArgs) => {
       if (result[1]) {
         failOnReset(result[1]);
         avoidReconnectAfterAbort(result[1]);
+        limitReceivedBytes(result[1], maxResponseBytes);
       }
       callback(...result);
     });
@@ -210,7 +218,8 @@
   constructor(options: HttpClientOptions = {}) {
     const { connectionsPerOrigin = DEFAULT_CONNECTIONS_PER_ORIGIN, localAddress } = options;
     const { connectTimeoutMs = CONNECT_TIMEOUT_MS, keepAliveMs = KEEP_ALIVE_MS } = options;
-    const connect = createConnector(connectTimeoutMs, localAddress);
+    const { maxResponseBytes = Number.POSITIVE_INFINITY } = options;
+    const connect = createConnector(connectTimeoutMs, maxResponseBytes, localAddress);
     const shared = { connections: connectionsPerOrigin, connect };
     this.pooledAgent = new Agent({ ...shared, pipelining: 1, keepAliveTimeout: keepAliveMs });
     this.pooled = this.pooledAgent.compose(checkEcho);
--- a/src/transport/transport-error.ts
+++ b/src/transport/transport-error.ts
@@ -6,6 +6,8 @@
   | 'connection-lost'
   | 'cancelled'
   | 'body-too-large'
+  /** The server sent more than a response may have, or bytes that no request was waiting for. */
+  | 'response-too-large'
   /** The response is for another request. */
   | 'wrong-answer';
 
