An exchange is bounded by its whole time, not only by its idle times

Seen: an exchange without a limit for its whole time (calls of the resource interface to engines, the machine list and other nodes) went on for as long as an interim response or a byte of the body came before each time-out: both time-outs of undici begin anew with every response or byte.

Fix: without a limit of its own an exchange gets the sum of its two time-outs; reports and commands of engines and the machine list have theirs as the limit of the whole. What ends by its whole time fails as 'timed-out', no longer as 'cancelled'.

--- a/src/protocol/resource/engine.ts
+++ b/src/protocol/resource/engine.ts
@@ -141,13 +141,18 @@
   }
 
   state(address: string): Promise<Result<EngineState, ProtocolError>> {
-    const call = { method: 'GET', url: `${address}/state`, headTimeoutMs: STATE_TIMEOUT_MS };
+    const call = { method: 'GET', url: `${address}/state`, totalTimeoutMs: STATE_TIMEOUT_MS };
     return exchangeJson(this.client, call, state);
   }
 
   /** Sends a command and resolves when the engine has executed it. Retries are safe. */
   order(address: string, order: EngineCommand): Promise<Result<EngineState, ProtocolError>> {
-    const call = { method: 'POST', url: `${address}/orders`, json: order, headTimeoutMs: COMMAND_TIMEOUT_MS };
+    const call = {
+      method: 'POST',
+      url: `${address}/orders`,
+      json: order,
+      totalTimeoutMs: COMMAND_TIMEOUT_MS,
+    };
     return exchangeJson(this.client, call, state);
   }
 }
--- a/src/protocol/resource/machine-list.ts
+++ b/src/protocol/resource/machine-list.ts
@@ -26,7 +26,7 @@
     const url = `${this.baseUrl}/machines`;
     const answer = await exchangeJson(
       this.client,
-      { method: 'GET', url, headTimeoutMs: CALL_TIMEOUT_MS },
+      { method: 'GET', url, totalTimeoutMs: CALL_TIMEOUT_MS },
       machines,
     );
     return answer.map((value) => value.machines);
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -30,7 +30,10 @@
    * which leaves open whether the request was executed. Default false.
    */
   readonly freshConnection?: boolean;
-  /** Maximum time of the whole exchange, milliseconds; ignored by `send`. Default: none. */
+  /**
+   * Maximum time of the whole exchange, milliseconds; ignored by `send`. Default: the time until the head and
+   * one idle time.
+   */
   readonly totalTimeoutMs?: number;
   /**
    * A header that identifies the request of a response. A response with another value fails the exchange and
@@ -192,14 +195,15 @@
   return slash < 0 ? { origin: url, path: '/' } : { origin: url.slice(0, slash), path: url.slice(slash) };
 }
 
-/** A signal that aborts after `timeoutMs` or with `signal`; `release` must be called when done. */
+/** A signal that times out after `timeoutMs` or aborts with `signal`; `release` must be called when done. */
 function timeoutSignal(
   timeoutMs: number,
   signal?: AbortSignal,
 ): { signal: AbortSignal; release: () => void } {
   const controller = new AbortController();
   const abort = () => controller.abort();
-  const timer = setTimeout(abort, timeoutMs);
+  const timeOut = () => controller.abort(new TransportError('timed-out', true, 'the exchange took too long'));
+  const timer = setTimeout(timeOut, timeoutMs);
   if (signal?.aborted) abort();
   signal?.addEventListener('abort', abort, { once: true });
   const release = () => {
@@ -252,8 +256,9 @@
     outgoing: OutgoingRequest,
     limitBytes = DEFAULT_BODY_LIMIT_BYTES,
   ): Promise<Result<BufferedResponse, TransportError>> {
-    if (outgoing.totalTimeoutMs === undefined) return this.exchangeBuffered(outgoing, limitBytes);
-    const timeout = timeoutSignal(outgoing.totalTimeoutMs, outgoing.signal);
+    const { headTimeoutMs = DEFAULT_HEAD_TIMEOUT_MS, idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS } = outgoing;
+    const { totalTimeoutMs = headTimeoutMs + idleTimeoutMs } = outgoing;
+    const timeout = timeoutSignal(totalTimeoutMs, outgoing.signal);
     try {
       return await this.exchangeBuffered({ ...outgoing, signal: timeout.signal }, limitBytes);
     } finally {
--- a/test/transport/endless-responses.test.ts
+++ b/test/transport/endless-responses.test.ts
@@ -34,17 +34,19 @@
   let kind: EndlessKind;
   let sentBytes: number;
   let sockets: Socket[];
+  let paceMs: number;
 
   beforeEach(async () => {
     sentBytes = 0;
     sockets = [];
+    paceMs = 0;
     server = createServer((socket) => {
       sockets.push(socket);
       socket.once('data', () => {
         const onSent = (bytes: number) => {
           sentBytes += bytes;
         };
-        void sendEndlessly(socket, kind, 'request-1', { onSent });
+        void sendEndlessly(socket, kind, 'request-1', { paceMs, onSent });
       });
     });
     server.listen(0, '127.0.0.1');
@@ -91,4 +93,14 @@
       await untilClosed();
       expect(sentBytes).to.be.lessThan(SENT_LIMIT_BYTES);
     });
+
+  it('ends an exchange without limits of its own after a time, though bytes keep coming', async () => {
+    kind = 'interim responses';
+    paceMs = 50;
+    const outgoing = { method: 'GET', url: url(), headTimeoutMs: 300, idleTimeoutMs: 300 };
+    const signal = AbortSignal.timeout(2 * TIMEOUT_MS);
+    expect((await client.exchange({ ...outgoing, signal }))._unsafeUnwrapErr().failure).to.equal('timed-out');
+    expect(signal.aborted).to.equal(false);
+    await untilClosed();
+  });
 });
