The framing of a body is bounded by the body

Seen: an answer in chunks of one byte was read for over a second of processor time before it reached a size limit, so that its request ended at its time-out (504) instead of at once; a chunk extension took 32 MB.

Evidence: endless-answers.test.ts (new, one node process and stand-ins) before this commit: of eleven kinds at full speed only "chunks of one byte" failed, 504 in place of 502 before the time-out of 1 s (twice); now 502 after 0.16 to 0.26 s. 16 of 16 pass. The kinds that trickle end at the deadline, 0.25 s later at the latest.

Fix: framing may exceed the body by 1 MB, which leaves 170,000 events of usual size in chunks of their own even if they were empty.

--- a/src/transport/receive-limits.ts
+++ b/src/transport/receive-limits.ts
@@ -10,6 +10,8 @@
 
 /** Bytes before the head of a response is whole: four times the headers that undici takes. */
 const MAX_HEAD_BYTES = 64 * 1024;
+/** Framing of a chunked body beyond the size of the body itself, bytes: chunks of a byte or two, extensions. */
+const MAX_FRAMING_BYTES = 1024 * 1024;
 /** Statuses below are interim: the head of the response is still to come. */
 const MIN_FINAL_STATUS = 200;
 
@@ -20,11 +22,12 @@
 class ReceivedBytes {
   private phase: Phase = 'nothing';
   private count = 0;
+  private bodyBytes = 0;
 
   constructor(private readonly maxResponseBytes: number) {}
 
   begin(phase: Phase): void {
-    if (phase === 'head') this.count = 0;
+    if (phase === 'head') this.count = this.bodyBytes = 0;
     this.phase = phase;
   }
 
@@ -32,10 +35,15 @@
     this.count += bytes;
   }
 
+  addBody(bytes: number): void {
+    this.bodyBytes += bytes;
+  }
+
   /** Why no more bytes may be received; `undefined` if they may be. */
   excess(): TransportError | undefined {
     if (this.phase === 'nothing') return tooLarge('bytes while no request was waiting');
     const limit = this.phase === 'head' ? MAX_HEAD_BYTES : this.maxResponseBytes;
+    if (this.count - 2 * this.bodyBytes > MAX_FRAMING_BYTES) return tooLarge('more framing than body');
     return this.count > limit
       ? tooLarge(`more than ${limit} bytes before the end of its ${this.phase}`)
       : undefined;
@@ -56,6 +64,9 @@
 interface SentMessage extends RequestMessage {
   readonly socket: object;
 }
+interface BodyMessage extends RequestMessage {
+  readonly chunk: Buffer;
+}
 interface HeadMessage extends RequestMessage {
   readonly response: { readonly statusCode: number };
 }
@@ -71,6 +82,10 @@
   const { request, response } = message as HeadMessage;
   if (response.statusCode >= MIN_FINAL_STATUS) ofRequest.get(request)?.begin('body');
 });
+subscribe('undici:request:bodyChunkReceived', (message) => {
+  const { request, chunk } = message as BodyMessage;
+  ofRequest.get(request)?.addBody(chunk.length);
+});
 subscribe('undici:request:trailers', (message) => {
   ofRequest.get((message as RequestMessage).request)?.begin('nothing');
 });
--- /dev/null
+++ b/test/coordination/service/requests/endless-answers.test.ts
@@ -0,0 +1,110 @@
+/** A replica that sends bytes without end must cost its callers one attempt. */
+import { expect } from 'chai';
+import type { EndlessKind } from '../../../../emulator/replica/endless-answers.js';
+import type { ReplicaServer } from '../../../../emulator/replica/replica-server.js';
+import { monotonicMs } from '../../../../src/common/clock.js';
+import {
+  type RouteFields,
+  type ServiceNodeProcess,
+  ServiceSystem,
+  usualConfiguration,
+} from '../../../support/service-system.js';
+import { until } from '../../../support/wait.js';
+
+/** Time-out of the routes, and time after it until the connection to the replica is aborted, milliseconds. */
+const ROUTE_TIMEOUT_MS = 1_000;
+const ABORT_LIMIT_MS = 1_500;
+/** Kinds that exceed a size at full speed. */
+const BY_SIZE: readonly EndlessKind[] = [
+  'line breaks before the head',
+  'status line',
+  'header lines',
+  'header value',
+  'spaces before a header value',
+  'interim responses',
+  'body without a length',
+  'chunked body',
+  'chunks of one byte',
+  'chunk extension',
+  'trailers',
+];
+/** Kinds that come piece by piece, within any size until the deadline. */
+const BY_TIME: readonly EndlessKind[] = [
+  'status line',
+  'interim responses',
+  'chunked body',
+  'chunk extension',
+];
+
+describe('endless answers of replicas', () => {
+  let system: ServiceSystem;
+  let node: ServiceNodeProcess;
+
+  async function start(lookup: RouteFields = {}): Promise<void> {
+    system = await ServiceSystem.start();
+    system.configure(usualConfiguration(1, { lookup: { timeoutMs: ROUTE_TIMEOUT_MS, ...lookup } }));
+  }
+
+  async function startNode(): Promise<void> {
+    node = await system.addNode('node-1');
+    await system.untilReady(node);
+  }
+
+  const untilClosed = (replica: ReplicaServer) =>
+    until('the connections to the replica are closed', async () => replica.connectionCount() === 0);
+
+  /** One lookup that meets an endless answer, and one after it that is served. */
+  async function lookupAt(replica: ReplicaServer, kind: EndlessKind, paceMs: number) {
+    Object.assign(replica, { endless: kind, endlessPaceMs: paceMs });
+    const calls = replica.endlessCalls;
+    const startedAtMs = monotonicMs();
+    const answer = await system.lookup(node, `${kind.replaceAll(' ', '-')}-${paceMs}`);
+    const tookMs = monotonicMs() - startedAtMs;
+    expect(replica.endlessCalls, kind).to.be.greaterThan(calls);
+    await untilClosed(replica);
+    const closedAfterMs = monotonicMs() - startedAtMs;
+    replica.endless = undefined;
+    const next = await system.lookup(node, `after-${kind.replaceAll(' ', '-')}-${paceMs}`);
+    expect(next?.status, `after ${kind}`).to.equal(200);
+    return { status: answer?.status, tookMs, closedAfterMs };
+  }
+
+  describe('to requests', () => {
+    let replica: ReplicaServer;
+
+    before(async () => {
+      await start({ maxAttempts: 1 });
+      replica = await system.addApplication();
+      await startNode();
+    });
+    after(() => system.stop());
+
+    for (const kind of BY_SIZE)
+      it(`fail by their size, and the request gets its answer before its time: ${kind}`, async () => {
+        const { status, tookMs } = await lookupAt(replica, kind, 0);
+        expect(status).to.equal(502);
+        expect(tookMs).to.be.lessThan(ROUTE_TIMEOUT_MS);
+      });
+
+    for (const kind of BY_TIME)
+      it(`that trickle are cut at the deadline of the request: ${kind}`, async () => {
+        const { status, closedAfterMs } = await lookupAt(replica, kind, 50);
+        expect(status).to.equal(kind === 'interim responses' ? 502 : 504);
+        expect(closedAfterMs).to.be.lessThan(ABORT_LIMIT_MS);
+      });
+  });
+
+  describe('among replicas', () => {
+    beforeEach(() => start());
+    afterEach(() => system.stop());
+
+    it('cost an attempt: the request is answered by another replica', async () => {
+      const [bad] = await Promise.all([system.addApplication(), system.addApplication()]);
+      await startNode();
+      bad.endless = 'chunked body';
+      for (let index = 0; index < 10; index += 1)
+        expect((await system.lookup(node, `request-${index}`))?.status).to.equal(200);
+      expect(bad.endlessCalls).to.be.within(1, 9);
+    });
+  });
+});
