An attempt ends after its deadline though its answer keeps coming

Seen: when a hedge had answered, the first attempt was left to end by itself; a replica that sent one piece of a body each 50 ms kept its connection, its slot and the buffer of the answer for good. The same holds for a caller whose close never reaches the dispatcher.

Cause: only the caller's abort bounded an attempt; idle time-outs begin anew with every byte.

Fix: an attempt is aborted half a second after its deadline, later than callers abort (0.25 s), and its outcome is unknown, which ejects the replica.

--- a/src/coordination/service/dispatch/replica-exchange.ts
+++ b/src/coordination/service/dispatch/replica-exchange.ts
@@ -14,6 +14,11 @@
 
 /** Maximum body size of an answer, bytes. A larger one fails the attempt. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/**
+ * Time after the deadline for which an attempt waits for the rest of an answer, milliseconds. Longer than callers
+ * wait before they abort it.
+ */
+const ANSWER_GRACE_MS = 500;
 /** First back-off from a full replica, milliseconds. */
 const FULL_BACKOFF_MS = 60;
 /** HTTP 421 Misdirected Request: another replica has the address. */
@@ -97,18 +102,25 @@
     return outcome;
   }
 
-  /** Aborts an attempt when its replica restarts: the request may have run, but there will be no answer. */
+  /**
+   * Aborts an attempt when its replica restarts, since there will be no answer, and after its deadline even if
+   * nobody else does: the rest of a hedged request, or that of a caller whose disconnect is not seen. In both
+   * cases the request may have run.
+   */
   private async exchangeUntilRestart(state: ReplicaState, request: ReplicaRequest): Promise<AttemptOutcome> {
     const controller = new AbortController();
     const abort = () => controller.abort();
     const removeListener = state.onRestart(abort);
+    const timer = setTimeout(abort, request.remainingMs + ANSWER_GRACE_MS);
     request.signal.addEventListener('abort', abort, { once: true });
     if (request.signal.aborted) abort();
     try {
       const outcome = await this.exchange(state, { ...request, signal: controller.signal });
       if (outcome.kind !== 'cancelled' || request.signal.aborted) return outcome;
+      if (!state.hasRestarted) return { kind: 'unknown', reason: 'no whole answer by the deadline' };
       return { kind: 'unknown', reason: 'the replica has restarted', replicaCrashed: true };
     } finally {
+      clearTimeout(timer);
       removeListener();
       request.signal.removeEventListener('abort', abort);
     }
--- a/test/coordination/service/requests/endless-answers.test.ts
+++ b/test/coordination/service/requests/endless-answers.test.ts
@@ -106,5 +106,18 @@
         expect((await system.lookup(node, `request-${index}`))?.status).to.equal(200);
       expect(bad.endlessCalls).to.be.within(1, 9);
     });
+
+    it('are cut at the deadline though another replica has answered the request', async () => {
+      const [bad] = await Promise.all([system.addApplication(), system.addApplication()]);
+      await startNode();
+      Object.assign(bad, { endless: 'chunked body', endlessPaceMs: 50 });
+      await until('the replica got a request', async () => {
+        await system.lookup(node, `request-${monotonicMs()}`);
+        return bad.endlessCalls > 0;
+      });
+      const sinceMs = monotonicMs();
+      await untilClosed(bad);
+      expect(monotonicMs() - sinceMs).to.be.lessThan(2 * ROUTE_TIMEOUT_MS + ABORT_LIMIT_MS);
+    });
   });
 });
