Only whole events keep a stream going

Seen: items whose engine sent comments, or a line byte by byte, without end were not finished until the engine or the job ended; the other engine was idle. A stream counted as stalled only without any data.

Fix: a stream stalls when neither its head nor a whole event has come for the stall time; the engine is then ejected as before. The log line says 'stalled: no event for N ms'.

--- a/src/coordination/service/generation/attempt-monitor.ts
+++ b/src/coordination/service/generation/attempt-monitor.ts
@@ -25,7 +25,7 @@
   private readonly timer: NodeJS.Timeout;
   private readonly onAbort = () => this.controller.abort();
   private readonly unsubscribeRestart: () => void;
-  private lastDataAtMs = monotonicMs();
+  private lastProgressAtMs = monotonicMs();
   /** Arrival times of the most recent events on the monotonic clock, oldest first. */
   private readonly eventTimes: number[] = [];
   private abortOutcome: AbortOutcome | undefined;
@@ -52,14 +52,15 @@
     return this.abortOutcome;
   }
 
-  recordData(): void {
-    this.lastDataAtMs = monotonicMs();
+  recordHead(): void {
+    this.lastProgressAtMs = monotonicMs();
   }
 
-  /** Records the arrival of a complete event. */
+  /** Records the arrival of a complete event; other bytes are no progress. */
   recordEvent(): void {
     const previousAtMs = this.eventTimes.at(-1);
     const nowMs = monotonicMs();
+    this.lastProgressAtMs = nowMs;
     if (previousAtMs !== undefined) this.state.recordEventInterval(nowMs - previousAtMs);
     this.eventTimes.push(nowMs);
     if (this.eventTimes.length > PACE_WINDOW_EVENTS) this.eventTimes.shift();
@@ -73,8 +74,8 @@
 
   private check(): void {
     const { stallMs } = this.options;
-    if (monotonicMs() - this.lastDataAtMs >= stallMs) {
-      this.abortWith({ kind: 'broken', reason: `stalled: no data for ${Math.round(stallMs)} ms` });
+    if (monotonicMs() - this.lastProgressAtMs >= stallMs) {
+      this.abortWith({ kind: 'broken', reason: `stalled: no event for ${Math.round(stallMs)} ms` });
       return;
     }
     const pace = measurePace(this.eventTimes, monotonicMs());
--- a/src/coordination/service/generation/generation-attempt.ts
+++ b/src/coordination/service/generation/generation-attempt.ts
@@ -70,7 +70,7 @@
     if (!dispatched.error.requestSent) return { kind: 'declined', reason, isFull: false };
     return { kind: 'broken', reason, isConnectionLost: dispatched.error.failure === 'connection-lost' };
   }
-  monitor.recordData();
+  monitor.recordHead();
   const answer = dispatched.value;
   if (answer.status !== STATUS_OK) return classifyErrorResponse(answer);
   if (answer.matchesRequest) options.onAccepted();
@@ -121,7 +121,6 @@
 ): Promise<GenerationOutcome | undefined> {
   let version = answer.weightVersion ?? state.versionOf(options.model);
   for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-    monitor.recordData();
     for (const event of parser.push(chunk)) {
       version = eventVersion(event, client.eventVersionField, version);
       const rejection = validateEvent(event, version, text, options);
--- a/src/coordination/service/generation/generation-options.ts
+++ b/src/coordination/service/generation/generation-options.ts
@@ -16,7 +16,7 @@
   readonly isSingleVersion: boolean;
   /** Time that the replica may spend on the request, milliseconds. */
   readonly remainingMs: number;
-  /** Time without data after which the attempt is aborted, milliseconds. */
+  /** Time without an event after which the attempt is aborted, milliseconds. */
   readonly stallMs: number;
   /** Why the sample should move to another replica, given the pace at this one; called periodically. */
   readonly reasonToMove: (pace: AttemptPace) => string | undefined;
--- a/src/coordination/service/jobs/item-policy.ts
+++ b/src/coordination/service/jobs/item-policy.ts
@@ -18,7 +18,7 @@
   return isStarted ? PRIORITY_STARTED : PRIORITY_NEW;
 }
 
-/** Time without data after which an attempt is aborted, milliseconds. */
+/** Time without an event after which an attempt is aborted, milliseconds. */
 export function stallTimeoutMs({ targetLatencyMs }: Pick<Route, 'targetLatencyMs'>): number {
   return Math.max(MIN_STALL_MS, targetLatencyMs * STALL_LATENCY_FACTOR);
 }
--- /dev/null
+++ b/test/coordination/service/jobs/endless-streams.test.ts
@@ -0,0 +1,44 @@
+/** An engine that sends bytes without end must cost an item one attempt. */
+import type { EndlessKind } from '../../../../emulator/replica/endless-answers.js';
+import type { ReplicaServer } from '../../../../emulator/replica/replica-server.js';
+import { expectWhole, job } from '../../../support/jobs.js';
+import { type ServiceNodeProcess, ServiceSystem } from '../../../support/service-system.js';
+import { until } from '../../../support/wait.js';
+
+/** Time between two pieces of a stream that trickles, milliseconds. */
+const PACE_MS = 50;
+
+describe('endless streams of engines', () => {
+  let system: ServiceSystem;
+  let node: ServiceNodeProcess;
+
+  beforeEach(async () => {
+    system = await ServiceSystem.start();
+  });
+  afterEach(() => system.stop());
+
+  async function startNode(): Promise<void> {
+    node = await system.addNode('node-1');
+    await system.untilReady(node);
+  }
+
+  /** Runs a job while one of several replicas answers endlessly; resolves once that was cut. */
+  async function runBeside(bad: ReplicaServer, kind: EndlessKind, paceMs: number): Promise<void> {
+    Object.assign(bad, { endless: kind, endlessPaceMs: paceMs });
+    const submitted = job('job-1');
+    await system.trainer.submit(node.url, submitted);
+    await until('the replica was called', async () => bad.endlessCalls > 0);
+    expectWhole(await system.trainer.readAll([node.url], 'job-1', 6), submitted);
+    await until('its connections are closed', async () => bad.connectionCount() === 0);
+  }
+
+  for (const [kind, paceMs] of [
+    ['comments', PACE_MS],
+    ['line that never ends', PACE_MS],
+  ] as const)
+    it(`that trickle cost an attempt, their items go on elsewhere: ${kind}`, async () => {
+      const [bad] = await Promise.all([system.addEngine(), system.addEngine(), system.addApplication()]);
+      await startNode();
+      await runBeside(bad, kind, paceMs);
+    });
+});
