Answers that are being read share a memory budget

Seen: 24 answers at a time that stayed below the size limit of 16 MB and did not end took a node to 410 MB of memory, where 256 MB are its limit: each was bounded, their sum was not.

Fix: answers that are being read may take a tenth of the memory limit together; beyond that the largest one fails, which is the one that does not end rather than a small one beside it. Small chunks are copied into blocks: a chunk of its own costs many times its byte.

--- a/emulator/replica/endless-answers.ts
+++ b/emulator/replica/endless-answers.ts
@@ -66,25 +66,35 @@
   return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
 
-/**
- * Sends an answer without end until the other side closes: as fast as it reads, or one repetition each
- * `paceMs`. Calls `onSent` with the size of each write.
- */
+/** How bytes without end are sent. */
+export interface EndlessOptions {
+  /** Time between two repetitions, milliseconds; 0: as fast as the other side reads. */
+  readonly paceMs: number;
+  /** Bytes that are sent as fast as the other side reads, before any pace. */
+  readonly burstBytes?: number;
+  /** Called with the size of each write. */
+  readonly onSent: (bytes: number) => void;
+}
+
+/** Sends an answer without end until the other side closes. */
 export async function sendEndlessly(
   socket: Socket,
   kind: EndlessKind,
   id: string,
-  { paceMs = 0, onSent = () => {} }: { paceMs?: number; onSent?: (bytes: number) => void } = {},
+  { paceMs, burstBytes = 0, onSent }: EndlessOptions,
 ): Promise<void> {
   const { start, repeat }: EndlessAnswer = ANSWERS[kind](id);
   socket.on('error', () => {});
   socket.write(start);
+  let sentBytes = 0;
   for (let number = 0; !socket.destroyed; ) {
+    const isFast = paceMs === 0 || sentBytes < burstBytes;
     let text = repeat(number++);
-    while (paceMs === 0 && text.length < WRITE_BYTES) text += repeat(number++);
+    while (isFast && text.length < WRITE_BYTES) text += repeat(number++);
     const isFlushed = socket.write(text);
+    sentBytes += text.length;
     onSent(text.length);
-    if (paceMs > 0) await sleep(paceMs);
+    if (!isFast) await sleep(paceMs);
     else if (!isFlushed) await untilDrained(socket);
   }
 }
--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -88,6 +88,8 @@
   /** What every call gets until it is unset: bytes without end, at full speed or one piece each `endlessPaceMs`. */
   endless: EndlessKind | undefined;
   endlessPaceMs = 0;
+  /** Bytes of each call at full speed before that. */
+  endlessBurstBytes = 0;
   /** Calls that got bytes without end, and these bytes. */
   endlessCalls = 0;
   endlessBytes = 0;
@@ -311,7 +313,11 @@
     const onSent = (bytes: number) => {
       this.endlessBytes += bytes;
     };
-    return sendEndlessly(request.socket, kind, idOf(request), { paceMs: this.endlessPaceMs, onSent });
+    return sendEndlessly(request.socket, kind, idOf(request), {
+      paceMs: this.endlessPaceMs,
+      burstBytes: this.endlessBurstBytes,
+      onSent,
+    });
   }
 
   private async cutUnframed({ socket }: IncomingMessage, id: string): Promise<void> {
--- a/src/coordination/service/dispatch/replica-exchange.ts
+++ b/src/coordination/service/dispatch/replica-exchange.ts
@@ -8,6 +8,7 @@
 import type { ReplicaAnswer, ReplicaClient, ReplicaRequest } from '../../../protocol/service/replica.js';
 import type { ReplicaState } from '../../../state/service/replicas/index.js';
 import { readFully } from '../../../transport/http-client.js';
+import type { ReceiveBudget } from '../../../transport/receive-budget.js';
 import type { TransportError } from '../../../transport/transport-error.js';
 import type { CrashCheck } from './crash-check.js';
 import { digestOf } from './request-digest.js';
@@ -82,6 +83,7 @@
   constructor(
     readonly client: ReplicaClient,
     private readonly crashCheck: CrashCheck,
+    private readonly budget: ReceiveBudget,
     private readonly metrics: ServiceMetrics,
     private readonly logger: DecisionLogger,
   ) {}
@@ -148,7 +150,7 @@
       answer.body.destroy();
       return { kind: 'unknown', reason: defect };
     }
-    const body = await readFully(answer.body, MAX_ANSWER_BYTES);
+    const body = await readFully(answer.body, MAX_ANSWER_BYTES, this.budget);
     const declined = toDecline(answer);
     if (declined) return declined;
     if (defect) return { kind: 'unknown', reason: defect };
--- a/src/node/service/service-node.ts
+++ b/src/node/service/service-node.ts
@@ -22,6 +22,7 @@
   Framed,
 } from '../../protocol/service/dispatch-peer.js';
 import { type RoutingTable, TargetSplitter } from '../../state/service/configuration/index.js';
+import { ReceiveBudget } from '../../transport/receive-budget.js';
 import { drainDeadlines, waitUntil } from './drain.js';
 import { createNodeContext, type NodeContext, type ServiceNodeDependencies } from './node-context.js';
 import { NodeDispatch } from './node-dispatch.js';
@@ -33,6 +34,9 @@
 import { SingletonTasks } from './singleton-tasks.js';
 import { createLoadScheduler } from './weight-loading.js';
 
+/** Answers of replicas that are being read, as a fraction of the memory limit. */
+const ANSWER_MEMORY_FRACTION = 0.1;
+
 /** Subsystems that are started, measured or drained. */
 interface Subsystems {
   readonly peers: PeerAddresses;
@@ -69,7 +73,8 @@
     const quarantine = new RequestQuarantine({ store, metrics, logger });
     const splitter = new TargetSplitter();
     const crashCheck = new CrashCheck(metrics);
-    const exchange = new ReplicaExchange(parts.client, crashCheck, metrics, logger);
+    const budget = new ReceiveBudget(settings.memoryBytes * ANSWER_MEMORY_FRACTION);
+    const exchange = new ReplicaExchange(parts.client, crashCheck, budget, metrics, logger);
     const dispatch = new NodeDispatch({ ...context, settings, exchange, callPeer: parts.dispatchAtPeer });
     const tasks = new SingletonTasks(context, sessions, peers);
     const send: SendAttempt = (call, isRepeatable) => dispatch.remote.dispatch(call, isRepeatable);
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -8,6 +8,8 @@
 import type { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
 import { Agent, buildConnector, DecoratorHandler, type Dispatcher } from 'undici';
+import { ByteCollector } from './byte-collector.js';
+import type { ReceiveBudget } from './receive-budget.js';
 import { limitReceivedBytes } from './receive-limits.js';
 import { TransportError, toTransportError } from './transport-error.js';
 
@@ -81,23 +83,32 @@
 const KEEP_ALIVE_MS = 4_000;
 const DEFAULT_BODY_LIMIT_BYTES = 32 * 1024 * 1024;
 
-/** Buffers a stream of at most `limitBytes`. Fails if it is truncated. */
-export async function readFully(body: Readable, limitBytes: number): Promise<Result<Buffer, TransportError>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+/**
+ * Buffers a stream of at most `limitBytes`. Fails if it is truncated, or if its bytes exceed the budget with
+ * those of others and are the most.
+ */
+export async function readFully(
+  body: Readable,
+  limitBytes: number,
+  budget?: ReceiveBudget,
+): Promise<Result<Buffer, TransportError>> {
+  const received = new ByteCollector();
+  const reading = budget?.begin((cause) => body.destroy(cause));
   try {
     for await (const chunk of body) {
-      size += chunk.length;
-      if (size > limitBytes) {
+      received.add(chunk);
+      if (received.length > limitBytes) {
         body.destroy();
         return err(new TransportError('body-too-large', true, `body exceeds ${limitBytes} bytes`));
       }
-      chunks.push(chunk);
+      reading?.add(chunk.length);
     }
   } catch (cause) {
     return err(toTransportError(cause));
+  } finally {
+    reading?.end();
   }
-  return ok(Buffer.concat(chunks));
+  return ok(received.concat());
 }
 
 /** The methods of the base class, which its type omits. */
--- a/test/coordination/service/requests/endless-answers.test.ts
+++ b/test/coordination/service/requests/endless-answers.test.ts
@@ -1,4 +1,5 @@
 /** A replica that sends bytes without end must cost its callers one attempt. */
+import { readFileSync } from 'node:fs';
 import { expect } from 'chai';
 import type { EndlessKind } from '../../../../emulator/replica/endless-answers.js';
 import type { ReplicaServer } from '../../../../emulator/replica/replica-server.js';
@@ -14,6 +15,14 @@
 /** Time-out of the routes, and time after it until the connection to the replica is aborted, milliseconds. */
 const ROUTE_TIMEOUT_MS = 1_000;
 const ABORT_LIMIT_MS = 1_500;
+const KILOBYTE = 1024;
+const MEGABYTE = 1024 * 1024;
+/** Most memory of a node under endless answers (its limit is 256 MB), and their number and size at a time. */
+const MEMORY_LIMIT_BYTES = 230 * MEGABYTE;
+const CONCURRENT_REQUESTS = 24;
+const BURST_BYTES = 12 * MEGABYTE;
+/** As on small machines. */
+const NODE_OPTIONS = '--max-old-space-size=192 --max-semi-space-size=2';
 /** Kinds that exceed a size at full speed. */
 const BY_SIZE: readonly EndlessKind[] = [
   'line breaks before the head',
@@ -36,6 +45,12 @@
   'chunk extension',
 ];
 
+/** Greatest memory of a process so far, bytes. */
+function peakMemory({ child }: ServiceNodeProcess): number {
+  const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+  return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) * KILOBYTE;
+}
+
 describe('endless answers of replicas', () => {
   let system: ServiceSystem;
   let node: ServiceNodeProcess;
@@ -46,7 +61,7 @@
   }
 
   async function startNode(): Promise<void> {
-    node = await system.addNode('node-1');
+    node = await system.addNode('node-1', {}, { NODE_OPTIONS });
     await system.untilReady(node);
   }
 
@@ -119,5 +134,20 @@
       await untilClosed(bad);
       expect(monotonicMs() - sinceMs).to.be.lessThan(2 * ROUTE_TIMEOUT_MS + ABORT_LIMIT_MS);
     });
+
+    it('do not exhaust the memory of a node when many stay just below the size limit', async () => {
+      await system.stop();
+      await start({ timeoutMs: 2 * ROUTE_TIMEOUT_MS });
+      const bad = await system.addApplication({ slots: CONCURRENT_REQUESTS });
+      await startNode();
+      const fault = { endless: 'chunked body', endlessPaceMs: 50, endlessBurstBytes: BURST_BYTES };
+      Object.assign(bad, fault);
+      const answers = await Promise.all(
+        Array.from({ length: CONCURRENT_REQUESTS }, (_, index) => system.lookup(node, `request-${index}`)),
+      );
+      expect(answers.every((answer) => answer !== undefined && answer.status >= 500)).to.equal(true);
+      expect(node.child.exitCode).to.equal(null);
+      expect(peakMemory(node)).to.be.lessThan(MEMORY_LIMIT_BYTES);
+    });
   });
 });
--- a/test/support/service-system.ts
+++ b/test/support/service-system.ts
@@ -157,12 +157,17 @@
   }
 
   /** Starts a node under a name; a second start under the same name is its next incarnation. */
-  async addNode(name: string, settings: Readonly<Record<string, string>> = {}): Promise<ServiceNodeProcess> {
+  async addNode(
+    name: string,
+    settings: Readonly<Record<string, string>> = {},
+    environment: Readonly<Record<string, string>> = {},
+  ): Promise<ServiceNodeProcess> {
     const proxy = await FaultProxy.start(`http://${this.storeAddress}`);
     const file = join(this.folder, `${name}-${this.nodes.length}.conf`);
     writeFileSync(file, this.settingsText(name, proxy, settings));
     const args = [PROGRAM, '--metrics-port', '0'];
-    const child = spawn(process.execPath, args, { env: { ...process.env, [SETTINGS_VARIABLE]: file } });
+    const env = { ...process.env, ...environment, [SETTINGS_VARIABLE]: file };
+    const child = spawn(process.execPath, args, { env });
     const log: LoggedRecord[] = [];
     const started = await untilStarted(name, child, log);
     const { ingress, readiness, metrics } = started.context;
