The transcript of an engine's stream is bounded (resource interface)

Suspected by reading, shown by a unit test: an event that never ends was collected whole and copied anew with every piece, and events without end were kept until the deadline of the request. Before, the new test (4 MB of one event, 38 MB of events) threw nothing.

Only what is new is searched for the end of an event.

--- a/src/coordination/resource/rollouts/event-transcript.ts
+++ b/src/coordination/resource/rollouts/event-transcript.ts
@@ -3,9 +3,13 @@
  * the text is needed: at the end of a sample, or to resume on another engine.
  */
 import { err, ok, type Result } from 'neverthrow';
+import { GrowingBuffer } from '../../../common/growing-buffer.js';
 import { type EngineChunk, parseEventLine, STREAM_END } from '../../../protocol/resource/engine.js';
 import type { Segment } from '../../../protocol/resource/trainer.js';
 
+/** Bounds the memory for a stream without blank lines, and for one without an end. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+const MAX_TRANSCRIPT_BYTES = 32 * 1024 * 1024;
 const EVENT_END = Buffer.from('\n\n');
 const END_EVENT = Buffer.from(`data: ${STREAM_END}\n\n`);
 
@@ -23,9 +27,16 @@
   readonly chunks: Buffer[];
 }
 
+/** Thrown for an event or a transcript that exceeds its limit. */
+export class TranscriptSizeError extends Error {
+  override readonly name = 'TranscriptSizeError';
+}
+
 export class EventTranscript {
   private readonly parts: Part[] = [];
-  private partialEvent: Buffer = Buffer.alloc(0);
+  private partialEvent = new GrowingBuffer();
+  /** Size of the complete events of all parts. */
+  private bytes = 0;
   private ended = false;
 
   /** Whether the end-of-stream event was received. */
@@ -39,20 +50,22 @@
 
   /** Starts the part of the next engine; discards a partial event of the previous one. */
   beginPart(engine: string): void {
-    this.partialEvent = Buffer.alloc(0);
+    this.partialEvent = new GrowingBuffer();
     this.parts.push({ engine, chunks: [] });
   }
 
-  /** Appends received bytes; returns the bytes of all events that are now complete. */
+  /** Appends received bytes; returns the bytes of all events that are now complete. Throws `TranscriptSizeError`. */
   append(bytes: Buffer): Buffer {
-    const joined = this.partialEvent.length === 0 ? bytes : Buffer.concat([this.partialEvent, bytes]);
-    const at = joined.lastIndexOf(EVENT_END);
-    if (at < 0) {
-      this.partialEvent = joined;
-      return Buffer.alloc(0);
-    }
-    const complete = joined.subarray(0, at + EVENT_END.length);
-    this.partialEvent = joined.subarray(at + EVENT_END.length);
+    const searchFrom = Math.max(0, this.partialEvent.length - 1);
+    const joined = this.partialEvent.append(bytes);
+    const at = joined.subarray(searchFrom).lastIndexOf(EVENT_END);
+    const end = at < 0 ? 0 : searchFrom + at + EVENT_END.length;
+    const complete = Buffer.from(joined.subarray(0, end));
+    if (end > 0) this.partialEvent.dropFirst(end);
+    this.bytes += end;
+    if (this.partialEvent.length > MAX_EVENT_BYTES || this.bytes > MAX_TRANSCRIPT_BYTES)
+      throw new TranscriptSizeError('the stream of an engine exceeds its size limit');
+    if (end === 0) return complete;
     this.parts.at(-1)?.chunks.push(complete);
     this.ended = complete.subarray(-END_EVENT.length).equals(END_EVENT);
     return complete;
--- a/test/coordination/resource/rollouts/event-transcript.test.ts
+++ b/test/coordination/resource/rollouts/event-transcript.test.ts
@@ -1,6 +1,9 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { EventTranscript } from '../../../../src/coordination/resource/rollouts/event-transcript.js';
+import {
+  EventTranscript,
+  TranscriptSizeError,
+} from '../../../../src/coordination/resource/rollouts/event-transcript.js';
 
 const event = (text: string, tokens: number, version: number, reason: string | null = null) =>
   `data: ${JSON.stringify({ id: 'r', text, tokens, weight_version: version, finish_reason: reason })}\n\n`;
@@ -36,6 +39,20 @@
     );
   });
 
+  it('bounds an event that never ends, and events without end', () => {
+    const piece = Buffer.alloc(64 * 1024, 'x');
+    const partial = new EventTranscript();
+    partial.beginPart('e1');
+    expect(() => {
+      for (let count = 0; count < 64; count += 1) partial.append(piece);
+    }).to.throw(TranscriptSizeError);
+    const events = new EventTranscript();
+    events.beginPart('e1');
+    expect(() => {
+      for (let count = 0; count < 600; count += 1) events.append(Buffer.concat([piece, Buffer.from('\n\n')]));
+    }).to.throw(TranscriptSizeError);
+  });
+
   it('reports completion only after the end-of-stream event', () => {
     fc.assert(
       fc.property(fc.integer({ min: 0, max: stream.length - 1 }), (cut) => {
