--- a/src/coordination/resource/requests/application-relay.ts
+++ b/src/coordination/resource/requests/application-relay.ts
@@ -11,7 +11,12 @@
 import type { ResourceOf } from '../../../protocol/resource/resource.js';
 import type { BackendEntry } from '../../../state/resource/backends/index.js';
 import type { DecisionLog } from '../../../state/resource/decision-log.js';
-import type { HeaderMap, HttpClient, IncomingResponse } from '../../../transport/http-client.js';
+import {
+  discardBody,
+  type HeaderMap,
+  type HttpClient,
+  type IncomingResponse,
+} from '../../../transport/http-client.js';
 import type { TransportError } from '../../../transport/transport-error.js';
 import { CoordinationError, type CoordinationResult, worseOf } from '../coordination-error.js';
 import { AT_CAPACITY_RETRY_MS, rejection } from './rejection.js';
@@ -161,7 +166,7 @@
     const response = sent.value;
     if (response.headers[NOT_ADMITTED_HEADER] === 'true') {
       release();
-      response.body.resume();
+      void discardBody(response.body);
       return err(this.recordNotAdmitted(service, backend, retryAfterMs(response.headers)));
     }
     backend.recordSuccess();
--- a/src/protocol/service/dispatch-peer.ts
+++ b/src/protocol/service/dispatch-peer.ts
@@ -6,7 +6,7 @@
 import type { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
 import Type, { type Static } from 'typebox';
-import { type HttpClient, readFully } from '../../transport/http-client.js';
+import { discardBody, type HttpClient, readFully } from '../../transport/http-client.js';
 import { TransportError } from '../../transport/transport-error.js';
 import { Validator } from '../validation.js';
 
@@ -142,7 +142,7 @@
   if (response.isErr())
     return { kind: response.error.requestSent ? 'lost' : 'not-taken', reason: response.error.message };
   if (response.value.status !== STATUS_OK) {
-    response.value.body.resume();
+    void discardBody(response.value.body);
     return { kind: 'not-taken', reason: `status ${response.value.status}` };
   }
   onAcknowledged();
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -81,6 +81,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
 const CONNECT_TIMEOUT_MS = 2_000;
 const KEEP_ALIVE_MS = 4_000;
+const MAX_DISCARDED_BYTES = 64 * 1024;
+const DISCARD_TIMEOUT_MS = 1_000;
 const DEFAULT_BODY_LIMIT_BYTES = 32 * 1024 * 1024;
 
 /**
@@ -111,6 +113,13 @@
   return ok(received.concat());
 }
 
+/** Reads a body that nobody needs, so that its connection can be reused, unless it is long or slow. */
+export async function discardBody(body: Readable): Promise<void> {
+  const timer = setTimeout(() => body.destroy(), DISCARD_TIMEOUT_MS);
+  await readFully(body, MAX_DISCARDED_BYTES);
+  clearTimeout(timer);
+}
+
 /** The methods of the base class, which its type omits. */
 const baseHandler = DecoratorHandler.prototype as Dispatcher.DispatchHandler;
 
