The text of a sample is bounded

Seen: events in their order without end were kept until their job ended, at the speed of the connection.

Fix: a text may have 4 MB, each event counting 64 bytes more than its data, so that 60,000 short ones fit. Beyond that the attempt is broken, the engine ejected and the text begins anew: what was made is not credible.

--- a/src/coordination/service/generation/generation-attempt.ts
+++ b/src/coordination/service/generation/generation-attempt.ts
@@ -132,6 +132,11 @@
       text.append(event.id, event.data, version);
       monitor.recordEvent();
     }
+    if (text.isTooLarge) {
+      answer.body.destroy();
+      text.clear();
+      return { kind: 'broken', reason: 'the text exceeds the size limit and begins anew' };
+    }
   }
   return undefined;
 }
--- a/src/coordination/service/generation/sample-text.ts
+++ b/src/coordination/service/generation/sample-text.ts
@@ -3,19 +3,24 @@
  */
 import type { PartialText } from '../../../protocol/service/batch-job.js';
 
+/** Bounds the memory of a text whose replica sends events without end; each event counts as this much more. */
+const MAX_TEXT_BYTES = 4 * 1024 * 1024;
+const EVENT_OVERHEAD_BYTES = 64;
+
 /** Collects events across attempts; each attempt continues after the last event. */
 export class SampleText {
   private readonly events: string[] = [];
   private readonly versionSet = new Set<number>();
   private lastId: string | undefined;
   private savedCount = 0;
+  private bytes = 0;
   /** Whether the stream was read to its end. */
   isComplete = false;
 
   /** Restores the text that an earlier owner stored. */
   static from(partial: PartialText): SampleText {
     const text = new SampleText();
-    text.events.push(...partial.events);
+    for (const event of partial.events) text.add(event);
     for (const version of partial.versions) text.versionSet.add(version);
     text.lastId = partial.events.length > 0 ? partial.lastEventId : undefined;
     text.isComplete = partial.isWhole;
@@ -42,14 +47,20 @@
     return this.lastId === undefined || Number(id) === Number(this.lastId) + 1;
   }
 
+  /** Whether it exceeds the size that a sample may have. */
+  get isTooLarge(): boolean {
+    return this.bytes > MAX_TEXT_BYTES;
+  }
+
   append(id: string, data: string, version: number): void {
-    this.events.push(data);
+    this.add(data);
     this.lastId = id;
     this.versionSet.add(version);
   }
 
   clear(): void {
     this.events.length = 0;
+    this.bytes = 0;
     this.versionSet.clear();
     this.lastId = undefined;
     this.savedCount = 0;
@@ -80,4 +91,9 @@
       isWhole: this.isComplete,
     };
   }
+
+  private add(event: string): void {
+    this.events.push(event);
+    this.bytes += event.length + EVENT_OVERHEAD_BYTES;
+  }
 }
--- a/test/coordination/service/jobs/endless-streams.test.ts
+++ b/test/coordination/service/jobs/endless-streams.test.ts
@@ -28,6 +28,10 @@
     await system.untilReady(node);
   }
 
+  /** Attempts that ended since their text was too large. */
+  const attemptsCut = () =>
+    node.log.filter(({ context }) => String(context.detail).includes('exceeds the size limit')).length;
+
   /** Runs a job while one of several replicas answers endlessly; resolves once that was cut. */
   async function runBeside(bad: ReplicaServer, kind: EndlessKind, paceMs: number): Promise<void> {
     Object.assign(bad, { endless: kind, endlessPaceMs: paceMs });
@@ -51,6 +55,17 @@
       await runBeside(bad, kind, paceMs);
     });
 
+  it('of valid events are bounded in size, and the item begins anew', async () => {
+    const [bad] = await Promise.all([system.addEngine(), system.addApplication()]);
+    await startNode();
+    bad.endless = 'events';
+    const submitted = job('job-1');
+    await system.trainer.submit(node.url, submitted);
+    await until('an attempt was cut', async () => bad.endlessCalls > 0 && attemptsCut() > 0);
+    bad.endless = undefined;
+    expectWhole(await system.trainer.readAll([node.url], 'job-1', 6), submitted);
+  });
+
   it('to scoring calls cost an attempt, the items are scored elsewhere', async () => {
     const [bad] = await Promise.all([system.addApplication(), system.addApplication(), system.addEngine()]);
     system.configure(usualConfiguration(2, { score: { timeoutMs: SCORING_TIMEOUT_MS } }));
