Soak: replicas that send bytes without end

Two kinds of trouble, at the end of the list: one engine or application answers every call with bytes without end, of any kind that is no answer, at full speed or piece by piece.

--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -20,6 +20,7 @@
   crashEngine,
   crowd,
   drainEngine,
+  endless,
   engineRestarted,
   engineRestartedWhileDraining,
   engineRestartedWhileLoading,
@@ -167,6 +168,8 @@
   'usage-answers-lost': async ({ system }) => {
     system.usage.answersToLose = 2;
   },
+  'engine-endless': endless('engines'),
+  'application-endless': endless('applications'),
 };
 
 /** Faults that end or pause node processes: one at a time, so that a process is not ended twice. */
--- a/bench/soak/replica-faults.ts
+++ b/bench/soak/replica-faults.ts
@@ -1,4 +1,5 @@
 /** Faults of engines and applications, of their announcements, and of what callers send them. */
+import { ENDLESS_FAILURES } from '../../emulator/replica/endless-answers.js';
 import type { ReplicaServer } from '../../emulator/replica/replica-server.js';
 import { TABLE } from '../../platform/names.js';
 import { monotonicMs, sleep } from '../../src/common/clock.js';
@@ -23,6 +24,8 @@
 /** Longest time for which a restarting replica is down, and steps of its time of day, milliseconds. */
 const LONGEST_DOWN_MS = 600;
 const CLOCK_STEPS_MS = [0, 0, 0, 2_000, -2_000];
+/** Times between the pieces of bytes without end, milliseconds; 0: at full speed. */
+const ENDLESS_PACES_MS = [0, 50];
 /** Most restarts of one replica in a row. */
 const LONGEST_SERIES = 3;
 
@@ -134,6 +137,18 @@
   };
 });
 
+/** One replica answers every call with bytes without end, at full speed or piece by piece. */
+export const endless = (from: 'engines' | 'applications'): Fault =>
+  lasting((stage) => {
+    const { random } = stage;
+    const replica = random.pick([...stage[from]]);
+    replica.endless = random.pick(ENDLESS_FAILURES);
+    replica.endlessPaceMs = random.pick(ENDLESS_PACES_MS);
+    return () => {
+      replica.endless = undefined;
+    };
+  });
+
 /** Multiplies a time of one engine for a while, unless it is multiplied already. */
 export const slowed =
   (field: 'workMs' | 'loadMs', factor: number): Fault =>
--- a/emulator/replica/endless-answers.ts
+++ b/emulator/replica/endless-answers.ts
@@ -46,6 +46,11 @@
 
 export type EndlessKind = keyof typeof ANSWERS;
 
+/** Kinds that are no answer, nor the events of one. */
+export const ENDLESS_FAILURES = (Object.keys(ANSWERS) as EndlessKind[]).filter(
+  (kind) => kind !== 'events' && !kind.endsWith('after the answer'),
+);
+
 function headOf(id: string): string {
   return rawHead(id, `signed-${id}`);
 }
--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -79,7 +79,7 @@
   id = '';
   address = '';
   readonly received: ReceivedRequest[] = [];
-  /** IDs of the requests that were read while `isSilent`, which are never answered. */
+  /** IDs of the requests that were read while `isSilent` or `endless`, which are never answered. */
   readonly unansweredIds: string[] = [];
   readonly orders: ReceivedOrder[] = [];
   readonly versions: Map<string, number>;
@@ -191,6 +191,7 @@
     await this.server.start(Number(this.address.slice(this.address.lastIndexOf(':') + 1)));
     this.hasCrashed = false;
     this.isSilent = false;
+    this.endless = undefined;
     this.isLoading = false;
     this.active = 0;
     this.heartbeats = 0;
@@ -250,7 +251,7 @@
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await receiveBody(request);
-    if (body && this.isSilent) this.unansweredIds.push(idOf(request));
+    if (body && (this.isSilent || this.endless)) this.unansweredIds.push(idOf(request));
     if (!body || this.isSilent) return;
     if (this.endless) return this.answerEndlessly(request, this.endless);
     if (request.url === REPLICA_PATH.report) return this.report(response);
