--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -21,6 +21,7 @@
   crashEngine,
   crowd,
   drainEngine,
+  endless,
   engineRestarted,
   engineRestartedWhileDraining,
   engineRestartedWhileLoading,
@@ -171,6 +172,8 @@
   'peer-calls-late': lateCalls,
   'peer-caller-killed': callerKilled,
   'peer-frozen-beside-stops': frozenBesideStops,
+  'engine-endless': endless('engines'),
+  'application-endless': endless('applications'),
 };
 
 /** Faults that end or pause node processes: one at a time, so that a process is not ended twice. */
--- a/src/coordination/service/dispatch/replica-exchange.ts
+++ b/src/coordination/service/dispatch/replica-exchange.ts
@@ -8,12 +8,18 @@
 import type { ReplicaAnswer, ReplicaClient, ReplicaRequest } from '../../../protocol/service/replica.js';
 import type { ReplicaState } from '../../../state/service/replicas/index.js';
 import { readFully } from '../../../transport/http-client.js';
+import type { ReceiveBudget } from '../../../transport/receive-budget.js';
 import type { TransportError } from '../../../transport/transport-error.js';
 import type { CrashCheck } from './crash-check.js';
 import { digestOf } from './request-digest.js';
 
 /** Maximum body size of an answer, bytes. A larger one fails the attempt. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/**
+ * Time after the deadline for which an attempt waits for the rest of an answer, milliseconds. Longer than callers
+ * wait before they abort it.
+ */
+const ANSWER_GRACE_MS = 500;
 /** First back-off from a full replica, milliseconds. */
 const FULL_BACKOFF_MS = 60;
 /** HTTP 421 Misdirected Request: another replica has the address. */
@@ -79,6 +85,7 @@
   constructor(
     readonly client: ReplicaClient,
     private readonly crashCheck: CrashCheck,
+    private readonly budget: ReceiveBudget,
     private readonly metrics: ServiceMetrics,
     private readonly logger: DecisionLogger,
   ) {}
@@ -99,18 +106,25 @@
     return outcome;
   }
 
-  /** Aborts an attempt when its replica restarts: the request may have run, but there will be no answer. */
+  /**
+   * Aborts an attempt when its replica restarts, since there will be no answer, and after its deadline even if
+   * nobody else does: the rest of a hedged request, or that of a caller whose disconnect is not seen. In both
+   * cases the request may have run.
+   */
   private async exchangeUntilRestart(state: ReplicaState, request: ReplicaRequest): Promise<AttemptOutcome> {
     const controller = new AbortController();
     const abort = () => controller.abort();
     const removeListener = state.onRestart(abort);
+    const timer = setTimeout(abort, request.remainingMs + ANSWER_GRACE_MS);
     request.signal.addEventListener('abort', abort, { once: true });
     if (request.signal.aborted) abort();
     try {
       const outcome = await this.exchange(state, { ...request, signal: controller.signal });
       if (outcome.kind !== 'cancelled' || request.signal.aborted) return outcome;
+      if (!state.hasRestarted) return { kind: 'unknown', reason: 'no whole answer by the deadline' };
       return { kind: 'unknown', reason: 'the replica has restarted', replicaCrashed: true };
     } finally {
+      clearTimeout(timer);
       removeListener();
       request.signal.removeEventListener('abort', abort);
     }
@@ -138,7 +152,7 @@
       answer.body.destroy();
       return { kind: 'unknown', reason: defect };
     }
-    const body = await readFully(answer.body, MAX_ANSWER_BYTES);
+    const body = await readFully(answer.body, MAX_ANSWER_BYTES, this.budget);
     const declined = toDecline(answer);
     if (declined) return declined;
     if (defect) return { kind: 'unknown', reason: defect };
--- a/test/node/service/mixed-builds.test.ts
+++ b/test/node/service/mixed-builds.test.ts
@@ -85,7 +85,7 @@
 
   async function startNode(name: string): Promise<void> {
     const program = builds.get(name) === 'older' ? older.program : PROGRAM;
-    const node = await system.addNode(name, {}, program);
+    const node = await system.addNode(name, {}, { program });
     nodes.set(name, node);
     await system.untilReady(node);
   }
--- a/test/support/service-system.ts
+++ b/test/support/service-system.ts
@@ -40,6 +40,12 @@
   readonly context: Readonly<Record<string, string | number | undefined>>;
 }
 
+/** What is run as a node; the program of this build without more by default. */
+interface NodeProgram {
+  readonly program?: string;
+  readonly environment?: Readonly<Record<string, string>>;
+}
+
 /** One node process. */
 export interface ServiceNodeProcess {
   readonly name: string;
@@ -180,7 +186,7 @@
   async addNode(
     name: string,
     settings: Readonly<Record<string, string>> = {},
-    program = PROGRAM,
+    { program = PROGRAM, environment = {} }: NodeProgram = {},
   ): Promise<ServiceNodeProcess> {
     const proxy = await FaultProxy.start(`http://${this.storeAddress}`);
     const relay = this.relays && (await LateRelay.start());
@@ -188,7 +194,8 @@
     const file = join(this.folder, `${name}-${this.nodes.length}.conf`);
     writeFileSync(file, this.settingsText(name, proxy, settings));
     const args = [program, '--metrics-port', '0'];
-    const child = spawn(process.execPath, args, { env: { ...process.env, [SETTINGS_VARIABLE]: file } });
+    const env = { ...process.env, ...environment, [SETTINGS_VARIABLE]: file };
+    const child = spawn(process.execPath, args, { env });
     child.once('exit', () => relay?.refuse());
     const log: LoggedRecord[] = [];
     const started = await untilStarted(name, child, log);
