A dispatcher that cannot tell whether a job is open leaves its calls to others

Cause, by reading: a dispatcher whose feed of jobs alone stalls, while the store answers its other calls, rejected every scoring call; its callers, whose own view is current, sent them to it again and again, since a rejection ejects no dispatcher.

Change: such a call is not taken on arrival, so its caller tries the next dispatcher and then its own queue. What becomes unconfirmed in the queue is rejected as before.

--- a/src/node/service/node-dispatch.ts
+++ b/src/node/service/node-dispatch.ts
@@ -82,15 +82,15 @@
   }
 
   /**
-   * Queues a request from a peer; `undefined` while draining, while only the peer reaches the store, or if the
-   * request took too long to arrive.
+   * Queues a request from a peer; `undefined` while draining, while only the peer reaches the store, while this
+   * node cannot tell whether the job of the request is open, or if the request took too long to arrive.
    */
   dispatchForPeer(
     framed: Framed<DispatchMessage>,
     signal: AbortSignal,
   ): Promise<Framed<DispatchOutcomeMessage>> | undefined {
     const isStale = framed.message.isServed && !this.services.store.isAnswering();
-    if (this.queues.areClosed || isStale) return undefined;
+    if (this.queues.areClosed || isStale || this.isUnconfirmed(framed.message)) return undefined;
     const transitMs = transitMsOf(framed.message, this.services.store.clockMs());
     if (transitMs !== undefined && isLate(transitMs)) {
       reportLateCall(this.services, framed.message, transitMs);
@@ -132,6 +132,11 @@
     return perSecond / Math.max(1, this.fleet.members.length);
   }
 
+  /** Whether another node should take a request since this one's view of its job is too old. */
+  private isUnconfirmed({ jobId }: DispatchMessage): boolean {
+    return jobId !== undefined && this.services.jobGate.check(jobId) === 'unconfirmed';
+  }
+
   private obstacleOf(call: DispatchCall): RejectionReason | undefined {
     if (!this.isAllowed(call)) return 'route-removed';
     const verdict = call.jobId === undefined ? 'open' : this.services.jobGate.check(call.jobId);
