The time of a call on its way is never overestimated

Change: the offset of the store's clock is known as bounds (between the request and the answer); a call names the latest time at which it may have been sent, and the receiver compares the earliest time now. What is late has been late at least that long, so no tolerance is needed. An earlier build sends no time, as before.

--- a/src/coordination/service/dispatch/dispatch-messages.ts
+++ b/src/coordination/service/dispatch/dispatch-messages.ts
@@ -13,7 +13,6 @@
 } from '../../../protocol/service/dispatch-peer.js';
 import type { DispatchCall, DispatchResult } from './dispatch-call.js';
 import type { AttemptOutcome } from './replica-exchange.js';
-import { deductibleMs } from './transit.js';
 
 const NO_BODY = Buffer.alloc(0);
 
@@ -21,7 +20,7 @@
 export interface SenderState {
   /** Whether the store answers the node. */
   readonly isStoreAnswering: boolean;
-  /** The clock of the store, milliseconds; `undefined` while unknown. */
+  /** Latest time now on the clock of the store, milliseconds; `undefined` while unknown. */
   readonly storeTimeMs: number | undefined;
 }
 
@@ -81,7 +80,7 @@
     sentAtMs: _sentAtMs,
     ...request
   } = message;
-  const asOfMs = monotonicMs() - deductibleMs(transitMs);
+  const asOfMs = monotonicMs() - (transitMs ?? 0);
   return {
     service,
     workKind,
--- a/src/coordination/service/dispatch/dispatcher-client.ts
+++ b/src/coordination/service/dispatch/dispatcher-client.ts
@@ -27,7 +27,7 @@
 export interface DispatcherClientServices {
   /** Whether the store answers this node. */
   readonly isStoreAnswering: () => boolean;
-  /** The clock of the store, milliseconds; `undefined` while unknown. */
+  /** Latest time now on the clock of the store, milliseconds; `undefined` while unknown. */
   readonly storeTimeMs: () => number | undefined;
   readonly call: PeerCall;
 }
--- a/src/coordination/service/dispatch/transit.ts
+++ b/src/coordination/service/dispatch/transit.ts
@@ -6,24 +6,20 @@
 
 /** Beyond it a call is not taken: callers of repeatable requests have left, others send it elsewhere. */
 const MAX_TRANSIT_MS = 500;
-/** Error of the nodes' estimates of the clock: a time on the way below it is not deducted. */
-const CLOCK_ERROR_MS = 100;
 
-/** Time that a message took to this node, milliseconds; `undefined` without a common clock. */
+/**
+ * Time that a message took to this node at least, milliseconds; `undefined` without a common clock. The sender
+ * tells the latest time at which it may have sent the message, and `earliestMs` is the earliest time now.
+ */
 export function transitMsOf(
   { sentAtMs }: Pick<DispatchMessage, 'sentAtMs'>,
-  storeTimeMs: number | undefined,
+  earliestMs: number | undefined,
 ): number | undefined {
-  if (sentAtMs === undefined || storeTimeMs === undefined) return undefined;
-  return Math.max(0, storeTimeMs - sentAtMs);
+  if (sentAtMs === undefined || earliestMs === undefined) return undefined;
+  return Math.max(0, earliestMs - sentAtMs);
 }
 
 /** Whether a call took so long that it must not be dispatched. */
 export function isLate(transitMs: number): boolean {
   return transitMs > MAX_TRANSIT_MS;
 }
-
-/** Time to deduct from the remaining time of a call, milliseconds. */
-export function deductibleMs(transitMs: number | undefined): number {
-  return transitMs === undefined || transitMs < CLOCK_ERROR_MS ? 0 : transitMs;
-}
--- a/src/node/service/node-dispatch.ts
+++ b/src/node/service/node-dispatch.ts
@@ -72,7 +72,7 @@
       directory,
       queues: this.queues,
       isStoreAnswering: () => store.isAnswering(),
-      storeTimeMs: () => store.clockMs(),
+      storeTimeMs: () => store.clock()?.latestMs,
       call: dispatchAtPeer,
       metrics,
       logger,
@@ -91,7 +91,7 @@
   ): Promise<Framed<DispatchOutcomeMessage>> | undefined {
     const isStale = framed.message.isServed && !this.services.store.isAnswering();
     if (this.queues.areClosed || isStale || this.isUnconfirmed(framed.message)) return undefined;
-    const transitMs = transitMsOf(framed.message, this.services.store.clockMs());
+    const transitMs = transitMsOf(framed.message, this.services.store.clock()?.earliestMs);
     if (transitMs !== undefined && isLate(transitMs)) {
       reportLateCall(this.services, framed.message, transitMs);
       return undefined;
--- a/src/protocol/record-store.ts
+++ b/src/protocol/record-store.ts
@@ -106,6 +106,12 @@
   readonly objectBytes: number;
 }
 
+/** The store's steady clock is between these times, milliseconds. */
+export interface StoreClock {
+  readonly earliestMs: number;
+  readonly latestMs: number;
+}
+
 /** Client of the store. Never retries a call. */
 export interface RecordStore {
   readonly limits: RecordStoreLimits;
@@ -131,6 +137,6 @@
   isAnswering(): boolean;
   /** The store's steady clock, milliseconds, estimated from its newest answer. */
   nowMs(): number;
-  /** The same, comparable between nodes; `undefined` until the store has told its time. */
-  clockMs(): number | undefined;
+  /** Bounds of the store's clock now; `undefined` until the store has told its time. */
+  clock(): StoreClock | undefined;
 }
--- a/src/protocol/service/dispatch-peer.ts
+++ b/src/protocol/service/dispatch-peer.ts
@@ -48,7 +48,7 @@
   isServed: Type.Boolean(),
   /** Job on whose behalf the request is sent; earlier builds omit it. */
   jobId: Type.Optional(Type.String({ maxLength: MAX_NAME_LENGTH })),
-  /** When the call was sent, on the clock of the store, milliseconds; omitted while that clock is unknown. */
+  /** Latest time of sending on the clock of the store, milliseconds; omitted while that clock is unknown. */
   sentAtMs: Type.Optional(Type.Number()),
 });
 export type DispatchMessage = Static<typeof CallSchema>;
--- a/src/state/service/store/instrumented-store.ts
+++ b/src/state/service/store/instrumented-store.ts
@@ -15,6 +15,7 @@
   RecordStoreError,
   RecordStoreFailure,
   RecordTransaction,
+  StoreClock,
 } from '../../../protocol/record-store.js';
 import { OverdueCalls } from './overdue-calls.js';
 
@@ -81,8 +82,8 @@
     return this.inner.nowMs();
   }
 
-  clockMs(): number | undefined {
-    return this.inner.clockMs();
+  clock(): StoreClock | undefined {
+    return this.inner.clock();
   }
 
   transact(transaction: RecordTransaction) {
--- a/test/node/service/node-dispatch.test.ts
+++ b/test/node/service/node-dispatch.test.ts
@@ -36,7 +36,11 @@
     verdict = 'open';
     const metrics = { refusedRequests: { inc: () => {} } };
     dispatch = new NodeDispatch({
-      store: { isAnswering: () => true, clockMs: () => STORE_TIME_MS, nowMs: () => STORE_TIME_MS },
+      store: {
+        isAnswering: () => true,
+        clock: () => ({ earliestMs: STORE_TIME_MS, latestMs: STORE_TIME_MS }),
+        nowMs: () => STORE_TIME_MS,
+      },
       settings: { nodeName: 'node-1', zone: 'z', memoryBytes: 1e9 },
       routing: new RoutingTable(),
       directory: new ReplicaDirectory(),
--- a/test/support/faulty-platform.ts
+++ b/test/support/faulty-platform.ts
@@ -110,7 +110,7 @@
     return 0;
   }
 
-  clockMs(): number | undefined {
+  clock(): undefined {
     return undefined;
   }
 
