The job gate reads the head of a job whose heads are getting old

Callers would have seen jobs that are not finished while the store answers.

Change: from three quarters of the allowed age the gate reads the head of the asked job, by a transaction that is never stale, which confirms or ends it. The allowed age no longer follows the feed: it is the bound on work after an end less 800 ms, which covers the connect time-out to a replica of 700 ms.

--- a/emulator/store/store-server.ts
+++ b/emulator/store/store-server.ts
@@ -32,6 +32,8 @@
   mode: StoreMode = 'answering';
   /** Added to every answer, milliseconds. */
   delayMs = 0;
+  /** Partition whose scans are answered with 503. */
+  unreadablePartition: string | undefined;
   /** Transactions, from the next one, that are done without an answer. */
   answersToLose = 0;
   /** Transactions, from the next one, that are done after `lateMs` and never answered. */
@@ -132,6 +134,10 @@
       query.get('from') ?? '',
       until,
     ] as const;
+    if (range[1] !== '' && range[1] === this.unreadablePartition) {
+      this.answer(response, 503, {});
+      return;
+    }
     const { rows, version } =
       this.readsBehindMs > 0
         ? this.rows.scanPast(...range, this.readsBehindMs)
--- a/src/coordination/service/jobs/job-gate.ts
+++ b/src/coordination/service/jobs/job-gate.ts
@@ -12,12 +12,17 @@
 export type JobGateVerdict = 'open' | 'ended' | 'unconfirmed';
 
 export interface JobGateServices {
-  readonly heads: Pick<JobHeads, 'get' | 'ageOf'>;
+  readonly heads: Pick<JobHeads, 'hasEnded' | 'ageOf'>;
   readonly isStoreAnswering: () => boolean;
   /** Age of the heads up to which they count as current, milliseconds. */
   readonly maxAgeMs: () => number;
+  /** Reads the head of one job, which confirms or ends it. Never rejects. */
+  readonly refresh: (jobId: string) => Promise<void>;
 }
 
+/** Fraction of the maximum age from which the head of a job is read, so that work need not wait for it. */
+const REFRESH_AGE_FRACTION = 0.75;
+
 /** Interval at which outages are noticed while no work begins. */
 const CHECK_INTERVAL_MS = 250;
 /** After a process pause the store seems silent until its next answer; an outage lasts longer. */
@@ -25,6 +30,8 @@
 
 export class JobGate {
   private outageSinceMs: number | undefined;
+  /** Jobs whose heads are being read. */
+  private readonly refreshing = new Set<string>();
 
   constructor(
     private readonly services: JobGateServices,
@@ -39,12 +46,22 @@
     }
   }
 
-  /** Work goes on during an outage of the store: no end of a job can be acknowledged then. */
+  /** Work goes on while the store does not answer this node, as it must during an outage for all nodes. */
   check(jobId: string): JobGateVerdict {
     this.observe();
     const { heads, maxAgeMs } = this.services;
-    if (heads.get(jobId)?.record.state === 'ended') return 'ended';
-    return heads.ageOf(jobId) <= maxAgeMs() || this.isOutage ? 'open' : 'unconfirmed';
+    if (heads.hasEnded(jobId)) return 'ended';
+    const ageMs = heads.ageOf(jobId);
+    if (ageMs > maxAgeMs() * REFRESH_AGE_FRACTION) void this.refresh(jobId);
+    return ageMs <= maxAgeMs() || this.isOutage ? 'open' : 'unconfirmed';
+  }
+
+  /** The feed of all heads may be slow, or wait for a partition that cannot be read. */
+  private async refresh(jobId: string): Promise<void> {
+    if (this.refreshing.has(jobId) || !this.services.isStoreAnswering()) return;
+    this.refreshing.add(jobId);
+    await this.services.refresh(jobId);
+    this.refreshing.delete(jobId);
   }
 
   private get isOutage(): boolean {
--- a/src/coordination/service/jobs/job-heads.ts
+++ b/src/coordination/service/jobs/job-heads.ts
@@ -8,6 +8,8 @@
 
 /** Age up to which jobs count as recent; covers jobs that overlap. */
 const DEMAND_WINDOW_MS = 30_000;
+/** Ended jobs that are kept besides those of the feed; the oldest are evicted first. */
+const MAX_ENDED_IDS = 1_000;
 
 export class JobHeads {
   private readonly heads = new Map<string, JobHead>();
@@ -17,6 +19,7 @@
   private currentAsOfMs = Number.NEGATIVE_INFINITY;
   /** Time at which each job was certainly open, from writes of this node, by job ID. */
   private readonly openAsOfMs = new Map<string, number>();
+  private readonly endedIds = new Set<string>();
 
   /** `storeNowMs`: the store's clock. */
   constructor(private readonly storeNowMs: () => number) {}
@@ -35,6 +38,18 @@
     this.openAsOfMs.set(jobId, asOfMs);
   }
 
+  /** Records that a job has ended or is gone, by a read that precedes the change in the feed. */
+  confirmEnded(jobId: string): void {
+    this.endedIds.add(jobId);
+    const [oldest] = this.endedIds;
+    if (this.endedIds.size > MAX_ENDED_IDS && oldest !== undefined) this.endedIds.delete(oldest);
+  }
+
+  /** Whether the job is known to have ended, or to be gone. */
+  hasEnded(jobId: string): boolean {
+    return this.endedIds.has(jobId) || this.heads.get(jobId)?.record.state === 'ended';
+  }
+
   /** Time for which changes of a job may be unknown, milliseconds; infinite if nothing was confirmed. */
   ageOf(jobId: string): number {
     const openAsOfMs = this.openAsOfMs.get(jobId) ?? Number.NEGATIVE_INFINITY;
--- a/src/node/service/readiness.ts
+++ b/src/node/service/readiness.ts
@@ -67,12 +67,13 @@
   return input.isStoreAnswering && input.feedAgeMs < boundMs;
 }
 
-/** Part of the bound on work after the end of a job that is left for the way to a replica. */
-const JOB_END_MARGIN_MS = 500;
+/** Part of the bound on work after the end of a job that is left for the way to a replica, and its maximum share. */
+const JOB_END_MARGIN_MS = 800;
+const MAX_JOB_END_MARGIN_FRACTION = 0.5;
 
 /** Age of the heads of jobs beyond which a job that seems open may have ended longer ago than allowed. */
-export function maxHeadAgeMs(jobEndBoundMs: number, fleetSize: number): number {
-  return Math.max(jobEndBoundMs - JOB_END_MARGIN_MS, expectedFeedAgeMs(fleetSize));
+export function maxHeadAgeMs(jobEndBoundMs: number): number {
+  return jobEndBoundMs - Math.min(JOB_END_MARGIN_MS, jobEndBoundMs * MAX_JOB_END_MARGIN_FRACTION);
 }
 
 /** Whether a feed is healthy: its newest answer belongs to the open long poll or the one before. */
--- a/src/node/service/service-node.ts
+++ b/src/node/service/service-node.ts
@@ -79,7 +79,7 @@
     const sessions = new SessionMonitor(store, self, roles, SYSTEM_CLOCK, reportUnreadable);
     const quarantine = new RequestQuarantine({ store, metrics, logger });
     const splitter = new TargetSplitter();
-    const jobGate = createJobGate(context, () => peers.fleetSize);
+    const jobGate = createJobGate(context);
     const crashCheck = new CrashCheck(metrics);
     const exchange = createExchange(parts, crashCheck);
     const dispatch = new NodeDispatch({ ...context, settings, exchange, jobGate });
--- a/src/state/service/jobs/job-repository.ts
+++ b/src/state/service/jobs/job-repository.ts
@@ -166,7 +166,8 @@
     return ended.isErr() && ended.error.failure === 'conflict' ? 'retry' : ended;
   }
 
-  private async readCurrentHead(jobId: string): Promise<Result<JobHead | undefined, StateError>> {
+  /** Returns the head of a job, `undefined` if there is none; never stale, at the cost of a transaction. */
+  async readCurrentHead(jobId: string): Promise<Result<JobHead | undefined, StateError>> {
     const current = await readCurrent(this.store, [headAddress(jobId)]);
     return current.map(({ records: [record] }) => record && this.toHead(record));
   }
--- a/test/coordination/service/jobs/job-gate.test.ts
+++ b/test/coordination/service/jobs/job-gate.test.ts
@@ -1,6 +1,5 @@
 import { expect } from 'chai';
 import { JobGate } from '../../../../src/coordination/service/jobs/index.js';
-import type { JobHead } from '../../../../src/state/service/jobs/index.js';
 
 const MAX_AGE_MS = 2_500;
 
@@ -10,17 +9,29 @@
   let isStoreAnswering: boolean;
   let state: 'open' | 'ended' | undefined;
   let gate: JobGate;
+  let reads: string[];
+  let readIsOver: Promise<void>;
 
   beforeEach(() => {
     nowMs = 0;
     ageMs = 100;
+    readIsOver = Promise.resolve();
     isStoreAnswering = true;
     state = 'open';
     const heads = {
-      get: () => (state === undefined ? undefined : ({ record: { state } } as JobHead)),
+      hasEnded: () => state === 'ended',
       ageOf: () => ageMs,
     };
-    const services = { heads, isStoreAnswering: () => isStoreAnswering, maxAgeMs: () => MAX_AGE_MS };
+    reads = [];
+    const services = {
+      heads,
+      isStoreAnswering: () => isStoreAnswering,
+      maxAgeMs: () => MAX_AGE_MS,
+      refresh: async (jobId: string) => {
+        reads.push(jobId);
+        await readIsOver;
+      },
+    };
     gate = new JobGate(services, () => nowMs);
   });
 
@@ -47,6 +58,17 @@
     expect(gate.check('job-1')).to.equal('open');
   });
 
+  it('reads the head of a job before its age holds work back, once at a time', async () => {
+    gate.check('job-1');
+    expect(reads).to.deep.equal([]);
+    ageMs = MAX_AGE_MS - 1;
+    readIsOver = new Promise(() => {});
+    expect(gate.check('job-1')).to.equal('open');
+    ageMs = MAX_AGE_MS + 1;
+    expect(gate.check('job-1')).to.equal('unconfirmed');
+    expect(reads).to.deep.equal(['job-1']);
+  });
+
   it('lets work go on during an outage of the store', () => {
     isStoreAnswering = false;
     expect(gate.check('job-1')).to.equal('open');
