--- a/src/coordination/service/generation/sample-scorer.ts
+++ b/src/coordination/service/generation/sample-scorer.ts
@@ -19,6 +19,8 @@
 /** Job for which a sample is scored. */
 export interface ScoringJob {
   readonly jobId: string;
+  /** Whether the job is known to be open, so that work for it may begin. */
+  readonly mayBegin: () => boolean;
   /** Aborted when the job is stopped. */
   readonly signal: AbortSignal;
 }
@@ -98,7 +100,7 @@
     progress: ScoringProgress,
   ): Promise<ScoringOutcome | undefined> {
     const snapshot = this.routing.current;
-    if (!snapshot) return undefined;
+    if (!snapshot || !job.mayBegin()) return undefined;
     const route = snapshot.match(call.host, call.path);
     if (!route) {
       const isRemoved = isRouteRemoved(progress.routeSeenAtMs, monotonicMs());
--- a/src/coordination/service/jobs/item-run.ts
+++ b/src/coordination/service/jobs/item-run.ts
@@ -77,7 +77,9 @@
     this.services.lengths.recordFinished(this.item, this.text.eventCount);
     const { scoring } = this.item;
     if (!scoring) return this.toCompletedResult(undefined);
-    const outcome = await this.services.scorer.score(scoring, this.job);
+    const { jobId, signal } = this.job;
+    const mayBegin = () => this.services.jobGate.check(jobId) === 'open';
+    const outcome = await this.services.scorer.score(scoring, { jobId, signal, mayBegin });
     if (outcome.kind === 'scored') return this.toCompletedResult(outcome.score);
     return outcome.kind === 'cancelled' ? undefined : this.toDeadResult(outcome.reason);
   }
