--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -14,12 +14,14 @@
   rollNodes,
   stopOne,
 } from './node-faults.js';
+import { callerKilled, frozenBesideStops, lateCalls } from './peer-faults.js';
 import {
   applicationRestarted,
   counted,
   crashEngine,
   crowd,
   drainEngine,
+  endless,
   engineRestarted,
   engineRestartedWhileDraining,
   engineRestartedWhileLoading,
@@ -167,7 +169,20 @@
   'usage-answers-lost': async ({ system }) => {
     system.usage.answersToLose = 2;
   },
+  'peer-calls-late': lateCalls,
+  'peer-caller-killed': callerKilled,
+  'peer-frozen-beside-stops': frozenBesideStops,
+  'engine-endless': endless('engines'),
+  'application-endless': endless('applications'),
 };
 
 /** Faults that end or pause node processes: one at a time, so that a process is not ended twice. */
-export const ON_NODES = new Set(['node-kill', 'node-kill-all', 'node-stop', 'node-roll', 'node-freeze']);
+export const ON_NODES = new Set([
+  'node-kill',
+  'node-kill-all',
+  'node-stop',
+  'node-roll',
+  'node-freeze',
+  'peer-caller-killed',
+  'peer-frozen-beside-stops',
+]);
--- a/src/coordination/service/membership/peer-addresses.ts
+++ b/src/coordination/service/membership/peer-addresses.ts
@@ -6,9 +6,10 @@
 import { type Clock, SYSTEM_CLOCK } from '../../../common/clock.js';
 import type { DecisionLogger } from '../../../common/decision-logger.js';
 import type { RecordAddress, RecordStore, StoredRecord } from '../../../protocol/record-store.js';
+import { ignoreUnreadable, type ReportUnreadable } from '../../../state/service/store/index.js';
 import { readPartition } from '../../feeds/index.js';
 import { FleetTime } from './fleet-time.js';
-import { isExpired, NODE_TABLE, type NodeAnnouncement, parseAnnouncement } from './node-announcement.js';
+import { isExpired, NODE_TABLE, type NodeAnnouncement, readAnnouncement } from './node-announcement.js';
 
 const TABLE = NODE_TABLE;
 /** Counting reads the whole table, so it is done less often than reading a few peers. */
@@ -17,6 +18,9 @@
 const MAX_PEERS = 8;
 /** At most a third of the expiry of an announcement. */
 const ANNOUNCE_INTERVAL_MS = 60_000;
+const CLOCK_CHECK_INTERVAL_MS = 1_500;
+/** An announcement whose time is off by more is replaced at the next check. */
+const CLOCK_TOLERANCE_MS = 10;
 const READ_INTERVAL_MS = 10_000;
 /** For the first reads, while other nodes are still starting. */
 const STARTUP_READ_INTERVAL_MS = 1_500;
@@ -28,13 +32,19 @@
 /** Announced properties of a node besides its addresses. */
 export type NodeTraits = Pick<NodeAnnouncement, 'zone' | 'capacity'>;
 
+interface ReadAnnouncement {
+  readonly record: StoredRecord;
+  readonly announcement: NodeAnnouncement;
+}
+
 export class PeerAddresses {
-  readonly time: FleetTime;
   private peers: readonly NodeAnnouncement[] = [];
   private nodeCount = 1;
   /** Whether the last call forwarded to a peer succeeded, by address. */
   private readonly lastCallSucceeded = new Map<string, boolean>();
   private isWithdrawn = false;
+  /** Whether this node replaced an announcement whose time was off since it last counted the nodes. */
+  private hasCorrectedTime = false;
 
   constructor(
     private readonly store: RecordStore,
@@ -42,9 +52,9 @@
     private readonly logger: DecisionLogger,
     private readonly clock: Clock = SYSTEM_CLOCK,
     private readonly traits: NodeTraits = {},
-  ) {
-    this.time = new FleetTime(store);
-  }
+    private readonly reportUnreadable: ReportUnreadable = ignoreUnreadable,
+    readonly time = new FleetTime(store),
+  ) {}
 
   /** Up to `count` addresses for callers (`IP:PORT`), ranked by the outcome of the last forwarded call. */
   rankedAddresses(count: number): string[] {
@@ -93,13 +103,33 @@
     peerAddress: string | undefined,
     signal: AbortSignal,
   ): Promise<void> {
-    let isAnnounced = false;
     while (!signal.aborted && !this.isWithdrawn) {
-      isAnnounced = await this.announce(address, peerAddress);
-      await this.clock.sleep(isAnnounced ? ANNOUNCE_INTERVAL_MS : STARTUP_READ_INTERVAL_MS, signal);
+      const { storeOffsetMs } = this;
+      const isAnnounced = await this.announce(address, peerAddress);
+      if (isAnnounced) await this.waitUntilOutdated(storeOffsetMs, signal);
+      else await this.clock.sleep(STARTUP_READ_INTERVAL_MS, signal);
+    }
+  }
+
+  /**
+   * Waits until an announcement is due again. It is due early once a prompter answer of the store shows that
+   * the offset which it was made with was estimated from late ones.
+   */
+  private async waitUntilOutdated(announcedOffsetMs: number, signal: AbortSignal): Promise<void> {
+    const dueMs = this.clock.now() + ANNOUNCE_INTERVAL_MS;
+    while (!signal.aborted && this.clock.now() < dueMs) {
+      await this.clock.sleep(CLOCK_CHECK_INTERVAL_MS, signal);
+      if (this.storeOffsetMs <= announcedOffsetMs + CLOCK_TOLERANCE_MS) continue;
+      this.hasCorrectedTime = true;
+      return;
     }
   }
 
+  /** Offset of the store's clock from the monotonic one. Late answers make it too small. */
+  private get storeOffsetMs(): number {
+    return this.store.nowMs() - this.clock.now();
+  }
+
   private async announce(address: string, peerAddress: string | undefined): Promise<boolean> {
     const announcement: NodeAnnouncement = {
       address,
@@ -118,17 +148,20 @@
       const intervalMs = reads < 2 ? STARTUP_READ_INTERVAL_MS : READ_INTERVAL_MS;
       await this.clock.sleep(intervalMs * (1 + READ_JITTER * (this.clock.random() - 0.5)), signal);
       if (!signal.aborted) await this.refreshPeers();
-      if (!signal.aborted && reads % READS_PER_NODE_COUNT === 1) await this.countNodes();
+      const isCountDue = reads % READS_PER_NODE_COUNT === 1 || (reads > 1 && this.hasCorrectedTime);
+      if (!signal.aborted && isCountDue) await this.countNodes();
     }
   }
 
+  /** Also reads the nodes' offsets; early if this node's was off, since those of the others were then, too. */
   private async countNodes(): Promise<void> {
+    this.hasCorrectedTime = false;
     const all = await readPartition(this.store, TABLE, '');
     if (all.isErr()) return;
     const { content, version } = all.value;
-    const present = content.filter((record) => !this.isExpired(record));
+    const present = this.read(content).filter(({ announcement }) => !this.isExpired(announcement));
     this.nodeCount = Math.max(1, present.length);
-    this.time.setNodeOffsets(present.flatMap((record) => parse(record).timeOffsetMs ?? []));
+    this.time.setNodeOffsets(present.flatMap(({ announcement }) => announcement.timeOffsetMs ?? []));
     this.report(`${this.nodeCount} nodes`, version);
   }
 
@@ -138,10 +171,12 @@
     const wrapsAround = following.length < MAX_PEERS;
     // If the second scan fails, the peers found by the first are enough until the next read.
     const records = wrapsAround ? [...following, ...((await this.scan(undefined)) ?? [])] : following;
-    const candidates = records.filter(({ key }) => key !== this.nodeName).slice(0, MAX_PEERS);
-    const expired = candidates.filter((record) => this.isExpired(record));
-    const present = candidates.filter((record) => !this.isExpired(record)).map(parse);
-    const byAddress = new Map(present.map((announcement) => [announcement.address, announcement]));
+    const others = records.filter(({ key }) => key !== this.nodeName);
+    const candidates = this.read(others).slice(0, MAX_PEERS);
+    const isOld = ({ announcement }: ReadAnnouncement) => this.isExpired(announcement);
+    const expired = candidates.filter(isOld).map(({ record }) => record);
+    const present = candidates.filter((candidate) => !isOld(candidate));
+    const byAddress = new Map(present.map(({ announcement }) => [announcement.address, announcement]));
     this.replacePeers([...byAddress.values()], records);
     for (const address of this.lastCallSucceeded.keys())
       if (!byAddress.has(address)) this.lastCallSucceeded.delete(address);
@@ -172,8 +207,16 @@
     return page.isOk() ? page.value.records : undefined;
   }
 
-  private isExpired(record: StoredRecord): boolean {
-    return isExpired(parse(record), this.store.nowMs());
+  /** The announcements in records; unreadable records are left out. */
+  private read(records: readonly StoredRecord[]): ReadAnnouncement[] {
+    return records.flatMap((record) => {
+      const announcement = readAnnouncement(record, this.reportUnreadable);
+      return announcement ? [{ record, announcement }] : [];
+    });
+  }
+
+  private isExpired(announcement: NodeAnnouncement): boolean {
+    return isExpired(announcement, this.store.nowMs());
   }
 
   /** Removes announcements of crashed nodes, unless they were renewed since the read. */
@@ -187,7 +230,3 @@
 function recordAddress(nodeName: string): RecordAddress {
   return { table: TABLE, partition: '', key: nodeName };
 }
-
-function parse({ value }: StoredRecord): NodeAnnouncement {
-  return parseAnnouncement(value);
-}
--- a/src/node/service/service-node.ts
+++ b/src/node/service/service-node.ts
@@ -22,6 +22,7 @@
   Framed,
 } from '../../protocol/service/dispatch-peer.js';
 import { type RoutingTable, TargetSplitter } from '../../state/service/configuration/index.js';
+import { ReceiveBudget } from '../../transport/receive-budget.js';
 import { drainDeadlines, waitUntil } from './drain.js';
 import { createJobGate } from './job-gating.js';
 import { createNodeContext, type NodeContext, type ServiceNodeDependencies } from './node-context.js';
@@ -34,6 +35,9 @@
 import { SingletonTasks } from './singleton-tasks.js';
 import { createLoadScheduler } from './weight-loading.js';
 
+/** Answers of replicas that are being read, as a fraction of the memory limit. */
+const ANSWER_MEMORY_FRACTION = 0.1;
+
 /** Subsystems that are started, measured or drained. */
 interface Subsystems {
   readonly peers: PeerAddresses;
@@ -48,6 +52,11 @@
   readonly loadScheduler: LoadScheduler;
 }
 
+function createExchange(parts: ServiceNodeDependencies, crashCheck: CrashCheck): ReplicaExchange {
+  const budget = new ReceiveBudget(parts.settings().memoryBytes * ANSWER_MEMORY_FRACTION);
+  return new ReplicaExchange(parts.client, crashCheck, budget, parts.metrics, parts.logger);
+}
+
 export class ServiceNode {
   readonly routing: RoutingTable;
   readonly relay: ServiceRelay;
@@ -62,17 +71,17 @@
   constructor(parts: ServiceNodeDependencies) {
     setMaxListeners(0, this.controller.signal);
     const context = createNodeContext(parts);
-    const { store, self, routing, metrics, logger } = context;
+    const { store, self, routing, metrics, logger, reportUnreadable } = context;
     const settings = parts.settings();
-    const { zone, processorCores: capacity } = settings;
-    const peers = new PeerAddresses(store, self.node, logger, SYSTEM_CLOCK, { zone, capacity });
+    const traits = { zone: settings.zone, capacity: settings.processorCores };
+    const peers = new PeerAddresses(store, self.node, logger, SYSTEM_CLOCK, traits, reportUnreadable);
     const roles = new CombinedSessionRoles(() => peers.fleetSize);
-    const sessions = new SessionMonitor(store, self, roles);
+    const sessions = new SessionMonitor(store, self, roles, SYSTEM_CLOCK, reportUnreadable);
     const quarantine = new RequestQuarantine({ store, metrics, logger });
     const splitter = new TargetSplitter();
     const jobGate = createJobGate(context, () => peers.fleetSize);
     const crashCheck = new CrashCheck(metrics);
-    const exchange = new ReplicaExchange(parts.client, crashCheck, metrics, logger);
+    const exchange = createExchange(parts, crashCheck);
     const dispatch = new NodeDispatch({ ...context, settings, exchange, jobGate });
     const tasks = new SingletonTasks(context, sessions, peers);
     const send: SendAttempt = (call, isRepeatable) => dispatch.remote.dispatch(call, isRepeatable);
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -8,6 +8,9 @@
 import type { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
 import { Agent, buildConnector, DecoratorHandler, type Dispatcher } from 'undici';
+import { ByteCollector } from './byte-collector.js';
+import type { ReceiveBudget } from './receive-budget.js';
+import { limitReceivedBytes } from './receive-limits.js';
 import { TransportError, toTransportError } from './transport-error.js';
 
 /** Header names are in lower case. */
@@ -29,7 +32,10 @@
    * which leaves open whether the request was executed. Default false.
    */
   readonly freshConnection?: boolean;
-  /** Maximum time of the whole exchange, milliseconds; ignored by `send`. Default: none. */
+  /**
+   * Maximum time of the whole exchange, milliseconds; ignored by `send`. Default: the time until the head and
+   * one idle time.
+   */
   readonly totalTimeoutMs?: number;
   /**
    * A header that identifies the request of a response. A response with another value fails the exchange and
@@ -66,6 +72,8 @@
   readonly connectTimeoutMs?: number;
   /** Lifetime of an idle connection unless the server specifies one, milliseconds. Default 4,000. */
   readonly keepAliveMs?: number;
+  /** Maximum size of a response as it is sent, head and framing included, bytes. Default: no limit. */
+  readonly maxResponseBytes?: number;
 }
 
 const DEFAULT_CONNECTIONS_PER_ORIGIN = 256;
@@ -73,25 +81,43 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
 const CONNECT_TIMEOUT_MS = 2_000;
 const KEEP_ALIVE_MS = 4_000;
+const MAX_DISCARDED_BYTES = 64 * 1024;
+const DISCARD_TIMEOUT_MS = 1_000;
 const DEFAULT_BODY_LIMIT_BYTES = 32 * 1024 * 1024;
 
-/** Buffers a stream of at most `limitBytes`. Fails if it is truncated. */
-export async function readFully(body: Readable, limitBytes: number): Promise<Result<Buffer, TransportError>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+/**
+ * Buffers a stream of at most `limitBytes`. Fails if it is truncated, or if its bytes exceed the budget with
+ * those of others and are the most.
+ */
+export async function readFully(
+  body: Readable,
+  limitBytes: number,
+  budget?: ReceiveBudget,
+): Promise<Result<Buffer, TransportError>> {
+  const received = new ByteCollector();
+  const reading = budget?.begin((cause) => body.destroy(cause));
   try {
     for await (const chunk of body) {
-      size += chunk.length;
-      if (size > limitBytes) {
+      received.add(chunk);
+      if (received.length > limitBytes) {
         body.destroy();
         return err(new TransportError('body-too-large', true, `body exceeds ${limitBytes} bytes`));
       }
-      chunks.push(chunk);
+      reading?.add(chunk.length);
     }
   } catch (cause) {
     return err(toTransportError(cause));
+  } finally {
+    reading?.end();
   }
-  return ok(Buffer.concat(chunks));
+  return ok(received.concat());
+}
+
+/** Reads a body that nobody needs, so that its connection can be reused, unless it is long or slow. */
+export async function discardBody(body: Readable): Promise<void> {
+  const timer = setTimeout(() => body.destroy(), DISCARD_TIMEOUT_MS);
+  await readFully(body, MAX_DISCARDED_BYTES);
+  clearTimeout(timer);
 }
 
 /** The methods of the base class, which its type omits. */
@@ -165,14 +191,19 @@
   };
 }
 
-/** Opens connections with both corrections of undici. */
-function createConnector(timeoutMs: number, localAddress: string | undefined): buildConnector.connector {
+/** Opens connections with both corrections of undici, and limits of received bytes. */
+function createConnector(
+  timeoutMs: number,
+  maxResponseBytes: number,
+  localAddress: string | undefined,
+): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs, ...(localAddress ? { localAddress } : {}) });
   return (options, callback) =>
     connect(options, (...result: buildConnector.CallbackArgs) => {
       if (result[1]) {
         failOnReset(result[1]);
         avoidReconnectAfterAbort(result[1]);
+        limitReceivedBytes(result[1], maxResponseBytes);
       }
       callback(...result);
     });
@@ -184,14 +215,15 @@
   return slash < 0 ? { origin: url, path: '/' } : { origin: url.slice(0, slash), path: url.slice(slash) };
 }
 
-/** A signal that aborts after `timeoutMs` or with `signal`; `release` must be called when done. */
+/** A signal that times out after `timeoutMs` or aborts with `signal`; `release` must be called when done. */
 function timeoutSignal(
   timeoutMs: number,
   signal?: AbortSignal,
 ): { signal: AbortSignal; release: () => void } {
   const controller = new AbortController();
   const abort = () => controller.abort();
-  const timer = setTimeout(abort, timeoutMs);
+  const timeOut = () => controller.abort(new TransportError('timed-out', true, 'the exchange took too long'));
+  const timer = setTimeout(timeOut, timeoutMs);
   if (signal?.aborted) abort();
   signal?.addEventListener('abort', abort, { once: true });
   const release = () => {
@@ -210,7 +242,8 @@
   constructor(options: HttpClientOptions = {}) {
     const { connectionsPerOrigin = DEFAULT_CONNECTIONS_PER_ORIGIN, localAddress } = options;
     const { connectTimeoutMs = CONNECT_TIMEOUT_MS, keepAliveMs = KEEP_ALIVE_MS } = options;
-    const connect = createConnector(connectTimeoutMs, localAddress);
+    const { maxResponseBytes = Number.POSITIVE_INFINITY } = options;
+    const connect = createConnector(connectTimeoutMs, maxResponseBytes, localAddress);
     const shared = { connections: connectionsPerOrigin, connect };
     this.pooledAgent = new Agent({ ...shared, pipelining: 1, keepAliveTimeout: keepAliveMs });
     this.pooled = this.pooledAgent.compose(checkEcho);
@@ -243,8 +276,9 @@
     outgoing: OutgoingRequest,
     limitBytes = DEFAULT_BODY_LIMIT_BYTES,
   ): Promise<Result<BufferedResponse, TransportError>> {
-    if (outgoing.totalTimeoutMs === undefined) return this.exchangeBuffered(outgoing, limitBytes);
-    const timeout = timeoutSignal(outgoing.totalTimeoutMs, outgoing.signal);
+    const { headTimeoutMs = DEFAULT_HEAD_TIMEOUT_MS, idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS } = outgoing;
+    const { totalTimeoutMs = headTimeoutMs + idleTimeoutMs } = outgoing;
+    const timeout = timeoutSignal(totalTimeoutMs, outgoing.signal);
     try {
       return await this.exchangeBuffered({ ...outgoing, signal: timeout.signal }, limitBytes);
     } finally {
--- a/test/support/dispatchers.ts
+++ b/test/support/dispatchers.ts
@@ -3,7 +3,7 @@
 import { until } from './wait.js';
 
 /** Name of the dispatcher that a node logged last. */
-export function dispatcherAsSeenBy({ log }: ServiceNodeProcess): string | undefined {
+function dispatcherAsSeenBy({ log }: ServiceNodeProcess): string | undefined {
   return log
     .filter(({ context }) => context.subject === 'home' && context.name === APPLICATION_SERVICE)
     .map(({ context }) => String(context.change).replace('dispatchers ', ''))
