--- a/src/node/service/readiness.ts
+++ b/src/node/service/readiness.ts
@@ -4,7 +4,10 @@
  */
 import { LONG_POLL_TIMEOUT_MS } from '../../coordination/feeds/index.js';
 
-/** After this time a node becomes ready without crash reports, since their partition may be unavailable. */
+/**
+ * After this time a node becomes ready without crash reports, since their partition may be unavailable. Long
+ * enough for a first read of a store that answers, short compared with a rolling restart.
+ */
 const CRASH_REPORTS_TIMEOUT_MS = 2_000;
 /**
  * Delay before the next long poll after changes, per node of the fleet, so that several changes arrive in one
@@ -64,12 +67,13 @@
   return input.isStoreAnswering && input.feedAgeMs < boundMs;
 }
 
-/** Part of the bound on work after the end of a job that is left for the way to a replica. */
-const JOB_END_MARGIN_MS = 500;
+/** Part of the bound on work after the end of a job that is left for the way to a replica, and its maximum share. */
+const JOB_END_MARGIN_MS = 800;
+const MAX_JOB_END_MARGIN_FRACTION = 0.5;
 
 /** Age of the heads of jobs beyond which a job that seems open may have ended longer ago than allowed. */
-export function maxHeadAgeMs(jobEndBoundMs: number, fleetSize: number): number {
-  return Math.max(jobEndBoundMs - JOB_END_MARGIN_MS, expectedFeedAgeMs(fleetSize));
+export function maxHeadAgeMs(jobEndBoundMs: number): number {
+  return jobEndBoundMs - Math.min(JOB_END_MARGIN_MS, jobEndBoundMs * MAX_JOB_END_MARGIN_FRACTION);
 }
 
 /** Whether a feed is healthy: its newest answer belongs to the open long poll or the one before. */
