The test of two builds counts the scored calls of all runs of the dispatcher

Cause, supposed from the test: a dispatcher that was also an owner is ended by the test and starts again, and only the log of its last run was counted. Change: the logs of all runs of that node count; the bound is the same.

--- a/test/node/service/mixed-builds.test.ts
+++ b/test/node/service/mixed-builds.test.ts
@@ -121,12 +121,15 @@
       .map(({ owner }: { owner: { node: string } | null }) => owner?.node)[0];
 
   const scoredAt = (name: string) =>
-    (nodes.get(name) as ServiceNodeProcess).log.filter(
-      ({ message, context }) =>
-        message === 'attempt-ended' &&
-        String(context.requestId).endsWith('-score') &&
-        context.outcome === '200',
-    ).length;
+    system.nodes
+      .filter((node) => node.name === name)
+      .flatMap(({ log }) => log)
+      .filter(
+        ({ message, context }) =>
+          message === 'attempt-ended' &&
+          String(context.requestId).endsWith('-score') &&
+          context.outcome === '200',
+      ).length;
 
   async function lookUpEverywhere(): Promise<void> {
     for (const node of nodes.values()) {
