--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -11,7 +11,14 @@
 
 const STEP_MS = 12_000;
 const CONTACT_MS = 3_000;
-const JOB: BatchJob = { id: '7c41e09b52d6a3f8', step: 2, minVersion: 1, groups: 18, groupSize: 4, isScored: true };
+const JOB: BatchJob = {
+  id: '7c41e09b52d6a3f8',
+  step: 2,
+  minVersion: 1,
+  groups: 18,
+  groupSize: 4,
+  isScored: true,
+};
 
 /** Between 14 and 40 events, by the item. */
 function eventsOf(itemId: string): number {
@@ -45,7 +52,9 @@
   const reading = readResults(JOB, nodes, endsAtMs);
   // The old version is left at one or two replicas, one of which is in the middle of some items.
   const hasBegun = (engine: (typeof engines)[number]) =>
-    engine.runs.some(({ end: ended, versions }) => ended === 'running' && versions.length > 0 && versions[0] === 1);
+    engine.runs.some(
+      ({ end: ended, versions }) => ended === 'running' && versions.length > 0 && versions[0] === 1,
+    );
   const victim = () => engines.find((engine) => engine.version === 1 && hasBegun(engine));
   let steadyFromMs = versionNamedAtMs;
   if (hasTrouble) {
@@ -62,7 +71,11 @@
   const breaches = lostItems(deployment, JOB, listed, { endsAtMs, steadyFromMs, versionNamedAtMs });
   record(`at the end of the step ${listed.length} of ${JOB.groups * JOB.groupSize} items are listed`);
   const refused = engines.flatMap(({ declines }) => declines).filter(({ status }) => status === 421);
-  record(`${refused.length} sends were answered 421; replicas run ${MODEL} ${engines.filter(({ isUp }) => isUp).map(({ version }) => version)}`);
+  record(
+    `${refused.length} sends were answered 421; replicas run ${MODEL} ${engines.filter(({ isUp }) => isUp).map(({ version }) => version)}`,
+  );
   await end(JOB, nodes);
-  return breaches.map((id) => `LOST: item ${id} was at no replica for 5 s of steady state when its step ran out`);
+  return breaches.map(
+    (id) => `LOST: item ${id} was at no replica for 5 s of steady state when its step ran out`,
+  );
 });
--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -13,7 +13,14 @@
 const CONTACT_MS = 3_000;
 const OUTAGE_AT_MS = 500;
 const OUTAGE_MS = 3_200;
-const JOB: BatchJob = { id: '5d20b7c3a9416e8f', step: 2, minVersion: 1, groups: 12, groupSize: 4, isScored: true };
+const JOB: BatchJob = {
+  id: '5d20b7c3a9416e8f',
+  step: 2,
+  minVersion: 1,
+  groups: 12,
+  groupSize: 4,
+  isScored: true,
+};
 
 /** 110 pieces of about 510 bytes, two bytes a letter. */
 const EVENTS = 110;
@@ -51,7 +58,9 @@
     const results = (transaction.put ?? []).filter(({ table }) => table === 'job-results');
     if (results.length === 0) return;
     bytesOfTransaction = results.reduce((sum, { value }) => sum + Buffer.byteLength(value, 'base64'), 0);
-    record(`store: a transaction with ${results.length} rows of results, ${bytesOfTransaction} bytes before base64`);
+    record(
+      `store: a transaction with ${results.length} rows of results, ${bytesOfTransaction} bytes before base64`,
+    );
   };
   const sentAtMs = await submit(JOB, nodes);
   const endsAtMs = sentAtMs + STEP_MS;
@@ -73,5 +82,7 @@
   record(`replicas finished ${new Set(finished.map(({ id }) => id)).size} items`);
   const breaches = lostItems(deployment, JOB, listed, { endsAtMs, steadyFromMs, versionNamedAtMs });
   await end(JOB, nodes);
-  return breaches.map((id) => `LOST: item ${id} was at no replica for 5 s of steady state when its step ran out`);
+  return breaches.map(
+    (id) => `LOST: item ${id} was at no replica for 5 s of steady state when its step ran out`,
+  );
 });
--- a/review/lib/calls.ts
+++ b/review/lib/calls.ts
@@ -1,5 +1,5 @@
 /** Calls of clients and operators over HTTP/1.1, each on a connection of its own. */
-import { type IncomingMessage, request as httpRequest } from 'node:http';
+import { request as httpRequest, type IncomingMessage } from 'node:http';
 
 export interface Answer {
   /** 0 if the connection ended before the head of an answer. */
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -10,7 +10,7 @@
 import { StoreServer } from '../../emulator/store/store-server.js';
 import { send } from './calls.js';
 import { nowMs, record, sleep, until } from './record.js';
-import { Application, Engine, type Generation, type Replica } from './replica.js';
+import { Application, Engine, type Generation } from './replica.js';
 
 export const ROOT = resolve(import.meta.dirname, '../..');
 export const HOST = 'ficu95.example';
@@ -40,10 +40,6 @@
   readonly answerOf?: (id: string) => Buffer;
   /** Settings beyond the usual ones. */
   readonly settings?: Readonly<Record<string, string>>;
-  /** Address of the store for a node. Default: the store itself. */
-  readonly storeAddressOf?: (node: string, store: string) => Promise<string>;
-  /** Address of a replica that the store is told. Default: its own. */
-  readonly announcedAddressOf?: (replica: Replica) => Promise<string>;
 }
 
 export interface Node {
@@ -102,10 +98,12 @@
     const name = `front-${index + 1}`;
     const ip = await freeAddress();
     const [front, ready, control, peer] = await Promise.all([0, 1, 2, 3].map(() => freePort(ip)));
-    const store = (await this.shape.storeAddressOf?.(name, this.storeAddress)) ?? this.storeAddress;
     const file = join(this.folder, `${name}-${this.nodes.length}.conf`);
     const zone = ZONES[index % ZONES.length] as string;
-    writeFileSync(file, settingsText(name, ip, zone, { front, ready, control, peer }, store, this.shape));
+    writeFileSync(
+      file,
+      settingsText(name, ip, zone, { front, ready, control, peer }, this.storeAddress, this.shape),
+    );
     const [program, ...args] = runCommand();
     const { PATH = '', HOME = '', LANG = 'C' } = process.env;
     const child = spawn(program as string, args, {
@@ -133,7 +131,8 @@
 
   async untilReady(node: Node): Promise<void> {
     await until(`${node.name} is ready`, async () => {
-      if (node.exitedAtMs !== undefined) throw new Error(`${node.name} has ended: ${node.log.slice(-3).join(' ')}`);
+      if (node.exitedAtMs !== undefined)
+        throw new Error(`${node.name} has ended: ${node.log.slice(-3).join(' ')}`);
       const call = { address: node.ready, method: 'GET', path: '/ready', timeoutMs: 1_000 };
       return (await send(call)).status === 200;
     });
@@ -167,10 +166,7 @@
         await new Application(this.store, options, shape.applicationMs, shape.answerOf).start(),
       );
     }
-    for (const replica of [...this.engines, ...this.applications]) {
-      replica.announcedAddress = await shape.announcedAddressOf?.(replica);
-      replica.announce();
-    }
+    for (const replica of [...this.engines, ...this.applications]) replica.announce();
     for (let at = 0; at < shape.nodes; at += 1) await this.startNode(at);
     await Promise.all(this.nodes.map((node) => this.untilReady(node)));
     // Time for the nodes to learn of each other, as before the start of traffic.
@@ -251,7 +247,12 @@
       },
       { name: APPLICATION_SERVICE, healthPath: '/health', maxConns: 110 },
     ],
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 33_554_432, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 33_554_432,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
   };
 }
 
--- a/review/lib/replica.ts
+++ b/review/lib/replica.ts
@@ -33,16 +33,6 @@
   readonly status: number;
 }
 
-export interface Order {
-  readonly replica: string;
-  readonly holder: string;
-  readonly fence: number;
-  readonly model: string;
-  readonly version: number;
-  readonly atMs: number;
-  readonly status: number;
-}
-
 export interface ReplicaOptions {
   readonly service: string;
   readonly zone: string;
@@ -56,8 +46,6 @@
   readonly runs: Run[] = [];
   readonly declines: Decline[] = [];
   address = '';
-  /** What the store is told; another address than its own if a relay stands before it. */
-  announcedAddress: string | undefined;
   isUp = false;
   protected sequence = 0;
   private readonly sockets = new Set<Socket>();
@@ -112,7 +100,7 @@
     this.sequence += 1;
     this.store.rows.put('servers', this.id, {
       service: this.options.service,
-      addr: this.announcedAddress ?? this.address,
+      addr: this.address,
       zone: this.options.zone,
       version: 'v1',
       slots: this.options.slots,
@@ -149,7 +137,12 @@
     this.declines.push({ id, replica: this.id, atMs: nowMs(), status });
     record(`declined ${id} at ${this.id}: ${status}`);
     response
-      .writeHead(status, { 'request-id': id, 'not-executed': '1', 'replica-id': this.id, 'content-length': 0 })
+      .writeHead(status, {
+        'request-id': id,
+        'not-executed': '1',
+        'replica-id': this.id,
+        'content-length': 0,
+      })
       .end();
   }
 
@@ -180,7 +173,6 @@
 }
 
 export class Engine extends Replica {
-  readonly orders: Order[] = [];
   version = 1;
   isLoading = false;
   private orderCount = 0;
@@ -269,7 +261,6 @@
       expected?: number;
     };
     const status = this.carryOut(version, expected);
-    this.orders.push({ replica: this.id, holder, fence, model, version, atMs: nowMs(), status });
     record(`order at ${this.id} from ${holder} fence ${fence}: ${model} version ${version}: ${status}`);
     response.writeHead(status, { 'content-type': 'application/json' }).end('{}');
   }
--- a/review/lib/trainer.ts
+++ b/review/lib/trainer.ts
@@ -69,7 +69,9 @@
       const { results } = JSON.parse(answer.body.toString('utf8')) as { results: Omit<Listed, 'readAtMs'>[] };
       for (const result of results) {
         listed.push({ ...result, readAtMs: nowMs() });
-        record(`trainer: read ${result.id} at position ${listed.length - 1} from ${node.name}: ${result.state}`);
+        record(
+          `trainer: read ${result.id} at position ${listed.length - 1} from ${node.name}: ${result.state}`,
+        );
       }
     } else record(`trainer: read of ${job.id} at ${node.name}: ${answer.status}`);
     await sleep(answer.status === 200 ? 400 : 100);
@@ -81,7 +83,13 @@
 export async function end(job: BatchJob, nodes: readonly Node[]): Promise<void> {
   for (const node of nodes) {
     const path = `/lots/${job.id}`;
-    const answer = await send({ address: node.front, method: 'DELETE', path, headers: { host: HOST }, timeoutMs: 2_500 });
+    const answer = await send({
+      address: node.front,
+      method: 'DELETE',
+      path,
+      headers: { host: HOST },
+      timeoutMs: 2_500,
+    });
     record(`trainer: end of ${job.id} to ${node.name}: ${answer.status}`);
     if (answer.status === 200) return;
   }
