Interrupted items of a single version go where their version is, or begin anew

Cause: a text of a single version was sent on with the version of its events to any replica, was declined with 421 by each, and was never given up. The 421 counted as a fault of the replica, so that healthy ones were ejected for all items of the owner.

Ruled out: the order of the queue; each pass looks at all waiting items.

Change: the placement is restricted to replicas that have the version, as long as the service has one; if none has it, or none takes the item for a second, the text begins anew where it is placed. A 421 to a request that names a version is an outcome of its own and ejects nothing, for lookups too. 422 ends an item also when it comes with the statement that it did not run.

Why it works: the version that a replica has only grows, so no round of refusals is longer than the number of replicas whose announcements are old.

--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -82,6 +82,8 @@
   /** IDs of the requests that were read while `isSilent` or `endless`, which are never answered. */
   readonly unansweredIds: string[] = [];
   readonly orders: ReceivedOrder[] = [];
+  /** IDs of the requests that were declined since they expect another weight version. */
+  readonly versionDeclines: string[] = [];
   readonly versions: Map<string, number>;
   /** Takes requests and never answers. */
   isSilent = false;
@@ -276,6 +278,7 @@
       atMs: monotonicMs(),
       beganAtMs: undefined,
     };
+    if (this.declinesVersion(request, response)) return;
     this.received.push(received);
     if (this.active >= (this.options.slots ?? 4)) {
       response.writeHead(503, { [HEADER.requestId]: received.id, [HEADER.notExecuted]: '1' }).end();
@@ -289,6 +292,18 @@
     if (incarnation === this.incarnation) this.active -= 1;
   }
 
+  private declinesVersion(request: IncomingMessage, response: ServerResponse): boolean {
+    const expected = numeric(request, HEADER.expectVersion);
+    if (expected === undefined || expected === this.versionFor(request)) return false;
+    this.versionDeclines.push(idOf(request));
+    response.writeHead(421, { [HEADER.requestId]: idOf(request), [HEADER.notExecuted]: '1' }).end();
+    return true;
+  }
+
+  private versionFor(request: IncomingMessage): number {
+    return this.versions.get(String(request.headers.model ?? [...this.versions.keys()][0])) ?? 0;
+  }
+
   private async endUnder(body: string): Promise<void> {
     const { incarnation } = this;
     await sleep(this.workMs);
@@ -339,8 +354,7 @@
 
   private async stream(request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
     const { incarnation } = this;
-    const model = String(request.headers.model ?? [...this.versions.keys()][0]);
-    const versionNow = () => this.versions.get(model) ?? 0;
+    const versionNow = () => this.versionFor(request);
     const first = Number(request.headers[HEADER.lastEventId] ?? 0) + 1;
     const fault = this.takeStreamFault(first);
     let version: number | string = versionNow();
--- a/src/coordination/service/dispatch/replica-exchange.ts
+++ b/src/coordination/service/dispatch/replica-exchange.ts
@@ -38,7 +38,13 @@
 export type AttemptOutcome =
   | { readonly kind: 'answered'; readonly answer: BufferedAnswer }
   /** The request certainly did not run. */
-  | { readonly kind: 'declined'; readonly reason: string; readonly isFull: boolean }
+  | {
+      readonly kind: 'declined';
+      readonly reason: string;
+      readonly isFull: boolean;
+      /** Whether the replica declined the weight version that the request names, so that nothing is wrong with it. */
+      readonly isVersionMismatch?: boolean;
+    }
   /** The request may have run, but there is no usable answer. */
   | {
       readonly kind: 'unknown';
@@ -73,10 +79,12 @@
 }
 
 /** Returns the `declined` outcome if the answer states that the request did not run. */
-function toDecline({ isNotExecuted, matchesRequest, status }: ReplicaAnswer): AttemptOutcome | undefined {
+function toDecline(answer: ReplicaAnswer): AttemptOutcome | undefined {
+  const { isNotExecuted, isVersionMismatch, matchesRequest, status } = answer;
   if (!isNotExecuted) return undefined;
   const isMisdirected = status === MISDIRECTED_STATUS;
-  if (matchesRequest) return { kind: 'declined', reason: `status ${status}`, isFull: !isMisdirected };
+  if (matchesRequest)
+    return { kind: 'declined', reason: `status ${status}`, isFull: !isMisdirected, isVersionMismatch };
   if (!isMisdirected) return undefined;
   return { kind: 'declined', reason: 'another replica has the address', isFull: false };
 }
@@ -176,7 +184,8 @@
   private recordOutcome(state: ReplicaState, outcome: AttemptOutcome, tookMs: number): void {
     if (outcome.kind === 'answered' && outcome.answer.status < 500) state.recordSuccess(tookMs);
     else if (outcome.kind === 'declined' && outcome.isFull) state.backOff(FULL_BACKOFF_MS);
-    else if (outcome.kind === 'declined' || outcome.kind === 'unknown') state.recordFailure();
+    else if (outcome.kind === 'declined' && !outcome.isVersionMismatch) state.recordFailure();
+    else if (outcome.kind === 'unknown') state.recordFailure();
   }
 
   private logAttempt(
--- a/src/coordination/service/generation/generation-attempt.ts
+++ b/src/coordination/service/generation/generation-attempt.ts
@@ -72,17 +72,24 @@
   }
   monitor.recordHead();
   const answer = dispatched.value;
-  if (answer.status !== STATUS_OK) return classifyErrorResponse(answer);
+  if (answer.status !== STATUS_OK) return classifyErrorResponse(answer, options);
   if (answer.matchesRequest) options.onAccepted();
   return streamEvents(context, answer);
 }
 
-async function classifyErrorResponse(answer: ReplicaAnswer): Promise<GenerationOutcome> {
+async function classifyErrorResponse(
+  answer: ReplicaAnswer,
+  options: GenerationOptions,
+): Promise<GenerationOutcome> {
   const reason = `status ${answer.status}`;
   if (answer.body.readable) await readFully(answer.body, MAX_ERROR_BODY_BYTES);
   if (!answer.matchesRequest) return { kind: 'broken', reason: 'the response belongs to another request' };
-  if (answer.isNotExecuted) return { kind: 'declined', reason, isFull: answer.status !== STATUS_MISDIRECTED };
+  if (answer.isVersionMismatch) {
+    if (answer.weightVersion !== undefined) options.onVersion(answer.weightVersion);
+    return { kind: 'version-mismatch', reason };
+  }
   if (answer.status === STATUS_UNPROCESSABLE) return { kind: 'impossible', reason };
+  if (answer.isNotExecuted) return { kind: 'declined', reason, isFull: answer.status !== STATUS_MISDIRECTED };
   if (answer.status === STATUS_INTERNAL_ERROR) return { kind: 'failed', reason };
   return { kind: 'broken', reason };
 }
@@ -115,22 +122,20 @@
  * connection breaks.
  */
 async function readEvents(
-  { client, state, text, options, monitor }: AttemptContext,
+  context: AttemptContext,
   answer: ReplicaAnswer,
   parser: EventStreamParser,
 ): Promise<GenerationOutcome | undefined> {
+  const { client, state, text, options } = context;
   let version = answer.weightVersion ?? state.versionOf(options.model);
   for await (const chunk of answer.body as AsyncIterable<Buffer>) {
     for (const event of parser.push(chunk)) {
       version = eventVersion(event, client.eventVersionField, version);
-      const rejection = validateEvent(event, version, text, options);
+      const rejection = appendEvent(context, event, version);
       if (rejection) {
         answer.body.destroy();
         return rejection;
       }
-      options.onVersion(version);
-      text.append(event.id, event.data, version);
-      monitor.recordEvent();
     }
     if (text.isTooLarge) {
       answer.body.destroy();
@@ -141,6 +146,20 @@
   return undefined;
 }
 
+/** Appends an event, or returns an outcome if it is invalid. */
+function appendEvent(
+  { text, options, monitor }: AttemptContext,
+  event: StreamEvent,
+  version: number,
+): GenerationOutcome | undefined {
+  const rejection = validateEvent(event, version, text, options);
+  if (!rejection || rejection.kind === 'version-mismatch') options.onVersion(version);
+  if (rejection) return rejection;
+  text.append(event.id, event.data, version);
+  monitor.recordEvent();
+  return undefined;
+}
+
 /** Weight version of an event: NaN if its field is not a number, `previous` if the field is absent. */
 function eventVersion(event: StreamEvent, field: string, previous: number): number {
   const value = event.fields[field];
@@ -162,6 +181,6 @@
     return { kind: 'wrong-version', reason: `version ${version} is below minimum ${options.minVersion}` };
   const [first] = text.versions;
   if (options.isSingleVersion && first !== undefined && first !== version)
-    return { kind: 'wrong-version', reason: `version ${version} differs from ${first}` };
+    return { kind: 'version-mismatch', reason: `version ${version} differs from ${first}` };
   return undefined;
 }
--- a/src/coordination/service/generation/generation-options.ts
+++ b/src/coordination/service/generation/generation-options.ts
@@ -21,7 +21,7 @@
   /** Why the sample should move to another replica, given the pace at this one; called periodically. */
   readonly reasonToMove: (pace: AttemptPace) => string | undefined;
   readonly onAccepted: () => void;
-  /** Called for each event. */
+  /** Called with the replica's version for each event, and when it declines another version. */
   readonly onVersion: (version: number) => void;
   readonly signal: AbortSignal;
 }
@@ -32,11 +32,16 @@
   | { readonly kind: 'whole' }
   /** The replica did not run the request; `isFull`: for lack of a free slot. */
   | { readonly kind: 'declined'; readonly reason: string; readonly isFull: boolean }
+  /**
+   * The replica's weights are not of the version of the earlier events, which must be the only one; nothing was
+   * appended from them.
+   */
+  | { readonly kind: 'version-mismatch'; readonly reason: string }
   /** The replica reported a failure, which counts against the attempts of the item. */
   | { readonly kind: 'failed'; readonly reason: string }
   /** No replica can ever run the request. */
   | { readonly kind: 'impossible'; readonly reason: string }
-  /** The weights are too old, or differ from those of earlier events where a single version is required. */
+  /** The weights are older than the minimum version. */
   | { readonly kind: 'wrong-version'; readonly reason: string }
   /** The stream was interrupted, stalled or invalid. */
   | {
--- a/src/coordination/service/generation/placement.ts
+++ b/src/coordination/service/generation/placement.ts
@@ -21,6 +21,8 @@
   readonly slots: (state: ReplicaState) => number;
   /** Whether the replica is eligible. */
   readonly accepts: (state: ReplicaState) => boolean;
+  /** Replicas that the request is restricted to as long as the service has any of them, even if full or ejected. */
+  readonly restrictTo?: (state: ReplicaState) => boolean;
   /** Replica that likely has the prompt in its prefix cache. */
   readonly preferred: () => ReplicaState | undefined;
   /** Expected number of events still to be generated. */
@@ -156,11 +158,13 @@
   private selectReplica(request: PlacementRequest): ReplicaState | undefined {
     const service = request.service();
     if (service === undefined) return undefined;
+    const isInRestriction = this.restrictionOf(request, service);
     const cheapest = this.directory.selectForGeneration({
       service,
       zone: this.zone,
       preferred: request.preferred(),
       accepts: (state) =>
+        isInRestriction(state) &&
         state.allowsGeneration &&
         state.inFlight < request.slots(state) &&
         this.allowsInSlowStart(state) &&
@@ -170,6 +174,11 @@
     return cheapest?.isAwaitingAnswers ? undefined : cheapest;
   }
 
+  private restrictionOf({ restrictTo }: PlacementRequest, service: string): (state: ReplicaState) => boolean {
+    const isRestricted = restrictTo !== undefined && this.directory.availableOf(service).some(restrictTo);
+    return isRestricted ? restrictTo : () => true;
+  }
+
   private cost(state: ReplicaState, zone: string, fastestMs: number, expectedEvents: number): number {
     const { averageMs, inFlight, hasDeclined, replica } = state;
     const isOtherZone = replica.zone !== zone;
--- a/src/coordination/service/jobs/item-attempts.ts
+++ b/src/coordination/service/jobs/item-attempts.ts
@@ -21,6 +21,7 @@
 import { attemptTimeoutMs, placementPriority, replicaFeedback, stallTimeoutMs } from './item-policy.js';
 import type { ItemRoute } from './item-route.js';
 import type { ItemJob, ItemServices } from './item-services.js';
+import { TextVersion } from './text-version.js';
 
 /** Backoff of a replica after it declines an item; doubles with each further decline. */
 const INITIAL_DECLINE_BACKOFF_MS = 60;
@@ -46,6 +47,7 @@
   private pauseMs = 0;
   private readonly movePolicy = new MovePolicy();
   private readonly crashBackoff = new CrashBackoff();
+  private readonly textVersion: TextVersion;
 
   constructor(
     private readonly services: ItemServices,
@@ -56,6 +58,7 @@
     private readonly identity: IdentifiedRequest,
   ) {
     this.isStarted = text.eventCount > 0;
+    this.textVersion = new TextVersion(job.specification.model, text);
   }
 
   get count(): number {
@@ -81,6 +84,7 @@
       await sleep(UNCONFIRMED_PAUSE_MS, this.job.signal);
       return undefined;
     }
+    if (route.isSingleVersion && this.textVersion.mustRestartAt(state)) this.restartText(state);
     const startedAtMs = monotonicMs();
     const eventsBefore = this.text.eventCount;
     this.job.groupReplicas.set(this.item.group, state);
@@ -104,6 +108,26 @@
     return outcome;
   }
 
+  /** Discards the text: no replica that has its version takes the item. */
+  private restartText(state: ReplicaState): void {
+    const { versions, eventCount } = this.text;
+    const { model } = this.job.specification;
+    this.services.logger.record({
+      event: 'item-changed',
+      requestId: this.item.id,
+      jobId: this.job.jobId,
+      group: this.item.group,
+      change: 'begins anew',
+      events: eventCount,
+      versions: versions.join(','),
+      attempts: this.attempts,
+      ageMs: Math.round(monotonicMs() - this.job.acceptedAtMs),
+      detail: `${state.id} has version ${state.versionOf(model)}`,
+    });
+    this.text.clear();
+    this.textVersion.recordProgress();
+  }
+
   /** Whether the replica crashed during the attempt; `undefined` if the connection was not lost. */
   private async hasCrashed(state: ReplicaState, outcome: GenerationOutcome): Promise<boolean | undefined> {
     if (outcome.kind !== 'broken' || !outcome.isConnectionLost) return undefined;
@@ -118,6 +142,9 @@
       slots: (candidate) => this.slotsOf(candidate),
       accepts: (candidate) =>
         this.hasRequiredVersion(candidate) && !this.movePolicy.hasRecentlyLeft(candidate),
+      restrictTo: route.isSingleVersion
+        ? (candidate) => this.textVersion.allowsContinuationAt(candidate)
+        : undefined,
       preferred: () => this.job.groupReplicas.get(this.item.group),
       expectedEvents: this.services.lengths.remainingEvents(this.item, this.text.eventCount),
       priority: placementPriority(this.isStarted),
@@ -194,12 +221,14 @@
     if (outcome.kind === 'whole') quarantine.reportServed(this.identity);
   }
 
-  private updateReplica({ state, outcome }: EndedAttempt): void {
+  private updateReplica({ state, outcome, events }: EndedAttempt): void {
     const feedback = replicaFeedback(outcome);
     if (feedback === 'served') state.recordFinished();
     else if (feedback === 'busy') state.backOff(INITIAL_DECLINE_BACKOFF_MS);
     else if (feedback === 'faulty') state.recordFailure();
     if (outcome.kind === 'moved') this.movePolicy.recordMove(state);
+    if (outcome.kind === 'version-mismatch') this.textVersion.recordMismatch(state);
+    if (events > 0) this.textVersion.recordProgress();
     if (outcome.kind !== 'whole') this.job.groupReplicas.delete(this.item.group);
   }
 
--- a/src/coordination/service/jobs/item-policy.ts
+++ b/src/coordination/service/jobs/item-policy.ts
@@ -37,7 +37,7 @@
 /** Effect of an attempt on the replica's health. `busy`: the replica cannot serve the item at present. */
 export type ReplicaFeedback = 'served' | 'busy' | 'faulty' | 'none';
 
-/** Failures count against the item; moves and cancellations are decided by this node. */
+/** Failures and mismatches of the version are about the item; moves and cancellations are decided by this node. */
 export function replicaFeedback(outcome: GenerationOutcome): ReplicaFeedback {
   if (outcome.kind === 'whole') return 'served';
   if (outcome.kind === 'wrong-version') return 'busy';
--- a/src/protocol/service/replica.ts
+++ b/src/protocol/service/replica.ts
@@ -59,6 +59,11 @@
   readonly headers: Readonly<Record<string, string | string[]>>;
   /** Whether the replica states that it did not run the request. */
   readonly isNotExecuted: boolean;
+  /**
+   * Whether the request named a weight version and was declined, probably since the replica has another one: the
+   * same status also says that another replica has the address.
+   */
+  readonly isVersionMismatch: boolean;
   /** Whether the answer carries the ID of the request. */
   readonly matchesRequest: boolean;
   /** Whether the body has a content encoding; replicas never encode, so an intermediary answered. */
--- a/test/coordination/service/generation/placement.test.ts
+++ b/test/coordination/service/generation/placement.test.ts
@@ -138,6 +138,29 @@
     expect(placed[1]).to.equal(declined);
   });
 
+  it('restricts a request to certain replicas, full or not, as long as the service has one of them', async () => {
+    directory.set({ ...REPLICA, id: 'r2' });
+    const restricted = directory.get('r2') as ReplicaState;
+    restricted.inFlight = SLOTS;
+    void placement
+      .acquire({
+        service: () => 's',
+        slots: () => SLOTS,
+        accepts: () => true,
+        restrictTo: ({ id }) => id === 'r2',
+        preferred: () => undefined,
+        expectedEvents: 0,
+        priority: 1,
+        signal: controller.signal,
+      })
+      .then((state) => state && placed.push(state));
+    await reschedule();
+    expect(placed).to.deep.equal([]);
+    directory.remove('r2');
+    await until('the request is sent', () => placed.length === 1);
+    expect(placed[0]).to.equal(directory.get(REPLICA.id));
+  });
+
   describe('replicas of different speed', () => {
     const EVENT_MS = 40;
     const SLOW_EVENT_MS = 60;
--- a/test/coordination/service/jobs/job-policies.test.ts
+++ b/test/coordination/service/jobs/job-policies.test.ts
@@ -19,6 +19,19 @@
     expect(decideRetry({ kind: 'broken', reason: 'reset' }, 2, ROUTE).kind).to.equal('retry');
   });
 
+  for (const outcome of [
+    { kind: 'declined', reason: 'status 503', isFull: true },
+    { kind: 'declined', reason: 'status 421', isFull: false },
+    { kind: 'version-mismatch', reason: 'status 421' },
+    { kind: 'wrong-version', reason: 'old' },
+    { kind: 'broken', reason: 'reset' },
+    { kind: 'moved', reason: 'slow' },
+    { kind: 'cancelled' },
+  ] as const)
+    it(`keeps an item due however often it ends so: ${JSON.stringify(outcome)}`, () => {
+      expect(decideRetry(outcome, ROUTE.maxAttempts * 100, ROUTE).kind).to.equal('retry');
+    });
+
   it('discards the text after a wrong version only where a single version is required', () => {
     const outcome = { kind: 'wrong-version', reason: 'old' } as const;
     expect(decideRetry(outcome, 0, ROUTE)).to.deep.equal({ kind: 'retry', restarts: false });
@@ -29,6 +42,7 @@
     expect(replicaFeedback({ kind: 'declined', reason: '', isFull: true })).to.equal('busy');
     expect(replicaFeedback({ kind: 'declined', reason: '', isFull: false })).to.equal('faulty');
     expect(replicaFeedback({ kind: 'wrong-version', reason: '' })).to.equal('busy');
+    expect(replicaFeedback({ kind: 'version-mismatch', reason: '' })).to.equal('none');
     expect(replicaFeedback({ kind: 'broken', reason: '' })).to.equal('faulty');
     expect(replicaFeedback({ kind: 'failed', reason: '' })).to.equal('none');
     expect(replicaFeedback({ kind: 'whole' })).to.equal('served');
