Results, pages of them and texts are limited in bytes, not in characters

Cause: countFittingResults compared string lengths with the store's limits of bytes.

The same elsewhere: pages of results, the memory of the cache of results, and the text of a sample, whose limit was moreover above what a transaction can take.

Change: bytes everywhere; pages read from the store are cut to the same limit; a sample's text is limited to what can be listed.

--- a/src/coordination/service/generation/sample-text.ts
+++ b/src/coordination/service/generation/sample-text.ts
@@ -2,6 +2,7 @@
  * The text of a sample: its events in order, the weight versions that generated them, and which are stored.
  */
 import type { PartialText } from '../../../protocol/service/batch-job.js';
+import { MAX_RESULT_TEXT_BYTES } from '../../../state/service/jobs/index.js';
 
 /** Bounds the memory of a text whose replica sends events without end; each event counts as this much more. */
 const MAX_TEXT_BYTES = 4 * 1024 * 1024;
@@ -13,7 +14,10 @@
   private readonly versionSet = new Set<number>();
   private lastId: string | undefined;
   private savedCount = 0;
+  /** In memory. */
   private bytes = 0;
+  /** As JSON, as which it is listed. */
+  private jsonBytes = 0;
   /** Whether the stream was read to its end. */
   isComplete = false;
 
@@ -47,9 +51,9 @@
     return this.lastId === undefined || Number(id) === Number(this.lastId) + 1;
   }
 
-  /** Whether it exceeds the size that a sample may have. */
+  /** Whether it exceeds the size that a sample may have, in memory or in its list of results. */
   get isTooLarge(): boolean {
-    return this.bytes > MAX_TEXT_BYTES;
+    return this.bytes > MAX_TEXT_BYTES || this.jsonBytes > MAX_RESULT_TEXT_BYTES;
   }
 
   append(id: string, data: string, version: number): void {
@@ -61,6 +65,7 @@
   clear(): void {
     this.events.length = 0;
     this.bytes = 0;
+    this.jsonBytes = 0;
     this.versionSet.clear();
     this.lastId = undefined;
     this.savedCount = 0;
@@ -94,6 +99,8 @@
 
   private add(event: string): void {
     this.events.push(event);
-    this.bytes += event.length + EVENT_OVERHEAD_BYTES;
+    this.bytes += Buffer.byteLength(event, 'utf8') + EVENT_OVERHEAD_BYTES;
+    // The quotes of the event take as much as the line feed that separates it from the next one.
+    this.jsonBytes += Buffer.byteLength(JSON.stringify(event), 'utf8');
   }
 }
--- a/src/coordination/service/jobs/job-calls.ts
+++ b/src/coordination/service/jobs/job-calls.ts
@@ -22,6 +22,7 @@
   type JobRepository,
   type ResultCache,
   type SubmittedJob,
+  takePage,
 } from '../../../state/service/jobs/index.js';
 import type { StateError } from '../../../state/state-error.js';
 import type { JobForwarding } from './job-forwarding.js';
@@ -32,7 +33,7 @@
 const END_TIMEOUT_MS = 3_000;
 /** Interval of reads from the store while a reader waits for results. */
 const RESULT_POLL_INTERVAL_MS = 120;
-/** About the size limit of a transaction of the store. */
+/** Callers expect 1 MB at most. */
 const MAX_PAGE_BYTES = 900_000;
 
 export interface JobCallServices {
@@ -235,7 +236,7 @@
     const page = await repository.contents.results(jobId, position);
     if (page.isErr()) return undefined;
     cache.append(jobId, position, page.value);
-    return page.value;
+    return takePage(page.value, MAX_PAGE_BYTES);
   }
 
   private async waitForResults(jobId: string, waitMs: number, signal: AbortSignal): Promise<void> {
--- a/src/state/service/jobs/index.ts
+++ b/src/state/service/jobs/index.ts
@@ -1,3 +1,4 @@
+export { MAX_RESULT_TEXT_BYTES } from './job-contents.js';
 export {
   belongsTo,
   isJobPartition,
@@ -8,5 +9,5 @@
   parseListedResult,
 } from './job-record.js';
 export { JobRepository } from './job-repository.js';
-export { ResultCache } from './result-cache.js';
+export { ResultCache, takePage } from './result-cache.js';
 export type { SubmittedJob } from './submitted-job.js';
--- a/src/state/service/jobs/job-contents.ts
+++ b/src/state/service/jobs/job-contents.ts
@@ -29,8 +29,10 @@
 const RECORD_FILL_RATIO = 0.9;
 /** Submissions up to this size are stored as records in one transaction, larger ones as an object. */
 const MAX_RECORD_SUBMISSION_BYTES = 500_000;
-/** Below the store's limits of 1 MB and 100 entries for a transaction. */
+/** Below the store's limits of 1 MB and 100 entries for a transaction; records grow by a third in base64. */
 const MAX_TRANSACTION_BYTES = 600_000;
+/** Largest text of a result as JSON, which has to fit into one transaction. */
+export const MAX_RESULT_TEXT_BYTES = MAX_TRANSACTION_BYTES;
 const MAX_TRANSACTION_RECORDS = 80;
 /** With a condition for each record and one for the head, below the store's limit of 100 entries. */
 const MAX_RESULT_RECORDS = 48;
@@ -128,8 +130,9 @@
     let records = 0;
     let count = 0;
     for (const result of results) {
-      bytes += result.length;
-      records += Math.ceil(result.length / this.chunkBytes);
+      const resultBytes = Buffer.byteLength(result, 'utf8');
+      bytes += resultBytes;
+      records += Math.ceil(resultBytes / this.chunkBytes);
       if (count > 0 && (bytes > MAX_TRANSACTION_BYTES || records > MAX_RESULT_RECORDS)) break;
       count += 1;
     }
--- a/src/state/service/jobs/result-cache.ts
+++ b/src/state/service/jobs/result-cache.ts
@@ -9,6 +9,23 @@
   bytes: number;
 }
 
+/** Size of a result on the wire, and about its size in memory. */
+function bytesOf(result: string): number {
+  return Buffer.byteLength(result, 'utf8');
+}
+
+/** Returns leading results of up to `maxBytes`, but at least one if there is any. */
+export function takePage(results: readonly string[], maxBytes: number): readonly string[] {
+  const page: string[] = [];
+  let bytes = 0;
+  for (const result of results) {
+    bytes += bytesOf(result);
+    if (page.length > 0 && bytes > maxBytes) break;
+    page.push(result);
+  }
+  return page;
+}
+
 type Listener = () => void;
 
 export class ResultCache {
@@ -25,9 +42,10 @@
     this.jobs.delete(jobId);
     this.jobs.set(jobId, entry);
     for (const result of results.slice(entry.results.length - position)) {
+      const bytes = bytesOf(result);
       entry.results.push(result);
-      entry.bytes += result.length;
-      this.totalBytes += result.length;
+      entry.bytes += bytes;
+      this.totalBytes += bytes;
     }
     this.evict(jobId);
     for (const listener of this.listeners.get(jobId) ?? []) listener();
@@ -35,16 +53,7 @@
 
   /** Returns cached results from `position` on: up to `maxBytes`, but at least one if there is any. */
   read(jobId: string, position: number, maxBytes: number): readonly string[] {
-    const entry = this.jobs.get(jobId);
-    if (!entry) return [];
-    const page: string[] = [];
-    let bytes = 0;
-    for (const result of entry.results.slice(position)) {
-      bytes += result.length;
-      if (page.length > 0 && bytes > maxBytes) break;
-      page.push(result);
-    }
-    return page;
+    return takePage(this.jobs.get(jobId)?.results.slice(position) ?? [], maxBytes);
   }
 
   /** Calls `listener` when results of the job are added. Returns a function that unsubscribes it. */
--- a/test/state/service/jobs/job-contents.test.ts
+++ b/test/state/service/jobs/job-contents.test.ts
@@ -12,10 +12,17 @@
 } from '../../../../src/protocol/record-store.js';
 import { JobContents } from '../../../../src/state/service/jobs/job-contents.js';
 import { headAddress, type JobHead, type JobRecord } from '../../../../src/state/service/jobs/job-record.js';
+import { ResultCache } from '../../../../src/state/service/jobs/result-cache.js';
 import { toRows, toStoredRecord } from '../../../support/faulty-platform.js';
 
 const JOB = 'job-1';
 const TIMEOUT_MS = 5_000;
+/** The store's limit of a transaction, and how much base64 adds to a value. */
+const MAX_TRANSACTION_BYTES = 1_000_000;
+const BASE64_FACTOR = 4 / 3;
+/** Largest page of results that callers expect, and the limit of one. */
+const MAX_PAGE_BYTES = 1_000_000;
+const PAGE_BYTES = 900_000;
 
 /** An in-memory store whose next answer can be lost, with or without executing the transaction. */
 class LossyStore {
@@ -102,6 +109,32 @@
     expect((await contents.allResults(JOB))._unsafeUnwrap()).to.deep.equal(['a', 'b', 'c', 'd']);
   });
 
+  // Guards against batches and pages whose limits in bytes are counted in characters: 56 KB each, two bytes a letter.
+  const wideResults = Array.from({ length: 60 }, () => JSON.stringify({ text: 'ي'.repeat(28_000) }));
+
+  const bytesOf = (results: readonly string[]) =>
+    results.reduce((sum, result) => sum + Buffer.byteLength(result, 'utf8'), 0);
+
+  it('counts results that fit one transaction in bytes, not in characters', () => {
+    const count = contents.countFittingResults(wideResults);
+    const bytes = bytesOf(wideResults.slice(0, count));
+    expect(bytes * BASE64_FACTOR).to.be.within(MAX_TRANSACTION_BYTES / 2, MAX_TRANSACTION_BYTES);
+  });
+
+  it('reads pages of cached results that are limited in bytes, not in characters', () => {
+    const cache = new ResultCache(Number.POSITIVE_INFINITY);
+    cache.append(JOB, 0, wideResults);
+    const bytes = bytesOf(cache.read(JOB, 0, PAGE_BYTES));
+    expect(bytes).to.be.within(MAX_PAGE_BYTES / 2, MAX_PAGE_BYTES);
+  });
+
+  it('bounds the memory of cached results in bytes, not in characters', () => {
+    const cache = new ResultCache(bytesOf(wideResults) * 1.5);
+    cache.append('older', 0, wideResults);
+    cache.append(JOB, 0, wideResults);
+    expect(cache.read('older', 0, PAGE_BYTES)).to.deep.equal([]);
+  });
+
   it('counts results that fit one transaction together with a condition for each record', () => {
     const results = Array.from({ length: 100 }, (_, index) => `result ${index}`);
     expect(contents.countFittingResults(results) * 2 + 1).to.be.within(3, 100);
