A batch of results that the store did not answer is repeated unchanged

Cause: after 5 s the owner put another batch together for the same position; it failed on the records of the first one.

Change: the batch stays as it is until the store answers or the job is stopped. Results that finish meanwhile follow in the next one.

Why it works: a repeat of the same transaction finds either its conditions or its own records.

Test: result-lister.test.ts, a write without an answer and an outage of 5.5 s: failed before, passes.

--- a/src/coordination/service/jobs/result-lister.ts
+++ b/src/coordination/service/jobs/result-lister.ts
@@ -1,6 +1,7 @@
 /**
  * Appends the results of one job to its list in the store: in batches, at consecutive positions, conditional
- * on the owner's head. A batch that the store does not accept is retried until the job is stopped.
+ * on the owner's head. A batch that the store does not answer is retried unchanged until the job is stopped: it
+ * may have been listed, so that another batch at its position could fail on it.
  *
  * A submitter continues only when all groups that it waits for are complete. A result listed by itself would
  * end a waiting read, and later results would then wait for the next read. Results are therefore batched until
@@ -16,7 +17,6 @@
 const BATCH_DELAY_MS = 15;
 /** Equals the maximum wait of a read, so that a read is usually pending when the last result is listed. */
 const MAX_BATCH_DELAY_MS = 1_000;
-const APPEND_TIMEOUT_MS = 5_000;
 
 export interface ListerServices {
   readonly repository: JobRepository;
@@ -74,7 +74,7 @@
     this.wake?.();
   }
 
-  /** Lists results until there are `total` or the job is stopped. Resolves to false if ownership was lost. */
+  /** Lists results until there are `total` or the job is stopped. Resolves to false if the store rejects a batch. */
   async run(total: number): Promise<boolean> {
     while (this.nextPosition < total && !this.signal.aborted) {
       const listByMs = Math.min(...this.pending.map((result) => result.listByMs));
@@ -101,21 +101,15 @@
     const results = this.pending.map(({ result }) => result);
     const batch = results.slice(0, repository.contents.countFittingResults(results));
     const startedAtMs = this.clock.now();
-    const deadlineMs = startedAtMs + APPEND_TIMEOUT_MS;
-    const listed = await repository.contents.appendResults(
-      this.job.head,
-      this.nextPosition,
-      batch,
-      deadlineMs,
-      this.signal,
-    );
+    const { head } = this.job;
+    const listed = await repository.contents.appendResults(head, this.nextPosition, batch, this.signal);
     this.report(
       batch.length,
       listed.isOk() ? 'listed' : listed.error.failure,
       this.clock.now() - startedAtMs,
     );
     if (listed.isErr()) return listed.error.failure !== 'conflict' && listed.error.failure !== 'invalid';
-    cache.append(this.job.head.jobId, this.nextPosition, batch);
+    cache.append(head.jobId, this.nextPosition, batch);
     this.nextPosition += batch.length;
     for (const { itemId } of this.pending.splice(0, batch.length)) this.job.onListed(itemId);
     return true;
--- a/src/state/service/jobs/job-contents.ts
+++ b/src/state/service/jobs/job-contents.ts
@@ -90,15 +90,14 @@
   }
 
   /**
-   * Writes results from `firstPosition` on if the owner's head is unchanged. Safe to retry. After a lost
-   * answer the transaction counts as applied only if all records match: a later owner may have written the
-   * same results in another order.
+   * Writes results from `firstPosition` on if the owner's head is unchanged; repeats the transaction until the
+   * store answers or `signal` is aborted. After a lost answer it counts as applied only if all records match: a
+   * later owner may have written the same results in another order.
    */
   async appendResults(
     head: JobHead,
     firstPosition: number,
     results: readonly string[],
-    deadlineMs: number,
     signal: AbortSignal,
   ): Promise<Result<void, StateError>> {
     const writes = results.flatMap((result, index) =>
@@ -116,7 +115,7 @@
         removals: [],
       },
       {
-        deadlineMs,
+        deadlineMs: Number.POSITIVE_INFINITY,
         signal,
         isApplied: (current) => areAllApplied(writes, current),
       },
--- a/test/coordination/service/jobs/result-lister.test.ts
+++ b/test/coordination/service/jobs/result-lister.test.ts
@@ -1,14 +1,23 @@
 /** When results of a job are listed: batched, so that a read is pending when the last one is listed. */
 import { expect } from 'chai';
-import { ok } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
+import { RowStore } from '../../../../emulator/store/row-store.js';
 import { DesiredGroups } from '../../../../src/coordination/service/jobs/desired-groups.js';
 import {
   type ListerServices,
   ResultLister,
 } from '../../../../src/coordination/service/jobs/result-lister.js';
+import {
+  type RecordStore,
+  RecordStoreError,
+  type RecordTransaction,
+} from '../../../../src/protocol/record-store.js';
 import type { JobItem } from '../../../../src/protocol/service/batch-job.js';
-import type { JobHead } from '../../../../src/state/service/jobs/job-record.js';
+import { JobContents } from '../../../../src/state/service/jobs/job-contents.js';
+import { headAddress, type JobHead, type JobRecord } from '../../../../src/state/service/jobs/job-record.js';
+import { toRows, toStoredRecord } from '../../../support/faulty-platform.js';
 import { ManualClock } from '../../../support/manual-clock.js';
+import { until } from '../../../support/wait.js';
 
 const DUE_MS = 7_500;
 /** Maximum time for which a result waits for others. */
@@ -101,6 +110,65 @@
   });
 });
 
+/** A store in memory that executes a transaction without an answer and then fails all calls until `isUp`. */
+class StoreWithOutage {
+  readonly limits = { recordBytes: 65_536, objectBytes: 8_388_608 };
+  readonly rows = new RowStore();
+  isUp = false;
+  calls = 0;
+
+  async transact(transaction: RecordTransaction): Promise<Result<number, RecordStoreError>> {
+    this.calls += 1;
+    if (!this.isUp && this.calls > 1) return err(new RecordStoreError('unavailable', 'unknown', 'reset'));
+    const outcome = this.rows.transact(toRows(transaction));
+    if (this.calls === 1) return err(new RecordStoreError('unavailable', 'unknown', 'no answer'));
+    if ('ver' in outcome) return ok(outcome.ver);
+    const current = outcome.rows.map(toStoredRecord);
+    return err(new RecordStoreError('conflict', 'none', 'a condition did not hold', current));
+  }
+}
+
+describe('ResultLister after a write that was executed without an answer', () => {
+  /** Longer than any time-out of a write. */
+  const OUTAGE_MS = 5_500;
+
+  // Guards against a batch that grows after its write was executed, and then fails on the results of that write.
+  it('lists the results that were added in a long outage after those of the write', async () => {
+    const store = new StoreWithOutage();
+    const { table, partition, key } = headAddress('job-1');
+    const version = store.rows.put(table, key, {}, partition);
+    const listed: string[] = [];
+    const controller = new AbortController();
+    const services = {
+      repository: { contents: new JobContents(store as unknown as RecordStore) },
+      cache: { append: () => {} },
+      metrics: { listedSeconds: { observe: () => {} } },
+      logger: { record: () => {} },
+    } as unknown as ListerServices;
+    const job = {
+      head: { jobId: 'job-1', record: { epoch: 1 } as JobRecord, version },
+      listedCount: 0,
+      acceptedAtMs: performance.now(),
+      dueAgeMs: () => 0,
+      onListed: (itemId: string) => listed.push(itemId),
+    };
+    const lister = new ResultLister(services, job, controller.signal);
+    const add = (id: string) =>
+      lister.add({ id, state: 'completed', text: '', versions: [], score: undefined }, true);
+    const running = lister.run(3);
+    add('a');
+    await until('the write was executed', () => store.calls > 1);
+    add('b');
+    add('c');
+    const downSinceMs = performance.now();
+    await until('the outage is long', () => performance.now() - downSinceMs > OUTAGE_MS);
+    store.isUp = true;
+    expect(await running).to.equal(true);
+    expect(listed).to.deep.equal(['a', 'b', 'c']);
+    controller.abort();
+  });
+});
+
 describe('DesiredGroups', () => {
   const items = ['a', 'a', 'b', 'b', 'c', 'c'].map((group, index) => ({ id: `${index}`, group }) as JobItem);
 
--- a/test/state/service/jobs/job-contents.test.ts
+++ b/test/state/service/jobs/job-contents.test.ts
@@ -16,7 +16,6 @@
 import { toRows, toStoredRecord } from '../../../support/faulty-platform.js';
 
 const JOB = 'job-1';
-const TIMEOUT_MS = 5_000;
 /** The store's limit of a transaction, and how much base64 adds to a value. */
 const MAX_TRANSACTION_BYTES = 1_000_000;
 const BASE64_FACTOR = 4 / 3;
@@ -74,13 +73,7 @@
   }
 
   const append = (head: JobHead, position: number, results: readonly string[]) =>
-    contents.appendResults(
-      head,
-      position,
-      results,
-      performance.now() + TIMEOUT_MS,
-      new AbortController().signal,
-    );
+    contents.appendResults(head, position, results, new AbortController().signal);
 
   beforeEach(() => {
     store = new LossyStore();
