An open job of a process is run there, or claimed again

Cause: a run that ended before its job was followed by another one only if the job's head had changed.

Ruled out: to release the job instead; the same process would claim it again.

Change: at each poll an open job of this process without a run, whose results are not all listed, is claimed again and run, with growing pauses after runs that the store ended. It replaces what resumed cancelled runs. A planned stop releases such jobs too.

Why it works: the rule doesn't depend on how a run ended, and the new epoch makes late writes of an earlier run fail.

--- a/src/coordination/service/jobs/job-claimer.ts
+++ b/src/coordination/service/jobs/job-claimer.ts
@@ -1,6 +1,7 @@
 /**
- * Claims jobs that were released or whose owner is lost. The claim is a conditional write of the head, so
- * exactly one node gets each job; after a conflict the head is read again.
+ * Claims jobs that were released or whose owner is lost, and jobs of this process that it must run again. The claim
+ * is a conditional write of the head, so exactly one node gets each job, and writes of an earlier run fail; after a
+ * conflict the head is read again.
  */
 import { monotonicMs, sleep } from '../../../common/clock.js';
 import type { JobHead, JobRepository, OwnerReference } from '../../../state/service/jobs/index.js';
@@ -21,7 +22,7 @@
   readonly report: (head: JobHead, change: string, detail: string) => void;
   /** Called with the new head of a claimed job. */
   readonly onClaimed: (head: JobHead) => void;
-  /** Reads the head of a job that another node has claimed. */
+  /** Reads the head of a job that was changed meanwhile. */
   readonly refresh: (jobId: string) => Promise<void>;
 }
 
@@ -42,6 +43,11 @@
     if (reason !== undefined) void this.claim(head, reason);
   }
 
+  /** Claims an open job of this process again, so that a new run of it excludes late writes of an earlier one. */
+  reclaim(head: JobHead, reason: string): void {
+    if (!this.services.isLeaving() && !this.claiming.has(head.jobId)) void this.claim(head, reason);
+  }
+
   private async claim(head: JobHead, reason: string): Promise<void> {
     const { repository, heads, isLeaving, report, onClaimed, refresh } = this.services;
     const { jobId } = head;
--- a/src/coordination/service/jobs/job-ownership.ts
+++ b/src/coordination/service/jobs/job-ownership.ts
@@ -4,7 +4,8 @@
  * connections to the replicas and knows their load; otherwise the accepting node keeps it.
  *
  * Jobs of lost owners are claimed (`job-claimer.ts`). All writes of an owner are conditional on the head, so a
- * replaced owner cannot list results.
+ * replaced owner cannot list results. At every poll each open job of this process has a run here, has all its
+ * results listed, or is claimed again for a new run (`run-restarts.ts`).
  */
 import { MAX_TIMER_MS, monotonicMs } from '../../../common/clock.js';
 import type { DecisionLogger } from '../../../common/decision-logger.js';
@@ -24,6 +25,7 @@
 import type { JobHeads } from './job-heads.js';
 import { JobRun, type JobRunEnd, type JobRunServices } from './job-run.js';
 import { isOwnedBy, removalDelayMs, shouldRemove } from './ownership-policy.js';
+import { RunRestarts } from './run-restarts.js';
 
 /** A job that is not released in time is claimed once the heartbeats of this process are missing. */
 const RELEASE_TIMEOUT_MS = 1_000;
@@ -46,8 +48,7 @@
   readonly heads: JobHeads;
   private readonly claimer: JobClaimer;
   private readonly runs = new Map<string, JobRun>();
-  /** IDs of jobs whose runs were cancelled while the store rejected this node. */
-  private readonly cancelled = new Set<string>();
+  private readonly restarts = new RunRestarts();
   private isLeaving = false;
   private lastOwnedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -66,8 +67,7 @@
       self,
     );
     sessions.onPoll(() => {
-      for (const head of this.heads.openJobs) if (!this.isOwned(head)) this.claimer.claimIfAllowed(head);
-      void this.resumeCancelled();
+      for (const head of this.heads.openJobs) this.claimIfNeeded(head);
     });
   }
 
@@ -102,9 +102,9 @@
     return this.isLeaving ? null : this.self;
   }
 
-  /** Whether there are open jobs of other owners. */
-  get hasForeignJobs(): boolean {
-    return this.heads.openJobs.some((head) => !this.isOwned(head));
+  /** Whether there are open jobs that this node may have to claim: those of other owners, and own ones without a run. */
+  get mustWatch(): boolean {
+    return this.heads.openJobs.some((head) => !this.isOwned(head) || this.mustRestart(head));
   }
 
   /** Whether this node runs the job and has read the results listed so far. */
@@ -131,7 +131,10 @@
 
   /** Updates a head from the feed, a read or a write; an older one is ignored. */
   updateHead(head: JobHead): void {
-    if (this.heads.set(head, this.services.sessions.observedTimeMs)) this.reconcile(head);
+    const known = this.heads.get(head.jobId);
+    if (!this.heads.set(head, this.services.sessions.observedTimeMs)) return;
+    if (known && this.isOwned(known) && !this.isOwned(head)) this.reportLoss(head);
+    this.reconcile(head);
   }
 
   async readAll() {
@@ -163,19 +166,22 @@
   /** Stores the texts of all jobs and releases the jobs, so that other nodes claim them at once. */
   async releaseAll(): Promise<void> {
     this.isLeaving = true;
-    await Promise.all([...this.runs.values()].map((run) => this.releaseRun(run)));
+    const withoutRun = this.heads.openJobs.filter((head) => this.isOwned(head) && this.mustRestart(head));
+    await Promise.all([
+      ...[...this.runs.values()].map((run) => this.releaseRun(run)),
+      ...withoutRun.map((head) => this.releaseHead(head)),
+    ]);
   }
 
   /**
    * Cancels all runs because the store rejects this node while it serves others, which claim the jobs once
    * the heartbeats of this node are missing and then need the slots. Jobs still owned when the store serves
-   * this node again are resumed.
+   * this node again are run again.
    */
   cancelRuns(): void {
     for (const run of this.runs.values()) {
       if (run.isStopped) continue;
       this.report(run.head, 'runs cancelled', 'the store serves other nodes, not this one');
-      this.cancelled.add(run.head.jobId);
       run.stop();
     }
   }
@@ -191,17 +197,33 @@
 
   private forget(jobId: string): void {
     this.heads.remove(jobId);
+    this.restarts.forget(jobId);
     this.runs.get(jobId)?.stop();
     this.services.cache.remove(jobId);
   }
 
+  /** Whether a job of this process has neither a run here nor all its results listed. */
+  private mustRestart({ jobId }: JobHead): boolean {
+    return !this.runs.has(jobId) && this.restarts.isDue(jobId);
+  }
+
+  private claimIfNeeded(head: JobHead): void {
+    const reason = this.runs.has(head.jobId) ? undefined : this.restarts.reasonToRestart(head.jobId);
+    if (!this.isOwned(head)) this.claimer.claimIfAllowed(head);
+    else if (reason !== undefined) this.claimer.reclaim(head, reason);
+  }
+
+  /** Reports that this process no longer owns a job, unless it has released the job itself. */
+  private reportLoss(head: JobHead): void {
+    const { state, owner } = head.record;
+    if (state === 'open' && owner) this.report(head, 'taken by another owner');
+    else if (state === 'ended' && this.runs.has(head.jobId)) this.report(head, 'ended');
+  }
+
   /** Starts, stops, claims, releases or removes a job as its new head requires. */
   private reconcile(head: JobHead): void {
     const run = this.runs.get(head.jobId);
-    if (run && (!this.isOwned(head) || run.head.record.epoch !== head.record.epoch)) {
-      this.report(head, head.record.state === 'ended' ? 'ended' : 'taken by another owner');
-      run.stop();
-    }
+    if (run && (!this.isOwned(head) || run.head.record.epoch !== head.record.epoch)) run.stop();
     if (head.record.state === 'ended') this.scheduleRemoval(head);
     else if (!this.isOwned(head)) this.claimer.claimIfAllowed(head);
     else if (this.isLeaving && !run) void this.releaseHead(head);
@@ -210,6 +232,11 @@
 
   private start(head: JobHead, specification: JobSpecification | undefined): void {
     if (this.runs.has(head.jobId) || this.isLeaving) return;
+    if (this.restarts.wasRunUnder(head.jobId, head.version)) {
+      this.claimer.reclaim(head, 'run before under the same head');
+      return;
+    }
+    this.restarts.recordStart(head.jobId, head.version);
     const ageMs = Math.max(0, this.services.store.nowMs() - head.record.acceptedAtMs);
     const run = new JobRun(this.services, head, ageMs, specification);
     this.runs.set(head.jobId, run);
@@ -225,8 +252,9 @@
     this.lastOwnedAtMs = monotonicMs();
     this.services.metrics.ownedJobs.set({}, this.runs.size);
     this.report(run.head, end);
-    if (end === 'ownership-lost') void this.refresh(jobId);
     const newest = this.heads.get(jobId);
+    if (newest) this.restarts.recordEnd(jobId, end);
+    if (end === 'write-rejected') void this.refresh(jobId);
     if (end === 'stopped' && newest && newest.version !== run.head.version && this.isOwned(newest))
       this.start(newest, undefined);
   }
@@ -237,17 +265,6 @@
     if (read.isOk() && read.value) this.updateHead(read.value);
   }
 
-  /** Resumes cancelled jobs that no other node has claimed, once the store answers again. */
-  private async resumeCancelled(): Promise<void> {
-    for (const jobId of this.cancelled) {
-      if (this.runs.has(jobId)) continue;
-      this.cancelled.delete(jobId);
-      await this.refresh(jobId);
-      const head = this.heads.get(jobId);
-      if (head && this.isOwned(head)) this.start(head, undefined);
-    }
-  }
-
   private async releaseRun(run: JobRun): Promise<void> {
     await run.saveTexts();
     run.stop();
--- a/src/coordination/service/jobs/job-run.ts
+++ b/src/coordination/service/jobs/job-run.ts
@@ -1,7 +1,7 @@
 /**
  * Runs one job as its owner: generates, scores and lists the items that have no listed result yet, the longest
- * first. Texts are stored periodically for a later owner. A write that is rejected because the job has
- * another owner ends the run; while the store does not answer, generation continues.
+ * first. Texts are stored periodically for a later owner. A write that the store rejects ends the run, mostly
+ * because the job has another owner; while the store does not answer, generation continues.
  */
 import { setMaxListeners } from 'node:events';
 import { monotonicMs, sleep } from '../../../common/clock.js';
@@ -40,7 +40,7 @@
 }
 
 /** `unreadable`: the store has no valid submission of the job. */
-export type JobRunEnd = 'finished' | 'stopped' | 'ownership-lost' | 'unreadable';
+export type JobRunEnd = 'finished' | 'stopped' | 'write-rejected' | 'unreadable';
 
 interface LoadedJob {
   readonly specification: JobSpecification;
@@ -117,11 +117,11 @@
     this.startItems(loaded, acceptedAtMs, lister);
     const saving = this.savePeriodically();
     const unreadableCount = loaded.listedCount - loaded.listedIds.size;
-    const keptOwnership = await lister.run(loaded.specification.items.length + unreadableCount);
+    const areListed = await lister.run(loaded.specification.items.length + unreadableCount);
     const wasStopped = this.controller.signal.aborted;
     this.stop();
     await saving;
-    if (!keptOwnership) return 'ownership-lost';
+    if (!areListed) return 'write-rejected';
     return wasStopped ? 'stopped' : 'finished';
   }
 
--- a/src/node/service/node-jobs.ts
+++ b/src/node/service/node-jobs.ts
@@ -66,7 +66,7 @@
   get sessionRole(): SessionRole {
     return {
       isHolder: () => this.ownership.isRecentOwner,
-      mustWatch: () => this.ownership.hasForeignJobs,
+      mustWatch: () => this.ownership.mustWatch,
       holders: () => this.ownership.heads.owners,
     };
   }
