A finished item stays due while its scoring call has no route

Cause: a route that was missing for 3 s since the start of the last send made the item dead, and so did every status from 300 on but 502, 503 and 504, whichever service gave it.

Without a route, or after another status, the call is repeated until the item may be given up: its time in the queue is over, or its own route was removed.

--- a/src/coordination/service/generation/index.ts
+++ b/src/coordination/service/generation/index.ts
@@ -3,6 +3,5 @@
 export { LengthEstimator } from './length-estimator.js';
 export { MovePolicy } from './move-policy.js';
 export { Placement, type PlacementRequest } from './placement.js';
-export { isRouteRemoved } from './route-removal.js';
 export { SampleScorer } from './sample-scorer.js';
 export { SampleText } from './sample-text.js';
--- a/src/coordination/service/jobs/item-run.ts
+++ b/src/coordination/service/jobs/item-run.ts
@@ -53,7 +53,7 @@
   private async runOnce(): Promise<JobResult | undefined> {
     const route = await this.route.wait();
     if (!route) return this.job.signal.aborted ? undefined : this.toDeadResult('the route was removed');
-    if (this.ageMs > route.maxQueueMs) return this.toDeadResult('the maximum time in the queue has passed');
+    if (this.hasExpired(route)) return this.toDeadResult('the maximum time in the queue has passed');
     const outcome = await this.attempts.run(route);
     const result = outcome && this.handleOutcome(outcome, route);
     if (!result && this.attempts.backoffMs > 0) await sleep(this.attempts.backoffMs, this.job.signal);
@@ -64,6 +64,16 @@
     return monotonicMs() - this.job.acceptedAtMs;
   }
 
+  private hasExpired({ maxQueueMs }: Route): boolean {
+    return this.ageMs > maxQueueMs;
+  }
+
+  /** Whether the item may be dead though nothing has failed it: it has expired, or its own route was removed. */
+  private get mayGiveUp(): boolean {
+    const route = this.route.current;
+    return route ? this.hasExpired(route) : this.route.isRemoved();
+  }
+
   /** Returns the final result after an attempt, or `undefined` to continue. */
   private handleOutcome(outcome: GenerationOutcome, route: Route): JobResult | undefined {
     if (outcome.kind === 'failed') this.failures += 1;
@@ -79,7 +89,8 @@
     if (!scoring) return this.toCompletedResult(undefined);
     const { jobId, signal } = this.job;
     const mayBegin = () => this.services.jobGate.check(jobId) === 'open';
-    const outcome = await this.services.scorer.score(scoring, { jobId, signal, mayBegin });
+    const mayGiveUp = () => this.mayGiveUp;
+    const outcome = await this.services.scorer.score(scoring, { jobId, signal, mayBegin, mayGiveUp });
     if (outcome.kind === 'scored') return this.toCompletedResult(outcome.score);
     return outcome.kind === 'cancelled' ? undefined : this.toDeadResult(outcome.reason);
   }
