--- a/src/coordination/service/jobs/item-route.ts
+++ b/src/coordination/service/jobs/item-route.ts
@@ -17,7 +17,7 @@
   private missingSinceMs: number | undefined;
 
   constructor(
-    private readonly services: Pick<ItemServices, 'routing' | 'splitter'>,
+    private readonly services: Pick<ItemServices, 'routing' | 'splitter' | 'isConfigurationCurrent'>,
     private readonly job: Pick<ItemJob, 'host' | 'path' | 'signal'>,
     private readonly item: Pick<JobItem, 'path'>,
     private readonly now: () => number = monotonicMs,
@@ -40,7 +40,7 @@
 
   /**
    * Whether the route has been missing for longer than the grace period, as far as was observed by calls of this
-   * method.
+   * method, in a configuration that is current: an older one may precede the acceptance of the job.
    */
   isRemoved(): boolean {
     if (this.current || !this.services.routing.current) {
@@ -48,7 +48,8 @@
       return false;
     }
     this.missingSinceMs ??= this.now();
-    return this.now() - this.missingSinceMs > MISSING_ROUTE_GRACE_MS;
+    const isOver = this.now() - this.missingSinceMs > MISSING_ROUTE_GRACE_MS;
+    return isOver && this.services.isConfigurationCurrent();
   }
 
   /**
--- a/src/coordination/service/jobs/item-services.ts
+++ b/src/coordination/service/jobs/item-services.ts
@@ -16,6 +16,8 @@
 
 export interface ItemServices {
   readonly routing: RoutingTable;
+  /** Whether no newer configuration can have been in force for longer than the operator's bound. */
+  readonly isConfigurationCurrent: () => boolean;
   readonly splitter: TargetSplitter;
   readonly placement: Placement;
   readonly client: ReplicaClient;
--- a/src/node/service/node-jobs.ts
+++ b/src/node/service/node-jobs.ts
@@ -30,6 +30,8 @@
   readonly sessions: SessionMonitor;
   readonly peers: PeerAddresses;
   readonly jobGate: JobGate;
+  /** See `ItemServices`. */
+  readonly isConfigurationCurrent: () => boolean;
 }
 
 export class NodeJobs {
@@ -80,23 +82,19 @@
   }
 
   private createOwnership(
-    { splitter, crashCheck, quarantine, relay, sessions, jobGate }: NodeJobsDependencies,
+    { peers: _, ...dependencies }: NodeJobsDependencies,
     repository: JobRepository,
     cache: ResultCache,
   ): JobOwnership {
     const { context, placement } = this;
     const services = {
       ...context,
-      splitter,
+      ...dependencies,
       placement,
-      crashCheck,
-      quarantine,
       lengths: new LengthEstimator(),
-      scorer: new SampleScorer(context.routing, relay),
+      scorer: new SampleScorer(context.routing, dependencies.relay),
       repository,
       cache,
-      sessions,
-      jobGate,
       retentionMs: () => context.settings().resultRetentionMs,
     };
     return new JobOwnership(services, context.self);
--- a/src/node/service/service-node.ts
+++ b/src/node/service/service-node.ts
@@ -86,14 +86,14 @@
     const tasks = new SingletonTasks(context, sessions, peers);
     const send: SendAttempt = (call, isRepeatable) => dispatch.remote.dispatch(call, isRepeatable);
     const relay = new ServiceRelay(splitter, send, quarantine, (tenant) => tasks.countRequest(tenant));
-    const jobs = new NodeJobs(context, { splitter, crashCheck, quarantine, relay, sessions, peers, jobGate });
+    const isConfigurationCurrent = () => this.isConfigurationCurrent;
+    const shared = { splitter, crashCheck, quarantine, relay, sessions, peers, jobGate };
+    const jobs = new NodeJobs(context, { ...shared, isConfigurationCurrent });
     const { ownership } = jobs;
     roles.add(jobs.sessionRole);
     roles.add(tasks);
     sessions.onPoll((records) => tasks.observe(records, !this.isDraining));
     const feeds = new NodeFeeds(context, { fleet: dispatch.fleet, ownership, quarantine, sessions, peers });
-    const peerExchange = new PeerExchange(context, { ownership, quarantine, peers, feeds });
-    const loadScheduler = createLoadScheduler(context, tasks.loadLease, ownership);
     this.subsystems = {
       peers,
       sessions,
@@ -103,8 +103,8 @@
       jobs,
       jobGate,
       feeds,
-      peerExchange,
-      loadScheduler,
+      peerExchange: new PeerExchange(context, { ownership, quarantine, peers, feeds }),
+      loadScheduler: createLoadScheduler(context, tasks.loadLease, ownership),
     };
     this.context = context;
     this.routing = routing;
