--- a/emulator/replica/replica-server.ts
+++ b/emulator/replica/replica-server.ts
@@ -5,6 +5,7 @@
  * these faults.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { HEADER, REPLICA_PATH, TABLE } from '../../platform/names.js';
 import { monotonicMs, sleep } from '../../src/common/clock.js';
 import { LoopbackServer, receiveBody } from '../loopback-server.js';
@@ -111,6 +112,8 @@
   /** Answers, from the next one, that have no length and are cut: by a reset, or by an orderly end. */
   unframedCuts = 0;
   cutsByReset = true;
+  /** Sends a request its answer in place of the usual one; false: the usual one follows. */
+  respond: ((socket: Socket, id: string) => boolean) | undefined;
   /** Answers, from the next one, that are preceded by a surplus answer to another request. */
   surplusAnswers = 0;
   /** Orders, from the next one, that are carried out after `lateOrderMs` without an answer. */
@@ -319,6 +322,7 @@
     }
     if (this.take('surplusAnswers'))
       request.socket.write(`${rawHead('other', 'other')}content-length: 5\r\n\r\nother`);
+    if (this.respond?.(request.socket, id)) return;
     if (this.take('unframedCuts')) return this.cutUnframed(request, id);
     if (this.versions.size > 0) return this.stream(request, response, id);
     return this.answer(request, response, id);
