The soak drops the route of scoring calls, asks for single versions, and takes no dead item

Its checks skipped results that are not completed, its configurations always had the route of the scoring calls, and its samples might be of several versions.

Change: a trouble more, scoring-route-missing; seeds that are even ask for samples of a single version; a dead item, and one of several versions, is a violation. Seeds draw other troubles than before, since there is one more.

The checks have their tests (soak-checks.test.ts).

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -32,6 +32,8 @@
   readonly sendersOf: (requestId: string) => readonly string[];
   /** The text that an item must have. */
   readonly wholeText: (itemId: string) => string;
+  /** Whether all events of an item must be of one weight version. */
+  readonly isSingleVersion: boolean;
   /** Least time between the load commands of two leaders at one replica, milliseconds. */
   readonly apartMs: number;
 }
@@ -45,7 +47,7 @@
   return [
     ...history.jobs.flatMap((job) => [
       ...listingBreaches(job),
-      ...resultBreaches(job, evidence.wholeText),
+      ...resultBreaches(job, evidence),
       ...refusalBreaches(job, reached),
       ...endBreaches(job, evidence, history.faults),
     ]),
@@ -71,17 +73,28 @@
   ];
 }
 
-/** A completed result has the whole text, the score of its own call, and versions that the job allows. */
-function resultBreaches({ job, positions }: JobHistory, wholeText: Evidence['wholeText']): string[] {
-  const found: string[] = [];
-  for (const { id, state, text, score, versions } of positions.values()) {
-    if (state !== 'completed') continue;
-    if (text !== wholeText(id)) found.push(`${id}: the text is not whole`);
-    if (score !== `signed-${id}-score`) found.push(`${id}: the score is not that of its call`);
-    if (versions.length === 0 || versions.some((version) => version < job.minVersion))
-      found.push(`${id}: versions ${versions.join(',')}, allowed from ${job.minVersion}`);
-  }
-  return found;
+/** A result is completed, since no replica fails an item and no job gets old; with its whole text and its own score. */
+function resultBreaches({ job, positions }: JobHistory, evidence: Evidence): string[] {
+  return [...positions.values()].flatMap(({ id, state, text, score, versions }) => {
+    if (state !== 'completed') return [`${id}: is ${state}, though nothing has failed it`];
+    return [
+      ...(text === evidence.wholeText(id) ? [] : [`${id}: the text is not whole`]),
+      ...(score === `signed-${id}-score` ? [] : [`${id}: the score is not that of its call`]),
+      ...versionBreaches(id, versions, job.minVersion, evidence.isSingleVersion),
+    ];
+  });
+}
+
+/** The versions of a text are those that its job and its route allow. */
+function versionBreaches(
+  id: string,
+  versions: readonly number[],
+  minVersion: number,
+  isSingleVersion: boolean,
+): string[] {
+  if (versions.length === 0 || versions.some((version) => version < minVersion))
+    return [`${id}: versions ${versions.join(',')}, allowed from ${minVersion}`];
+  return isSingleVersion && versions.length > 1 ? [`${id}: versions ${versions.join(',')}, one allowed`] : [];
 }
 
 /** A job that was only ever refused does not run. */
--- a/bench/soak/configuration-series.ts
+++ b/bench/soak/configuration-series.ts
@@ -1,7 +1,7 @@
 /**
  * The configurations that the operator of a soak writes. Each one adds a route, drops the oldest of the added
  * ones, moves a route to the other of two services, and changes a time-out and a key; so that what a node
- * does with a request tells which of them it has in force.
+ * does with a request tells which of them it has in force. The route of the scoring calls is missing now and then.
  */
 import { monotonicMs } from '../../src/common/clock.js';
 import {
@@ -64,10 +64,13 @@
 /** All configurations of one soak, the first to the newest. */
 export class ConfigurationSeries {
   readonly written: WrittenConfiguration[] = [];
+  private hasScoringRoute = true;
 
+  /** `isSingleVersion`: whether each sample must be of one weight version. */
   constructor(
     private readonly system: ServiceSystem,
     private readonly idleRoutes: number,
+    readonly isSingleVersion: boolean,
   ) {}
 
   /** Path of the route that was added last, and of the one that was dropped last. */
@@ -79,6 +82,12 @@
     return addedPath(this.written.length - 1 - KEPT_ROUTES);
   }
 
+  /** Drops the route of the scoring calls, or adds it again. */
+  setScoringRoute(isPresent: boolean): void {
+    this.hasScoringRoute = isPresent;
+    this.change();
+  }
+
   /** Writes the next configuration. A large one has some hundred routes more. */
   change(isLarge = false): void {
     const number = this.written.length;
@@ -100,7 +109,9 @@
     const usual = usualConfiguration(version, {
       lookup: { timeoutMs: FIRST_TIMEOUT_MS + number },
       score: { public: true },
+      jobs: { singleVersion: this.isSingleVersion },
     });
+    const routes = usual.routes.filter(({ name }) => this.hasScoringRoute || name !== 'score');
     const engine = { slots: 4, models: MODELS.map((name) => ({ name })) };
     const services = usual.services.map((service) =>
       'engine' in service ? { ...service, engine } : service,
@@ -111,7 +122,7 @@
     const added = [...addedPaths].map((path) => publicRoute(path, APPLICATION_SERVICE));
     return {
       ...usual,
-      routes: [...usual.routes, ...idle, ...added, publicRoute(MOVED_PATH, movedTo)],
+      routes: [...routes, ...idle, ...added, publicRoute(MOVED_PATH, movedTo)],
       services: [...services, { name: SECOND_SERVICE, maxConns: 100 }],
       tenants: tenantsOf(number),
     };
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -105,6 +105,11 @@
   }
 }
 
+const scoringRouteMissing = lasting(({ configurations }) => {
+  configurations.setScoringRoute(false);
+  return () => configurations.setScoringRoute(true);
+});
+
 const slowUsage = lasting(({ system }) => {
   system.usage.delayMs = SLOW_USAGE_MS;
   return () => {
@@ -174,6 +179,7 @@
   'peer-frozen-beside-stops': frozenBesideStops,
   'engine-endless': endless('engines'),
   'application-endless': endless('applications'),
+  'scoring-route-missing': scoringRouteMissing,
 };
 
 /** Faults that end or pause node processes: one at a time, so that a process is not ended twice. */
--- a/bench/soak/preparation.ts
+++ b/bench/soak/preparation.ts
@@ -29,7 +29,7 @@
 export async function prepare(system: ServiceSystem, seed: number, shape: Shape): Promise<Stage> {
   await system.reportUsage(WINDOW_MS, USAGE_DUE_MS);
   if (shape.relaysPeers) system.relayPeers();
-  const configurations = new ConfigurationSeries(system, shape.idleRoutes);
+  const configurations = new ConfigurationSeries(system, shape.idleRoutes, seed % 2 === 0);
   configurations.change();
   system.trainer.key = LARGE.apiKeys[0];
   const { store } = system;
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -181,7 +181,7 @@
 /** Everything that clients and stand-ins have recorded against the promises. */
 function allBreaches(stage: Stage, history: History, shape: Shape, calmFromMs: number): string[] {
   return [
-    ...breaches(history, evidenceOf(stage.system)),
+    ...breaches(history, evidenceOf(stage)),
     ...recoveryBreaches(history, calmFromMs),
     ...configurationBreaches(history.probes, {
       written: stage.configurations.written,
@@ -255,7 +255,7 @@
   return (requestId) => [...(senders.get(requestId) ?? [])];
 }
 
-function evidenceOf(system: ServiceSystem) {
+function evidenceOf({ system, configurations }: Stage) {
   return {
     received: system.replicas.flatMap((replica) => replica.received),
     orders: system.replicas.map((replica) => replica.orders),
@@ -264,6 +264,7 @@
     wholeText: (itemId: string) =>
       Array.from({ length: EVENTS }, (_, at) => eventData(itemId, at + 1)).join('\n'),
     apartMs: LEASE_MS,
+    isSingleVersion: configurations.isSingleVersion,
   };
 }
 
--- a/test/bench/soak-checks.test.ts
+++ b/test/bench/soak-checks.test.ts
@@ -101,6 +101,7 @@
       sendersOf: () => senders,
       wholeText,
       apartMs: 1_000,
+      isSingleVersion: true,
     };
     return breaches(history, evidence);
   };
@@ -129,6 +130,8 @@
     ['the text is not whole', { text: 'text' }],
     ['the score is not that of its call', { score: 'signed-other' }],
     ['versions 1, allowed from 2', { versions: [1] }],
+    ['versions 2,3, one allowed', { versions: [2, 3] }],
+    ['is dead, though nothing has failed it', { state: 'dead' }],
   ] as const)
     it(`find that ${what}`, () => {
       job().positions.set(0, result(0, fields));
