--- a/review/stand-ins-2/replica.mjs
+++ b/review/stand-ins-2/replica.mjs
@@ -110,7 +110,7 @@
 }
 
 /** The text of event `n` of an item, the same at every replica. */
-export const eventText = (id, n) => `${id}-${n}`;
+export const eventText = (id, n, bytes = 0) => `${id}-${n}`.padEnd(bytes, '.');
 
 /** Streams `events(id)` events, `eventMs` apart; takes weight versions by order. */
 export class Engine extends Replica {
@@ -119,6 +119,7 @@
     this.events = options.events ?? (() => 20);
     this.eventMs = options.eventMs ?? 20;
     this.loadMs = options.loadMs ?? 900;
+    this.padding = options.padding ?? 0;
     this.models = new Map(Object.entries(options.models ?? {}));
     this.orders = 0;
     this.isBusy = false;
@@ -169,7 +170,7 @@
       const now = this.models.get(model) ?? 1;
       const change = now === last ? '' : `weight-versions: ${now}\n`;
       last = now;
-      response.write(`${change}id: ${n}\ndata: ${eventText(id, n)}\n\n`);
+      response.write(`${change}id: ${n}\ndata: ${eventText(id, n, this.padding)}\n\n`);
     }
     response.end();
     this.record({ event: 'item done', replica: this.id, id });
