--- a/review/stand-ins-2/replica.mjs
+++ b/review/stand-ins-2/replica.mjs
@@ -117,7 +117,7 @@
   constructor(store, record, options) {
     super(store, record, { slots: 8, ...options });
     this.events = options.events ?? (() => 20);
-    this.eventMs = options.eventMs ?? 20;
+    this.eventMs = options.eventMs ?? (() => 20);
     this.loadMs = options.loadMs ?? 900;
     this.padding = options.padding ?? 0;
     this.models = new Map(Object.entries(options.models ?? {}));
@@ -165,7 +165,7 @@
     });
     let last = version;
     for (let n = from + 1; n <= total; n += 1) {
-      await sleep(this.eventMs);
+      await sleep(this.eventMs(id));
       if (response.destroyed) return;
       const now = this.models.get(model) ?? 1;
       const change = now === last ? '' : `weight-versions: ${now}\n`;
