Review: scripts end by themselves in any case, and keep closer to the sheet

A limit of 115 s and signals end what a script has started. Case 10 takes one node of three and the requests of the site's own safe route (0.6 s of work, 2 s of deadline).

--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -1,15 +1,16 @@
 /**
- * One node of two is stopped as in a rolling restart. Clients of it hold kept connections, idle for a few seconds, and
- * send their next request on them. Each such request takes the application two seconds, half of its deadline.
+ * One node of three is stopped as in a rolling restart. Clients of it hold kept connections, idle for a few seconds, and
+ * send their next request on them. Each such request takes the application 0.6 s of the 2 s that it has.
  */
 import { Agent } from 'node:http';
 import { call, HOST, sleep, System } from '../stand-ins-2/system.mjs';
 
-const WORK_MS = 2_000;
-const DEADLINE_MS = 4_000;
+/** As `crew-roster` of the site has them: the most work of a request, and the deadline. */
+const WORK_MS = 600;
+const DEADLINE_MS = 2_000;
 const GRACE_MS = 8_000;
 /** Seconds after SIGTERM at which each client sends its next request. */
-const SENDS_S = [1.5, 2.2, 2.9, 3.4, 3.9, 4.4, 4.9, 5.4, 5.9, 6.4];
+const SENDS_S = [2.6, 3.0, 3.4, 3.8, 4.2, 4.6, 5.0, 5.4, 5.8, 6.2, 6.5, 6.8, 6.95, 7.1];
 
 const system = new System(new URL('record.txt', import.meta.url).pathname);
 const hasTrouble = process.env.TROUBLE !== '0';
@@ -17,20 +18,20 @@
 async function main() {
   await system.startStore();
   const service = 'booking-app';
-  const route = { host: HOST, kind: 'unsafe', service, priority: 2, maxAttempts: 2 };
+  const route = { host: HOST, kind: 'safe', service, priority: 2, maxAttempts: 4 };
   system.store.put('op', 'config', {
     version: 1,
     routes: [
       { ...route, name: 'hello', pathPrefix: '/hello/', timeoutMs: 800, targetLatencyMs: 155 },
-      { ...route, name: 'book', pathPrefix: '/book/', timeoutMs: DEADLINE_MS, targetLatencyMs: 3_000 },
+      { ...route, name: 'roster', pathPrefix: '/roster/', timeoutMs: DEADLINE_MS, targetLatencyMs: 419 },
     ],
     services: [{ name: service, healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false }],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 33_554_432, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
   });
-  const workMs = ({ url }) => (url.startsWith('/book/') ? WORK_MS : 20);
+  const workMs = ({ url }) => (url.startsWith('/roster/') ? WORK_MS : 20);
   for (const id of ['i-a1', 'i-b1', 'i-c1']) await system.addApplication({ id, service, workMs });
-  const [stopped, other] = [system.startNode(1), system.startNode(2)];
-  await system.untilReady([stopped, other]);
+  const [stopped, other, third] = [system.startNode(1), system.startNode(2), system.startNode(3)];
+  await system.untilReady([stopped, other, third]);
 
   const clients = SENDS_S.map((atS, index) => ({ index, atS, agent: new Agent({ keepAlive: true, maxSockets: 1 }) }));
   for (const client of clients) {
@@ -49,7 +50,7 @@
       // A connection that was closed meanwhile is opened again, by the platform to a node that is ready.
       const isOpen = Object.values(client.agent.freeSockets).flat().some((socket) => !socket.destroyed);
       client.isKept = isOpen;
-      client.answer = await send(client, isOpen ? stopped.front : other.front, 'book', DEADLINE_MS);
+      client.answer = await send(client, isOpen ? stopped.front : other.front, 'roster', DEADLINE_MS);
     }),
   );
   return judge(clients);
--- a/review/stand-ins-2/system.mjs
+++ b/review/stand-ins-2/system.mjs
@@ -10,6 +10,8 @@
 const ROOT = resolve(import.meta.dirname, '../..');
 export const sleep = (ms) => new Promise((done) => setTimeout(done, ms));
 export const HOST = 'small.example';
+/** Below the 120 s that a script may take. */
+const LIMIT_MS = 115_000;
 
 /** The program and arguments of the `run` line of the deploy file. */
 function command() {
@@ -36,6 +38,13 @@
       return entry;
     };
     this.store = new Store();
+    // Whatever happens, nothing that was started outlasts the script.
+    const giveUp = () => {
+      for (const { child } of this.nodes) child.kill('SIGKILL');
+      process.exit(2);
+    };
+    for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(name, giveUp);
+    setTimeout(giveUp, LIMIT_MS).unref();
   }
 
   async startStore() {
