--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -45,7 +45,7 @@
     for (const { table, part = '', key, value } of put) this.change({ table, part, key, value, ver });
     for (const { table, part = '', key } of remove) this.change({ table, part, key, ver, gone: true });
     for (const wake of [...this.waiting]) wake();
-    return {};
+    return { ver };
   }
 
   put(table, key, value, part = '') {
