A stopping node answers every request that it took

Cause: the drain limited how long it waits for open requests, but neither what it takes meanwhile nor what open requests get at the end. It also awaited the store step by step, without a common end.

Change: once load balancers have noticed the drain, a request is taken only if its deadline and its route's timeout end before the node stops waiting; others get 503 with Retry-After at once. Requests that are still open then get their answer: 503 if they have not run, 502 or 504 otherwise. Idle connections are closed, answers close theirs. The exit does not wait for the store beyond the grace time.

Why it works: whatever is passed on has a final answer before the exit, by its deadline or by the end that the relay is told of.

--- a/src/coordination/service/requests/relay-run.ts
+++ b/src/coordination/service/requests/relay-run.ts
@@ -26,6 +26,15 @@
 /** Sends an attempt. `isRepeatable`: the request may run more than once. The promise never rejects. */
 export type SendAttempt = (call: DispatchCall, isRepeatable: boolean) => Promise<DispatchResult>;
 
+/** Dependencies of `RelayRun`. */
+export interface RelayRunServices {
+  readonly send: SendAttempt;
+  readonly quarantine: RequestQuarantine;
+  readonly countExecution: ExecutionCounter;
+  /** Aborts when the request must be answered since the process exits. */
+  readonly ending: AbortSignal;
+}
+
 /** A completed attempt. */
 interface Attempt {
   readonly result: DispatchResult;
@@ -53,13 +62,11 @@
   constructor(
     private readonly request: RelayedRequest,
     private readonly service: string,
-    private readonly send: SendAttempt,
-    private readonly quarantine: RequestQuarantine,
-    countExecution: ExecutionCounter,
+    private readonly services: RelayRunServices,
   ) {
     this.deadlineMs = Math.min(request.deadlineMs, monotonicMs() + request.route.timeoutMs);
     this.isRepeatable = isSafeToRetry(request.route.kind);
-    this.executionTracker = new ExecutionTracker(request.tenant, countExecution);
+    this.executionTracker = new ExecutionTracker(request.tenant, services.countExecution);
   }
 
   /** Runs the request to its outcome. Never rejects. */
@@ -76,14 +83,15 @@
   }
 
   private async runAttempts(): Promise<RelayOutcome> {
-    for (;;) {
+    while (!this.services.ending.aborted) {
       const finalOutcome = this.startOrFinish();
       if (finalOutcome) return finalOutcome;
       const event = await this.nextEvent();
       if (event === 'timeout') return this.timedOut();
-      const final = event === 'hedge' ? undefined : this.handleOutcome(event);
+      const final = typeof event === 'string' ? undefined : this.handleOutcome(event);
       if (final) return final;
     }
+    return this.endedEarly();
   }
 
   /** Starts an attempt if allowed. Returns the final outcome if none is pending and none may start. */
@@ -104,7 +112,7 @@
       maxAttempts: this.request.route.maxAttempts,
       isDeclined: this.isDeclined,
       isHedged: this.request.isHedged,
-      verdict: this.quarantine.evaluate(this.request),
+      verdict: this.services.quarantine.evaluate(this.request),
     });
   }
 
@@ -112,7 +120,7 @@
     const isHedge = this.pending.size > 0;
     const token = this.executionTracker.start();
     const onHandOver = (mayRun: boolean) => this.executionTracker.recordHandOver(token, mayRun);
-    const dispatched = this.send({ ...this.toCall(isHedge), onHandOver }, this.isRepeatable);
+    const dispatched = this.services.send({ ...this.toCall(isHedge), onHandOver }, this.isRepeatable);
     this.hedgeAtMs = monotonicMs() + hedgeDelayMs(this.request.route.targetLatencyMs);
     const tracked: Promise<Attempt> = dispatched.then((result) => {
       this.pending.delete(tracked);
@@ -127,7 +135,7 @@
     if (!replica) return;
     if (outcome.kind !== 'declined') this.hasReachedReplica = true;
     this.usedReplicaIds.add(replica.id);
-    if (hasCrashedReplica) this.quarantine.reportCrash(this.request, replica);
+    if (hasCrashedReplica) this.services.quarantine.reportCrash(this.request, replica);
   }
 
   private toCall(isHedge: boolean): DispatchCall {
@@ -151,20 +159,25 @@
     };
   }
 
-  /** Resolves with the first of: the outcome of a pending attempt, the hedge timer, the deadline. */
-  private async nextEvent(): Promise<Attempt | 'timeout' | 'hedge'> {
+  /** Resolves with the first of: the outcome of a pending attempt, the hedge timer, the deadline, the end. */
+  private async nextEvent(): Promise<Attempt | 'timeout' | 'hedge' | 'ending'> {
+    const { ending } = this.services;
     const nowMs = monotonicMs();
     const remainingMs = Math.max(0, this.deadlineMs - nowMs);
     const hedgeMs = this.mayStart() ? Math.max(0, this.hedgeAtMs - nowMs) : Number.POSITIVE_INFINITY;
     let timer: NodeJS.Timeout | undefined;
-    const timeout = new Promise<'timeout' | 'hedge'>((resolve) => {
+    let onEnding = () => {};
+    const timeout = new Promise<'timeout' | 'hedge' | 'ending'>((resolve) => {
       const expire = () => resolve(hedgeMs < remainingMs ? 'hedge' : 'timeout');
       timer = setTimeout(expire, Math.min(remainingMs, hedgeMs, MAX_TIMER_MS));
+      onEnding = () => resolve('ending');
+      ending.addEventListener('abort', onEnding, { once: true });
     });
     try {
       return await Promise.race([...this.pending, timeout]);
     } finally {
       clearTimeout(timer);
+      ending.removeEventListener('abort', onEnding);
     }
   }
 
@@ -173,7 +186,7 @@
     const verdict = classifyOutcome(result.outcome, isHedge, this.isRepeatable);
     if (verdict.kind === 'ignored') return undefined;
     if (verdict.kind === 'answer') {
-      if (verdict.isServed) this.quarantine.reportServed(this.request);
+      if (verdict.isServed) this.services.quarantine.reportServed(this.request);
       return { kind: 'answered', answer: verdict.answer, attempts: this.attempts };
     }
     this.lastReason = verdict.reason;
@@ -194,24 +207,33 @@
 
   private exhausted(): RelayOutcome {
     const { lastErrorAnswer, mayHaveRun, lastReason, retryAfterMs, attempts } = this;
-    const verdict = this.quarantine.evaluate(this.request);
-    if (!lastErrorAnswer && verdict.kind === 'held') this.quarantine.countQuarantined(this.service);
+    const verdict = this.services.quarantine.evaluate(this.request);
+    if (!lastErrorAnswer && verdict.kind === 'held') this.services.quarantine.countQuarantined(this.service);
     return exhaustedOutcome({ lastErrorAnswer, verdict, mayHaveRun, lastReason, retryAfterMs, attempts });
   }
 
-  /** Cancels locally queued attempts. If there were no others, the request did not run and is rejected. */
   private timedOut(): RelayOutcome {
-    this.executionTracker.cancelQueued();
-    const attemptsMade = this.executionTracker.attemptCount;
-    if (attemptsMade === 0) {
-      // Must be synchronous: otherwise the queue could still dispatch the attempts that were just cancelled.
-      this.controller.abort();
-      return this.exhausted();
-    }
+    const attemptsMade = this.cancelQueued();
+    if (attemptsMade === 0) return this.exhausted();
     this.lastReason = `deadline exceeded after ${attemptsMade} attempt(s); last reason: ${this.lastReason}`;
     return this.failed(true);
   }
 
+  /** Ends the request since the process exits, which would cut its connection without an answer. */
+  private endedEarly(): RelayOutcome {
+    this.lastReason = 'the node is stopping';
+    return this.cancelQueued() === 0 ? this.exhausted() : this.failed(false);
+  }
+
+  /** Cancels locally queued attempts; returns how many others there were. Without any, the request did not run. */
+  private cancelQueued(): number {
+    this.executionTracker.cancelQueued();
+    const attemptsMade = this.executionTracker.attemptCount;
+    // Must be synchronous: otherwise the queue could still dispatch the attempts that were just cancelled.
+    if (attemptsMade === 0) this.controller.abort();
+    return attemptsMade;
+  }
+
   private failed(isTimeout: boolean): RelayOutcome {
     return { kind: 'failed', reason: this.lastReason, isTimeout, attempts: this.attempts };
   }
--- a/src/coordination/service/requests/service-relay.ts
+++ b/src/coordination/service/requests/service-relay.ts
@@ -16,6 +16,8 @@
     private readonly send: SendAttempt,
     private readonly quarantine: RequestQuarantine,
     private readonly countExecution: ExecutionCounter = () => () => {},
+    /** Aborts when open requests must be answered since the process exits. */
+    private readonly ending: AbortSignal = new AbortController().signal,
   ) {}
 
   /** Never rejects. */
@@ -25,6 +27,7 @@
       const reason = 'route has no target service';
       return Promise.resolve({ kind: 'refused', reason, retryAfterMs: DEFAULT_RETRY_AFTER_MS, attempts: [] });
     }
-    return new RelayRun(request, target.service, this.send, this.quarantine, this.countExecution).run();
+    const { send, quarantine, countExecution, ending } = this;
+    return new RelayRun(request, target.service, { send, quarantine, countExecution, ending }).run();
   }
 }
--- a/src/node/service/peer-endpoint.ts
+++ b/src/node/service/peer-endpoint.ts
@@ -33,7 +33,7 @@
   /** Adds the routes to the server of the peer port. */
   register(server: HttpServer): void {
     server.route('POST', DISPATCH_PATH, (request, response) =>
-      this.node.track(() => this.dispatch(request, response)),
+      this.node.requests.track(() => this.dispatch(request, response)),
     );
     server.route('GET', CONFIGURATION_PATH, async (request, response) =>
       this.answerConfiguration(request, response),
--- a/src/node/service/service-node.ts
+++ b/src/node/service/service-node.ts
@@ -9,6 +9,7 @@
 import type { JobCalls, JobGate } from '../../coordination/service/jobs/index.js';
 import { PeerAddresses, SessionMonitor } from '../../coordination/service/membership/index.js';
 import {
+  type ExecutionCounter,
   RequestQuarantine,
   type SendAttempt,
   ServiceRelay,
@@ -23,12 +24,13 @@
 } from '../../protocol/service/dispatch-peer.js';
 import { type RoutingTable, TargetSplitter } from '../../state/service/configuration/index.js';
 import { ReceiveBudget } from '../../transport/receive-budget.js';
-import { drainDeadlines, waitUntil } from './drain.js';
+import { type DrainDeadlines, drainDeadlines, untilSettled, waitUntil } from './drain.js';
 import { createJobGate } from './job-gating.js';
 import { createNodeContext, type NodeContext, type ServiceNodeDependencies } from './node-context.js';
 import { NodeDispatch } from './node-dispatch.js';
 import { NodeFeeds } from './node-feeds.js';
 import { NodeJobs } from './node-jobs.js';
+import { OpenRequests } from './open-requests.js';
 import { PeerExchange } from './peer-exchange.js';
 import { isReady } from './readiness.js';
 import { CombinedSessionRoles } from './session-roles.js';
@@ -61,12 +63,13 @@
   readonly routing: RoutingTable;
   readonly relay: ServiceRelay;
   readonly jobs: JobCalls;
+  /** Callers' requests, and those that other nodes forwarded. */
+  readonly requests = new OpenRequests();
   private readonly context: NodeContext;
   private readonly subsystems: Subsystems;
   private readonly controller = new AbortController();
   private isDraining = false;
   private startedAtMs = Number.POSITIVE_INFINITY;
-  private openRequests = 0;
 
   constructor(parts: ServiceNodeDependencies) {
     setMaxListeners(0, this.controller.signal);
@@ -85,13 +88,13 @@
     const dispatch = new NodeDispatch({ ...context, settings, exchange, jobGate });
     const tasks = new SingletonTasks(context, sessions, peers);
     const send: SendAttempt = (call, isRepeatable) => dispatch.remote.dispatch(call, isRepeatable);
-    const relay = new ServiceRelay(splitter, send, quarantine, (tenant) => tasks.countRequest(tenant));
+    const count: ExecutionCounter = (tenant) => tasks.countRequest(tenant);
+    const relay = new ServiceRelay(splitter, send, quarantine, count, this.requests.ending);
     const isConfigurationCurrent = () => this.isConfigurationCurrent;
     const shared = { splitter, crashCheck, quarantine, relay, sessions, peers, jobGate };
     const jobs = new NodeJobs(context, { ...shared, isConfigurationCurrent });
     const { ownership } = jobs;
-    roles.add(jobs.sessionRole);
-    roles.add(tasks);
+    for (const role of [jobs.sessionRole, tasks]) roles.add(role);
     sessions.onPoll((records) => tasks.observe(records, !this.isDraining));
     const feeds = new NodeFeeds(context, { fleet: dispatch.fleet, ownership, quarantine, sessions, peers });
     this.subsystems = {
@@ -176,16 +179,6 @@
     return this.isDraining;
   }
 
-  /** Counts a request as open while `serve` runs. */
-  async track<T>(serve: () => Promise<T>): Promise<T> {
-    this.openRequests += 1;
-    try {
-      return await serve();
-    } finally {
-      this.openRequests -= 1;
-    }
-  }
-
   /** Sets the gauges. */
   measure(): void {
     const { jobs, tasks, quarantine, dispatch, feeds } = this.subsystems;
@@ -197,22 +190,34 @@
     this.controller.abort();
   }
 
-  /** Finishes or hands over open work. Resolves when the process may exit; a second call resolves at once. */
-  async drain(): Promise<void> {
+  /**
+   * Finishes or hands over open work. Resolves when the process may exit, before the end of the grace period also
+   * if the store does not answer; a second call resolves at once. `onTrafficMoved` is called when load balancers
+   * send new connections to other nodes.
+   */
+  async drain(onTrafficMoved: () => void = () => {}): Promise<void> {
     if (this.isDraining) return;
     this.isDraining = true;
+    const deadlines = drainDeadlines(monotonicMs(), this.context.settings().stopGraceMs);
+    this.requests.beginDrain(deadlines);
+    const handedOver = this.handOver(deadlines);
+    await waitUntil(() => false, deadlines.trafficMovedAtMs);
+    onTrafficMoved();
+    await untilSettled(handedOver, deadlines.finishRequestsAtMs);
+    await this.requests.finish(deadlines);
+    await untilSettled(this.subsystems.tasks.flushUsage(), deadlines.exitAtMs);
+    this.controller.abort();
+  }
+
+  /** Hands over jobs and leases. */
+  private async handOver({ finishJobsAtMs }: DrainDeadlines): Promise<void> {
     const { jobs, peers, sessions, dispatch, tasks } = this.subsystems;
     const { ownership } = jobs;
-    const deadlines = drainDeadlines(monotonicMs(), this.context.settings().stopGraceMs);
     ownership.stopClaiming();
     void peers.withdraw();
     dispatch.close();
     await Promise.all([sessions.announceDraining(), tasks.releaseLeases()]);
-    await waitUntil(() => ownership.ownedCount === 0, deadlines.finishJobsAtMs);
+    await waitUntil(() => ownership.ownedCount === 0, finishJobsAtMs);
     await ownership.releaseAll();
-    await waitUntil(() => false, deadlines.trafficMovedAtMs);
-    await waitUntil(() => this.openRequests === 0, deadlines.finishRequestsAtMs);
-    await tasks.flushUsage();
-    this.controller.abort();
   }
 }
--- a/src/node/service/service-process.ts
+++ b/src/node/service/service-process.ts
@@ -36,6 +36,12 @@
   readonly reload: () => { settings: ServiceSettings; unusedFields: number };
 }
 
+/** A caller's request whose response has not been sent. */
+interface OpenExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
 /** Settings that take effect without a restart. */
 const RELOADABLE_SETTINGS = ['stopGraceMs', 'configurationBoundMs', 'leaseMs', 'resultRetentionMs'] as const;
 
@@ -46,10 +52,21 @@
   );
 }
 
+/** Makes the caller send its next request on another connection, which load balancers pass to another node. */
+function closeAfterResponse({ response }: OpenExchange): void {
+  if (!response.headersSent) response.setHeader('connection', 'close');
+}
+
+/** Answers a request that is still open when the process exits. Nothing runs before its body is whole. */
+function answerAtExit({ request, response }: OpenExchange): void {
+  sendJson(response, request.complete ? 504 : 503, { error: 'the node is stopping' });
+}
+
 export class ServiceProcess {
   private readonly callers: HttpServer;
   private readonly readiness: HttpServer;
   private readonly peers: HttpServer;
+  private readonly openExchanges = new Set<OpenExchange>();
   private lastLoopCheckMs = monotonicMs();
 
   constructor(private readonly dependencies: ServiceProcessDependencies) {
@@ -96,9 +113,16 @@
     });
   }
 
-  private serveCaller(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async serveCaller(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { node, serve } = this.dependencies;
-    return node.track(() => serve(request, response));
+    const exchange = { request, response };
+    if (node.isLeaving) closeAfterResponse(exchange);
+    this.openExchanges.add(exchange);
+    try {
+      await node.requests.track(() => serve(request, response));
+    } finally {
+      this.openExchanges.delete(exchange);
+    }
   }
 
   private answerReadinessCheck(response: ServerResponse): void {
@@ -184,8 +208,12 @@
     const { node, logger } = this.dependencies;
     if (node.isLeaving) return;
     logger.record({ event: 'process-changed', change: 'stopping', detail: signal });
-    await node.drain();
-    logger.record({ event: 'process-changed', change: 'stopped' });
+    const drained = node.drain(() => this.callers.closeIdleConnections());
+    for (const exchange of this.openExchanges) closeAfterResponse(exchange);
+    await drained;
+    for (const exchange of this.openExchanges) answerAtExit(exchange);
+    const detail = `${node.requests.endedEarlyCount} requests ended early`;
+    logger.record({ event: 'process-changed', change: 'stopped', detail });
     await logger.close();
     process.exit(0);
   }
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -88,6 +88,11 @@
     this.server.headersTimeout = headersTimeoutMs;
   }
 
+  /** Closes connections without an open request; others stay. */
+  closeIdleConnections(): void {
+    this.server.closeIdleConnections();
+  }
+
   /** Stops accepting connections; resolves when open requests have ended. */
   async closeGracefully(): Promise<void> {
     const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
