A request that is given up is reset, not closed

Cause: everything that gives an exchange up ends in socket.destroy, an orderly close. Bytes of the request that a partition holds up stay with the kernel, which delivers them when the path is back.

Change: one rule at the socket. A connection whose request has no whole response is reset when it is destroyed, and before the process exits. resetAndDestroy of Node is of no use: it sends the end first and waits for writes that a cut never ends.

Why it works: a reset makes the kernel discard what it has not delivered.

--- a/src/node/service/service-process.ts
+++ b/src/node/service/service-process.ts
@@ -9,6 +9,7 @@
 import type { ServiceMetrics } from '../../common/service-metrics.js';
 import type { ServiceSettings } from '../../protocol/service/service-settings.js';
 import { HttpServer, sendJson } from '../../transport/http-server.js';
+import { resetUnansweredRequests } from '../../transport/unanswered-requests.js';
 import { PeerEndpoint } from './peer-endpoint.js';
 import type { ServiceNode } from './service-node.js';
 
@@ -184,7 +185,7 @@
     process.on('unhandledRejection', (cause) => this.logFailure('unhandled rejection', cause));
     process.on('uncaughtException', (cause) => {
       this.logFailure('uncaught exception', cause);
-      void this.dependencies.logger.close().then(() => process.exit(1));
+      void this.exit(1);
     });
   }
 
@@ -214,7 +215,12 @@
     for (const exchange of this.openExchanges) answerAtExit(exchange);
     const detail = `${node.requests.endedEarlyCount} requests ended early`;
     logger.record({ event: 'process-changed', change: 'stopped', detail });
-    await logger.close();
-    process.exit(0);
+    await this.exit(0);
+  }
+
+  private async exit(code: number): Promise<void> {
+    await this.dependencies.logger.close();
+    resetUnansweredRequests();
+    process.exit(code);
   }
 }
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -2,7 +2,7 @@
  * Pooled HTTP client on undici. Never retries and never rejects: a `TransportError` tells whether the request
  * may have been received, so that callers can decide whether a retry is safe. Corrects two behaviours of
  * undici: a reset is a failure, not the end of a response without a length; an aborted exchange does not open
- * another connection.
+ * another connection. A connection whose request is given up without a whole response is reset.
  */
 import type { Socket } from 'node:net';
 import type { Readable } from 'node:stream';
@@ -12,6 +12,7 @@
 import type { ReceiveBudget } from './receive-budget.js';
 import { limitReceivedBytes } from './receive-limits.js';
 import { TransportError, toTransportError } from './transport-error.js';
+import { resetIfUnanswered } from './unanswered-requests.js';
 
 /** Header names are in lower case. */
 export type HeaderMap = Record<string, string | string[]>;
@@ -191,7 +192,7 @@
   };
 }
 
-/** Opens connections with both corrections of undici, and limits of received bytes. */
+/** Opens connections with both corrections of undici, limits of received bytes, and resets of abandoned requests. */
 function createConnector(
   timeoutMs: number,
   maxResponseBytes: number,
@@ -204,6 +205,7 @@
         failOnReset(result[1]);
         avoidReconnectAfterAbort(result[1]);
         limitReceivedBytes(result[1], maxResponseBytes);
+        resetIfUnanswered(result[1]);
       }
       callback(...result);
     });
