A response whose status is none of HTTP is no answer

Change: the check of each response fails them, on kept and new connections; outcomes of dispatchers are validated likewise.

--- a/src/protocol/service/dispatch-peer.ts
+++ b/src/protocol/service/dispatch-peer.ts
@@ -65,7 +65,7 @@
   ]),
   reason: Type.Optional(Type.String()),
   isFull: Type.Optional(Type.Boolean()),
-  status: Type.Optional(Type.Integer()),
+  status: Type.Optional(Type.Integer({ minimum: 200, maximum: 599 })),
   headers: Type.Optional(HeadersSchema),
   signature: Type.Optional(Type.String()),
   isFramed: Type.Optional(Type.Boolean()),
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -85,6 +85,9 @@
 const MAX_DISCARDED_BYTES = 64 * 1024;
 const DISCARD_TIMEOUT_MS = 1_000;
 const DEFAULT_BODY_LIMIT_BYTES = 32 * 1024 * 1024;
+/** Statuses of final responses (RFC 9110, section 15). undici fails responses with a status below 100. */
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
 
 /**
  * Buffers a stream of at most `limitBytes`. Fails if it is truncated, or if its bytes exceed the budget with
@@ -124,10 +127,10 @@
 /** The methods of the base class, which its type omits. */
 const baseHandler = DecoratorHandler.prototype as Dispatcher.DispatchHandler;
 
-/** Fails an exchange whose response has another value of the echoed header. */
-class EchoCheck extends DecoratorHandler {
+/** Fails an exchange whose response has no status of HTTP, or another value of the echoed header. */
+class ResponseCheck extends DecoratorHandler {
   constructor(
-    private readonly echoed: EchoedHeader,
+    private readonly echoed: EchoedHeader | undefined,
     handler: Dispatcher.DispatchHandler,
   ) {
     super(handler);
@@ -139,21 +142,25 @@
     headers: Record<string, string | string[]>,
     statusMessage?: string,
   ): void {
-    const value = headers[this.echoed.name];
-    if (statusCode >= 200 && value !== undefined && value !== this.echoed.value)
-      controller.abort(new TransportError('wrong-answer', true, `response is for request ${String(value)}`));
+    const defect = this.defectOf(statusCode, headers);
+    if (defect !== undefined) controller.abort(new TransportError('wrong-answer', true, defect));
     else baseHandler.onResponseStart?.call(this, controller, statusCode, headers, statusMessage);
   }
+
+  private defectOf(statusCode: number, headers: Record<string, string | string[]>): string | undefined {
+    if (statusCode > MAX_STATUS) return `${statusCode} is no status of a response`;
+    if (!this.echoed || statusCode < MIN_FINAL_STATUS) return undefined;
+    const value = headers[this.echoed.name];
+    if (value === undefined || value === this.echoed.value) return undefined;
+    return `response is for request ${String(value)}`;
+  }
 }
 
-/** Options of a request, with the input of `EchoCheck`. */
+/** Options of a request, with the input of `ResponseCheck`. */
 type CheckedOptions = Dispatcher.DispatchOptions & { readonly echoedHeader?: EchoedHeader };
 
-/** Adds the echo check to requests with an echoed header. */
-const checkEcho: Dispatcher.DispatcherComposeInterceptor = (dispatch) => (options, handler) => {
-  const { echoedHeader } = options as CheckedOptions;
-  return dispatch(options, echoedHeader ? new EchoCheck(echoedHeader, handler) : handler);
-};
+const checkResponse: Dispatcher.DispatcherComposeInterceptor = (dispatch) => (options, handler) =>
+  dispatch(options, new ResponseCheck((options as CheckedOptions).echoedHeader, handler));
 
 /** Error code of a reset connection, and its replacement. */
 const RESET_CODE = 'ECONNRESET';
@@ -240,6 +247,7 @@
   private readonly pooledAgent: Agent;
   private readonly pooled: Dispatcher;
   private readonly freshAgent: Agent;
+  private readonly fresh: Dispatcher;
 
   constructor(options: HttpClientOptions = {}) {
     const { connectionsPerOrigin = DEFAULT_CONNECTIONS_PER_ORIGIN, localAddress } = options;
@@ -248,14 +256,15 @@
     const connect = createConnector(connectTimeoutMs, maxResponseBytes, localAddress);
     const shared = { connections: connectionsPerOrigin, connect };
     this.pooledAgent = new Agent({ ...shared, pipelining: 1, keepAliveTimeout: keepAliveMs });
-    this.pooled = this.pooledAgent.compose(checkEcho);
+    this.pooled = this.pooledAgent.compose(checkResponse);
     this.freshAgent = new Agent({ ...shared, pipelining: 0 });
+    this.fresh = this.freshAgent.compose(checkResponse);
   }
 
   /** Sends a request; resolves with the response head. The caller must read or destroy the body. */
   async send(outgoing: OutgoingRequest): Promise<Result<IncomingResponse, TransportError>> {
     try {
-      const dispatcher = outgoing.freshConnection ? this.freshAgent : this.pooled;
+      const dispatcher = outgoing.freshConnection ? this.fresh : this.pooled;
       const options: Dispatcher.RequestOptions & { echoedHeader?: EchoedHeader } = {
         ...splitUrl(outgoing.url),
         echoedHeader: outgoing.echoedHeader,
