An answer that is given up does not end the process

Cause: body.destroy() of a body that has arrived whole is reported as an error of the body, to which nobody listened.

Change: abandonBody listens and destroys; used wherever a body is given up, in the resource interface as well.

--- a/src/coordination/resource/rollouts/generation.ts
+++ b/src/coordination/resource/rollouts/generation.ts
@@ -10,6 +10,7 @@
 import type { ResourceOf } from '../../../protocol/resource/resource.js';
 import type { BackendEntry } from '../../../state/resource/backends/index.js';
 import type { DecisionLog } from '../../../state/resource/decision-log.js';
+import { abandonBody } from '../../../transport/http-client.js';
 import { toTransportError } from '../../../transport/transport-error.js';
 import { CoordinationError, type CoordinationResult, fromBackend, worseOf } from '../coordination-error.js';
 import {
@@ -193,7 +194,7 @@
       for await (const chunk of body) {
         const whole = transcript.append(chunk as Buffer);
         if (whole.length > 0 && !(await sink(whole))) {
-          body.destroy();
+          abandonBody(body);
           return 'receiver-gone';
         }
       }
--- a/src/coordination/service/dispatch/replica-exchange.ts
+++ b/src/coordination/service/dispatch/replica-exchange.ts
@@ -7,7 +7,7 @@
 import type { ServiceMetrics } from '../../../common/service-metrics.js';
 import type { ReplicaAnswer, ReplicaClient, ReplicaRequest } from '../../../protocol/service/replica.js';
 import type { ReplicaState } from '../../../state/service/replicas/index.js';
-import { readFully } from '../../../transport/http-client.js';
+import { abandonBody, readFully } from '../../../transport/http-client.js';
 import type { ReceiveBudget } from '../../../transport/receive-budget.js';
 import type { TransportError } from '../../../transport/transport-error.js';
 import type { CrashCheck } from './crash-check.js';
@@ -157,7 +157,7 @@
     if (answer.load && answer.matchesRequest) state.recordLoad(answer.load);
     const defect = answerDefect(answer);
     if (defect && !answer.isNotExecuted) {
-      answer.body.destroy();
+      abandonBody(answer.body);
       return { kind: 'unknown', reason: defect };
     }
     const body = await readFully(answer.body, MAX_ANSWER_BYTES, this.budget);
--- a/src/coordination/service/generation/generation-attempt.ts
+++ b/src/coordination/service/generation/generation-attempt.ts
@@ -7,7 +7,7 @@
 import { EventStreamParser, type StreamEvent } from '../../../protocol/service/event-stream.js';
 import type { ReplicaAnswer, ReplicaClient } from '../../../protocol/service/replica.js';
 import type { ReplicaState } from '../../../state/service/replicas/index.js';
-import { readFully } from '../../../transport/http-client.js';
+import { abandonBody, readFully } from '../../../transport/http-client.js';
 import { toTransportError } from '../../../transport/transport-error.js';
 import { answerDefect } from '../dispatch/index.js';
 import { AttemptMonitor } from './attempt-monitor.js';
@@ -97,7 +97,7 @@
 async function streamEvents(context: AttemptContext, answer: ReplicaAnswer): Promise<GenerationOutcome> {
   const defect = answerDefect(answer);
   if (defect) {
-    answer.body.destroy();
+    abandonBody(answer.body);
     return { kind: 'broken', reason: defect };
   }
   const parser = new EventStreamParser();
@@ -133,12 +133,12 @@
       version = eventVersion(event, client.eventVersionField, version);
       const rejection = appendEvent(context, event, version);
       if (rejection) {
-        answer.body.destroy();
+        abandonBody(answer.body);
         return rejection;
       }
     }
     if (text.isTooLarge) {
-      answer.body.destroy();
+      abandonBody(answer.body);
       text.clear();
       return { kind: 'broken', reason: 'the text exceeds the size limit and begins anew' };
     }
--- a/src/node/resource/api/caller-routes.ts
+++ b/src/node/resource/api/caller-routes.ts
@@ -23,6 +23,7 @@
 import type { AdmissionLimits } from '../../../state/resource/backends/index.js';
 import type { ConfigView } from '../../../state/resource/configuration/index.js';
 import type { DecisionLog } from '../../../state/resource/decision-log.js';
+import { abandonBody } from '../../../transport/http-client.js';
 import { disconnectSignal } from '../../../transport/http-server.js';
 import { copyBody } from '../../../transport/stream-write.js';
 import type { Route } from './api-server.js';
@@ -184,7 +185,7 @@
     else exchange.response.end();
     return ok(undefined);
   } finally {
-    response.body.destroy();
+    abandonBody(response.body);
     release();
   }
 }
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -51,7 +51,7 @@
   readonly value: string;
 }
 
-/** A response whose body must be read or destroyed. */
+/** A response whose body must be read or given up (`abandonBody`). */
 export interface IncomingResponse {
   readonly status: number;
   readonly headers: Record<string, string | string[] | undefined>;
@@ -104,7 +104,7 @@
     for await (const chunk of body) {
       received.add(chunk);
       if (received.length > limitBytes) {
-        body.destroy();
+        abandonBody(body);
         return err(new TransportError('body-too-large', true, `body exceeds ${limitBytes} bytes`));
       }
       reading?.add(chunk.length);
@@ -117,9 +117,16 @@
   return ok(received.concat());
 }
 
+/** Gives up a body, and its connection unless the body was received whole. */
+export function abandonBody(body: Readable): void {
+  // undici reports this as an error, which would end the process if nothing listened.
+  body.on('error', () => {});
+  body.destroy();
+}
+
 /** Reads a body that nobody needs, so that its connection can be reused, unless it is long or slow. */
 export async function discardBody(body: Readable): Promise<void> {
-  const timer = setTimeout(() => body.destroy(), DISCARD_TIMEOUT_MS);
+  const timer = setTimeout(() => abandonBody(body), DISCARD_TIMEOUT_MS);
   await readFully(body, MAX_DISCARDED_BYTES);
   clearTimeout(timer);
 }
@@ -261,7 +268,7 @@
     this.fresh = this.freshAgent.compose(checkResponse);
   }
 
-  /** Sends a request; resolves with the response head. The caller must read or destroy the body. */
+  /** Sends a request; resolves with the response head. The caller must read the body or give it up. */
   async send(outgoing: OutgoingRequest): Promise<Result<IncomingResponse, TransportError>> {
     try {
       const dispatcher = outgoing.freshConnection ? this.fresh : this.pooled;
