A planned stop waits for answers that are still being sent

Callers saw: a caller that reads slowly lost the rest of an answer that the node had whole, 3 s after SIGTERM (LOST); an answer that ends with its connection looked whole when the exit cut it (MIXED).

Cause: a request counted as finished when its answer was handed to the connection; the exit closes connections in order; closeIdleConnections of Node also closes those whose response is finished but not sent.

Change: the drain waits for unsent bytes until the end of the grace time; idle connections are those without an open response; what is still unsent at the exit is reset.

--- a/src/node/service/open-requests.ts
+++ b/src/node/service/open-requests.ts
@@ -8,6 +8,14 @@
 import { monotonicMs } from '../../common/clock.js';
 import { type DrainDeadlines, waitUntil } from './drain.js';
 
+/** Connections of the callers. */
+export interface CallerConnections {
+  /** Whether bytes of a response wait for a caller that reads slowly. */
+  readonly hasUnsentBytes: boolean;
+  /** Closes connections without an open request. */
+  closeIdleConnections(): void;
+}
+
 export class OpenRequests {
   /** Requests that were open when the node stopped waiting for them. */
   endedEarlyCount = 0;
@@ -55,9 +63,9 @@
     this.deadlines = deadlines;
   }
 
-  /** Resolves when no request is open, or at the end of the drain; none is taken from then on. */
-  async finish(deadlines: DrainDeadlines): Promise<void> {
-    const isIdle = () => this.count === 0;
+  /** Resolves when all responses have been sent, or at the end of the drain; no request is taken from then on. */
+  async finish(deadlines: DrainDeadlines, connections: CallerConnections): Promise<void> {
+    const isIdle = () => this.count === 0 && !connections.hasUnsentBytes;
     await waitUntil(isIdle, deadlines.finishRequestsAtMs);
     this.endedEarlyCount = this.count;
     this.controller.abort();
--- a/src/node/service/service-node.ts
+++ b/src/node/service/service-node.ts
@@ -30,7 +30,7 @@
 import { NodeDispatch } from './node-dispatch.js';
 import { NodeFeeds } from './node-feeds.js';
 import { NodeJobs } from './node-jobs.js';
-import { OpenRequests } from './open-requests.js';
+import { type CallerConnections, OpenRequests } from './open-requests.js';
 import { PeerExchange } from './peer-exchange.js';
 import { isReady } from './readiness.js';
 import { CombinedSessionRoles } from './session-roles.js';
@@ -192,19 +192,19 @@
 
   /**
    * Finishes or hands over open work. Resolves when the process may exit, before the end of the grace period also
-   * if the store does not answer; a second call resolves at once. `onTrafficMoved` is called when load balancers
-   * send new connections to other nodes.
+   * if the store does not answer; a second call resolves at once. Idle connections are closed when load balancers
+   * send new ones to other nodes.
    */
-  async drain(onTrafficMoved: () => void = () => {}): Promise<void> {
+  async drain(connections: CallerConnections): Promise<void> {
     if (this.isDraining) return;
     this.isDraining = true;
     const deadlines = drainDeadlines(monotonicMs(), this.context.settings().stopGraceMs);
     this.requests.beginDrain(deadlines);
     const handedOver = this.handOver(deadlines);
     await waitUntil(() => false, deadlines.trafficMovedAtMs);
-    onTrafficMoved();
+    connections.closeIdleConnections();
     await untilSettled(handedOver, deadlines.finishRequestsAtMs);
-    await this.requests.finish(deadlines);
+    await this.requests.finish(deadlines, connections);
     await untilSettled(this.subsystems.tasks.flushUsage(), deadlines.exitAtMs);
     this.controller.abort();
   }
--- a/src/node/service/service-process.ts
+++ b/src/node/service/service-process.ts
@@ -209,7 +209,7 @@
     const { node, logger } = this.dependencies;
     if (node.isLeaving) return;
     logger.record({ event: 'process-changed', change: 'stopping', detail: signal });
-    const drained = node.drain(() => this.callers.closeIdleConnections());
+    const drained = node.drain(this.callers);
     for (const exchange of this.openExchanges) closeAfterResponse(exchange);
     await drained;
     for (const exchange of this.openExchanges) answerAtExit(exchange);
@@ -221,6 +221,7 @@
   private async exit(code: number): Promise<void> {
     await this.dependencies.logger.close();
     resetUnansweredRequests();
+    this.callers.resetUnsent();
     process.exit(code);
   }
 }
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import polka from 'polka';
+import { resetOnDestroy } from './socket-reset.js';
 
 /** Limits on clients, times in milliseconds. */
 export interface HttpServerOptions {
@@ -39,6 +40,8 @@
   private readonly app;
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
+  /** Responses that have not been sent to their end. */
+  private readonly openResponses = new Set<ServerResponse>();
 
   constructor(
     private readonly fallbacks: ServerFallbacks,
@@ -53,6 +56,7 @@
     });
     this.server.maxConnections = MAX_CONNECTIONS;
     this.server.on('connection', (socket) => this.track(socket));
+    this.server.on('request', (_, response) => this.trackResponse(response));
     this.app = polka({
       server: this.server,
       onNoMatch: (request, response) => {
@@ -88,9 +92,30 @@
     this.server.headersTimeout = headersTimeoutMs;
   }
 
-  /** Closes connections without an open request; others stay. */
+  /**
+   * Closes connections without an open request. Unlike that of Node, it leaves those whose response is still
+   * being sent.
+   */
   closeIdleConnections(): void {
-    this.server.closeIdleConnections();
+    const busy = new Set([...this.openResponses].map(({ req }) => req.socket));
+    for (const socket of this.sockets) if (!busy.has(socket)) socket.destroy();
+  }
+
+  /** Whether bytes of a response wait for a client that reads slowly. */
+  get hasUnsentBytes(): boolean {
+    return [...this.sockets].some(({ writableLength }) => writableLength > 0);
+  }
+
+  /**
+   * Resets the connections with unsent bytes, for the exit of the process: an orderly close in the middle of a
+   * response that ends with its connection would make it look whole.
+   */
+  resetUnsent(): void {
+    for (const socket of this.sockets)
+      if (socket.writableLength > 0) {
+        resetOnDestroy(socket);
+        socket.destroy();
+      }
   }
 
   /** Stops accepting connections; resolves when open requests have ended. */
@@ -111,6 +136,11 @@
     socket.on('close', () => this.sockets.delete(socket));
   }
 
+  private trackResponse(response: ServerResponse): void {
+    this.openResponses.add(response);
+    response.once('close', () => this.openResponses.delete(response));
+  }
+
   private async run(handler: Handler, request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
       await handler(request, response);
--- a/src/transport/unanswered-requests.ts
+++ b/src/transport/unanswered-requests.ts
@@ -6,6 +6,7 @@
  */
 import { subscribe } from 'node:diagnostics_channel';
 import type { Socket } from 'node:net';
+import { resetOnDestroy } from './socket-reset.js';
 
 /** Connections of this process whose request has no whole response. */
 const unanswered = new Set<Socket>();
@@ -31,14 +32,6 @@
   if (socket) unanswered.delete(socket);
 });
 
-/**
- * Makes the next `destroy` of a socket a reset. `resetAndDestroy` would wait until all bytes are written, which
- * does not end while the server reads nothing; this is the flag that it sets.
- */
-function resetOnDestroy(socket: Socket): void {
-  (socket as Socket & { resetAndClosing: boolean }).resetAndClosing = true;
-}
-
 /** Resets `socket` if it is destroyed before the response to its request is whole. */
 export function resetIfUnanswered(socket: Socket): void {
   registered.add(socket);
--- a/test/node/service/planned-stop.test.ts
+++ b/test/node/service/planned-stop.test.ts
@@ -1,7 +1,9 @@
 /** Callers of a node that is stopped: each request that may have run gets an answer before the process ends. */
 import { once } from 'node:events';
 import { request } from 'node:http';
+import { connect } from 'node:net';
 import { expect } from 'chai';
+import { rawHead } from '../../../emulator/replica/replica-answers.js';
 import type { ReplicaServer } from '../../../emulator/replica/replica-server.js';
 import { HEADER } from '../../../platform/names.js';
 import {
@@ -14,6 +16,8 @@
 import { callOnce, callUntilRefused, type StopCall } from '../../support/stop-clients.js';
 import { until } from '../../support/wait.js';
 
+/** Framing of an answer that ends with its connection. */
+const CLOSING = 'connection: close\r\n';
 const GRACE_S = 4;
 const CALLERS = 8;
 /** Work and deadline of a request, milliseconds: a deadline reaches beyond the end of the process for a long time. */
@@ -117,4 +121,63 @@
     expect((await answered)[0].statusCode).to.equal(503);
     expect(replica.received.map(({ id }) => id)).to.not.include('slow-body');
   });
+
+  describe('with a caller that reads slowly', () => {
+    const BODY = 'x'.repeat(8 * 1024 * 1024);
+
+    /** A caller that has sent a request and reads nothing until it is resumed. */
+    async function pausedCaller(framing: string): Promise<{ resume: () => Promise<string> }> {
+      replica.respond = (socket, id) => {
+        socket.write(`${rawHead(id, 'signed')}${framing}\r\n${BODY}`);
+        if (framing === CLOSING) socket.end();
+        return true;
+      };
+      const { port } = new URL(node.url);
+      const socket = connect(Number(port), '127.0.0.1');
+      socket.pause();
+      const fields = `host: ${HOST}\r\n${HEADER.requestId}: slow\r\n${HEADER.deadlineMs}: 3000\r\n`;
+      socket.write(`GET ${LOOKUP_PATH}x HTTP/1.1\r\n${fields}\r\n`);
+      await until('the answer has been sent', () =>
+        node.log.some(
+          ({ message, context }) => message === 'request-answered' && context.requestId === 'slow',
+        ),
+      );
+      replica.respond = undefined;
+      const resume = async () => {
+        let received = 0;
+        socket.on('data', (chunk) => {
+          received += chunk.length;
+        });
+        const reset = once(socket, 'error').then(() => 'reset');
+        // Node reports a reset that arrives with the last bytes as an end, without the address of the peer.
+        const ended = once(socket, 'end').then(() => {
+          if (socket.remoteAddress === undefined) return 'reset';
+          return received > BODY.length ? 'whole' : 'cut';
+        });
+        socket.resume();
+        return Promise.race([reset, ended]);
+      };
+      return { resume };
+    }
+
+    // LOST: the process exited while a whole answer waited for its caller.
+    it('waits until the answer is read', async () => {
+      const idle = connect(Number(new URL(node.url).port), '127.0.0.1');
+      const fields = `host: ${HOST}\r\n${HEADER.requestId}: idle\r\n`;
+      idle.write(`GET ${LOOKUP_PATH}x HTTP/1.1\r\n${fields}\r\n`);
+      idle.resume();
+      const caller = await pausedCaller(`content-length: ${BODY.length}\r\n`);
+      const stopped = stopNode();
+      await once(idle, 'end');
+      expect(await caller.resume()).to.equal('whole');
+      expect(await stopped).to.equal(0);
+    });
+
+    // MIXED: an answer that ends with its connection looked whole when the exit of the process cut it.
+    it('resets the connection of an answer that is not read in time', async () => {
+      const caller = await pausedCaller(CLOSING);
+      expect(await stopNode()).to.equal(0);
+      expect(await caller.resume()).to.equal('reset');
+    });
+  });
 });
