--- a/test/node/service/planned-stop.test.ts
+++ b/test/node/service/planned-stop.test.ts
@@ -90,6 +90,23 @@
     expect((await pending).status).to.equal(502);
   });
 
+  // LOST: the same when the platform signals the node again and again.
+  it('does so when further signals come during the stop', async () => {
+    const callers = Array.from({ length: CALLERS }, (_, index) =>
+      callUntilRefused(node.url, `caller-${index}`, DEADLINE_MS),
+    );
+    await until('requests run', () => replica.running === CALLERS);
+    const stopped = stopNode();
+    for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+      const served = replica.received.length;
+      await until('more requests are served', () => replica.received.length > served);
+      node.child.kill(signal);
+    }
+    expect(await stopped).to.equal(0);
+    const calls = (await Promise.all(callers)).flat();
+    expect(calls.filter((call) => call.status === undefined && hasRun(call))).to.deep.equal([]);
+  });
+
   // LOST: the same while the leases and jobs of the node cannot be handed over.
   it('does so while the store is silent, too', async () => {
     const callers = Array.from({ length: CALLERS }, (_, index) =>
