Several interim responses do not fail an exchange

Callers saw: nothing yet; a replica that sends two interim responses (1xx) before its answer counted as lost.

Cause: undici's DecoratorHandler asserts that a response starts once, also for interim ones.

Change: the check skips interim responses, which nobody reads.

--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -149,6 +149,8 @@
     headers: Record<string, string | string[]>,
     statusMessage?: string,
   ): void {
+    // The base class takes one response only; nobody needs interim ones.
+    if (statusCode < MIN_FINAL_STATUS) return;
     const defect = this.defectOf(statusCode, headers);
     if (defect !== undefined) controller.abort(new TransportError('wrong-answer', true, defect));
     else baseHandler.onResponseStart?.call(this, controller, statusCode, headers, statusMessage);
@@ -156,9 +158,8 @@
 
   private defectOf(statusCode: number, headers: Record<string, string | string[]>): string | undefined {
     if (statusCode > MAX_STATUS) return `${statusCode} is no status of a response`;
-    if (!this.echoed || statusCode < MIN_FINAL_STATUS) return undefined;
-    const value = headers[this.echoed.name];
-    if (value === undefined || value === this.echoed.value) return undefined;
+    const value = this.echoed && headers[this.echoed.name];
+    if (value === undefined || value === this.echoed?.value) return undefined;
     return `response is for request ${String(value)}`;
   }
 }
--- a/test/transport/odd-statuses.test.ts
+++ b/test/transport/odd-statuses.test.ts
@@ -65,4 +65,11 @@
       for (const freshConnection of [true, false])
         expect((await exchange(freshConnection))._unsafeUnwrap().status).to.equal(Number(line.split(' ')[1]));
     });
+
+  // A final response after several interim ones, which are all allowed, counted as a lost connection.
+  it('takes the final response after interim ones', async () => {
+    statusLine = `${'HTTP/1.1 103 Early\r\n\r\n'.repeat(3)}HTTP/1.1 200 OK`;
+    for (const freshConnection of [true, false])
+      expect((await exchange(freshConnection))._unsafeUnwrap().body.toString()).to.equal('done');
+  });
 });
