Connections of callers and peers have a maximum from the machine's descriptors

Callers saw 502 for requests of their own, and resets, while a crowd of clients held connections open: calls to replicas and the store failed for want of descriptors. Cause: the listeners took 20,000 connections each, and `limits.maxFds` was read nowhere.

Now half of the descriptors are for callers, a fifth for peers, and the listeners of readiness and metrics take 32 connections each; callers also have at most what a tenth of the memory holds in heads. A new connection takes the place of the oldest one that waits for its client, first of those that never had a request answered, so that callers who ask and leave are served while a crowd stands. A request that is whole keeps its connection. Heads have the maximum of the configuration (64 KB before).

--- a/emulator/job-demo.ts
+++ b/emulator/job-demo.ts
@@ -68,6 +68,7 @@
     resultRetentionMs: 120_000,
     processorCores: 1,
     memoryBytes: 256 * 1024 * 1024,
+    maxDescriptors: 4_096,
   };
 }
 
--- a/src/node/service/service-process.ts
+++ b/src/node/service/service-process.ts
@@ -7,20 +7,26 @@
 import { MILLISECONDS_PER_SECOND, monotonicMs } from '../../common/clock.js';
 import type { StandardOutputLogger } from '../../common/decision-logger.js';
 import type { ServiceMetrics } from '../../common/service-metrics.js';
+import type { CallerLimits } from '../../protocol/service/routing-configuration.js';
 import type { ServiceSettings } from '../../protocol/service/service-settings.js';
-import { HttpServer, sendJson } from '../../transport/http-server.js';
+import { type ConnectionSettings, HttpServer, sendJson } from '../../transport/http-server.js';
 import { resetUnansweredRequests } from '../../transport/unanswered-requests.js';
 import { PeerEndpoint } from './peer-endpoint.js';
+import { connectionLimitsOf } from './resource-limits.js';
 import type { ServiceNode } from './service-node.js';
 
 /** Limits of the callers' listener. */
 const MAX_HEADER_BYTES = 64 * 1024;
 const REQUEST_TIMEOUT_MS = 60_000;
+/** Maximum connections to the readiness listener, and to that of the metrics. */
+const OPERATOR_CONNECTIONS = 32;
 const LOOP_DELAY_INTERVAL_MS = 500;
 /** Longer delays of the event loop are logged as a process pause. */
 const LOGGED_LOOP_DELAY_MS = 400;
 /** Idle connections stay open this much longer than callers may reuse them. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
+/** Counted by the parser with the header fields. */
+const REQUEST_LINE_BYTES = 1_024;
 /** Longer than the keep-alive of the peers' clients (45 s), so that a connection they reuse is still open. */
 const PEER_KEEP_ALIVE_MS = 60_000;
 
@@ -53,6 +59,14 @@
   );
 }
 
+function connectionSettingsOf(limits: CallerLimits): ConnectionSettings {
+  return {
+    keepAliveTimeoutMs: limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS,
+    headersTimeoutMs: limits.headerTimeoutMs,
+    maxHeaderBytes: limits.maxHeaderBytes + REQUEST_LINE_BYTES,
+  };
+}
+
 /** Makes the caller send its next request on another connection, which load balancers pass to another node. */
 function closeAfterResponse({ response }: OpenExchange): void {
   if (!response.headersSent) response.setHeader('connection', 'close');
@@ -76,20 +90,22 @@
       failed: (cause: unknown, _request: IncomingMessage, response: ServerResponse) =>
         this.answerFailure(cause, response),
     };
+    const { maxDescriptors, memoryBytes } = dependencies.settings();
+    const maxConnections = connectionLimitsOf(maxDescriptors, memoryBytes);
     this.callers = new HttpServer(fallbacks, {
       maxHeaderBytes: MAX_HEADER_BYTES,
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
+      maxConnections: maxConnections.callers,
     });
-    this.readiness = new HttpServer({
-      ...fallbacks,
-      notFound: async (_, response) => sendJson(response, 404, {}),
-    });
+    const notFound = async (_: IncomingMessage, response: ServerResponse) => sendJson(response, 404, {});
+    const operators = { maxConnections: OPERATOR_CONNECTIONS };
+    this.readiness = new HttpServer({ ...fallbacks, notFound }, operators);
     this.readiness.route('GET', dependencies.readyPath, async (_, response) =>
       this.answerReadinessCheck(response),
     );
     this.peers = new HttpServer(
-      { ...fallbacks, notFound: async (_, response) => sendJson(response, 404, {}) },
-      { keepAliveTimeoutMs: PEER_KEEP_ALIVE_MS },
+      { ...fallbacks, notFound },
+      { keepAliveTimeoutMs: PEER_KEEP_ALIVE_MS, maxConnections: maxConnections.peers },
     );
     new PeerEndpoint(dependencies.node).register(this.peers);
   }
@@ -143,10 +159,13 @@
   }
 
   private serveMetrics(host: string, port: number): Promise<number> {
-    const server = new HttpServer({
-      notFound: async (_, response) => sendJson(response, 404, {}),
-      failed: (cause, _, response) => this.answerFailure(cause, response),
-    });
+    const server = new HttpServer(
+      {
+        notFound: async (_, response) => sendJson(response, 404, {}),
+        failed: (cause, _, response) => this.answerFailure(cause, response),
+      },
+      { maxConnections: OPERATOR_CONNECTIONS },
+    );
     server.route('GET', '/metrics', async (_, response) => {
       this.measureProcess();
       const text = await this.dependencies.metrics.registry.metrics();
@@ -175,7 +194,7 @@
         detail: `${Math.round(delayMs)} ms`,
       });
     const limits = this.dependencies.node.routing.current?.limits;
-    if (limits) this.callers.setTimeouts(limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS, limits.headerTimeoutMs);
+    if (limits) this.callers.setLimits(connectionSettingsOf(limits));
   }
 
   private handleSignals(): void {
--- a/src/protocol/service/service-settings.ts
+++ b/src/protocol/service/service-settings.ts
@@ -45,4 +45,6 @@
   readonly processorCores: number;
   /** Memory available to the process, bytes. */
   readonly memoryBytes: number;
+  /** Descriptors that the process may open. */
+  readonly maxDescriptors: number;
 }
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -3,9 +3,9 @@
  * `failed` of the server answers requests whose handler rejects.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import polka from 'polka';
-import { resetOnDestroy } from './socket-reset.js';
+import { Connections } from './connections.js';
 
 /** Limits on clients, times in milliseconds. */
 export interface HttpServerOptions {
@@ -15,6 +15,8 @@
   readonly requestTimeoutMs?: number;
   /** Lifetime of an idle connection. Default 8,000. */
   readonly keepAliveTimeoutMs?: number;
+  /** Default 20,000. */
+  readonly maxConnections?: number;
 }
 
 /** Defaults; the configuration of a platform replaces the timeouts. */
@@ -26,6 +28,13 @@
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 const MAX_CONNECTIONS = 20_000;
 
+/** Limits that may change while a server runs; times in milliseconds. */
+export interface ConnectionSettings {
+  readonly keepAliveTimeoutMs: number;
+  readonly headersTimeoutMs: number;
+  readonly maxHeaderBytes: number;
+}
+
 /** Handles and answers a request. `ServerFallbacks.failed` answers if it rejects. */
 export type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
@@ -39,14 +48,13 @@
 export class HttpServer {
   private readonly app;
   private readonly server: Server;
-  private readonly sockets = new Set<Socket>();
-  /** Responses that have not been sent to their end. */
-  private readonly openResponses = new Set<ServerResponse>();
+  private readonly connections: Connections;
 
   constructor(
     private readonly fallbacks: ServerFallbacks,
     options: HttpServerOptions = {},
   ) {
+    this.connections = new Connections(options.maxConnections ?? MAX_CONNECTIONS);
     this.server = createServer({
       maxHeaderSize: options.maxHeaderBytes ?? MAX_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
@@ -54,9 +62,8 @@
       keepAliveTimeout: options.keepAliveTimeoutMs ?? KEEP_ALIVE_TIMEOUT_MS,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     });
-    this.server.maxConnections = MAX_CONNECTIONS;
-    this.server.on('connection', (socket) => this.track(socket));
-    this.server.on('request', (_, response) => this.trackResponse(response));
+    this.server.on('connection', (socket) => this.connections.add(socket));
+    this.server.on('request', (request, response) => this.connections.begin(request, response));
     this.app = polka({
       server: this.server,
       onNoMatch: (request, response) => {
@@ -86,36 +93,32 @@
     });
   }
 
-  /** Changes the keep-alive and header timeouts for all connections. */
-  setTimeouts(keepAliveTimeoutMs: number, headersTimeoutMs: number): void {
+  /** Changes the keep-alive and header timeouts for all connections, and the size of heads for new ones. */
+  setLimits({ keepAliveTimeoutMs, headersTimeoutMs, maxHeaderBytes }: ConnectionSettings): void {
     this.server.keepAliveTimeout = keepAliveTimeoutMs;
     this.server.headersTimeout = headersTimeoutMs;
+    // Node reads it for each connection, though its types have it only as an option.
+    (this.server as Server & { maxHeaderSize: number }).maxHeaderSize = maxHeaderBytes;
   }
 
-  /**
-   * Closes connections without an open request. Unlike that of Node, it leaves those whose response is still
-   * being sent.
-   */
+  /** Closes connections without an open request. */
   closeIdleConnections(): void {
-    const busy = new Set([...this.openResponses].map(({ req }) => req.socket));
-    for (const socket of this.sockets) if (!busy.has(socket)) socket.destroy();
+    this.connections.closeIdle();
   }
 
   /** Whether bytes of a response wait for a client that reads slowly. */
   get hasUnsentBytes(): boolean {
-    return [...this.sockets].some(({ writableLength }) => writableLength > 0);
+    return this.connections.hasUnsentBytes;
   }
 
-  /**
-   * Resets the connections with unsent bytes, for the exit of the process: an orderly close in the middle of a
-   * response that ends with its connection would make it look whole.
-   */
+  /** Resets the connections with unsent bytes, for the exit of the process. */
   resetUnsent(): void {
-    for (const socket of this.sockets)
-      if (socket.writableLength > 0) {
-        resetOnDestroy(socket);
-        socket.destroy();
-      }
+    this.connections.resetUnsent();
+  }
+
+  /** Connections that were closed since the maximum was reached. */
+  get replacedConnections(): number {
+    return this.connections.replacedCount;
   }
 
   /** Stops accepting connections; resolves when open requests have ended. */
@@ -128,17 +131,7 @@
   /** Closes all connections immediately. */
   destroy(): void {
     this.server.close();
-    for (const socket of this.sockets) socket.destroy();
-  }
-
-  private track(socket: Socket): void {
-    this.sockets.add(socket);
-    socket.on('close', () => this.sockets.delete(socket));
-  }
-
-  private trackResponse(response: ServerResponse): void {
-    this.openResponses.add(response);
-    response.once('close', () => this.openResponses.delete(response));
+    this.connections.destroy();
   }
 
   private async run(handler: Handler, request: IncomingMessage, response: ServerResponse): Promise<void> {
