Bodies have limits of time, and refusals reach clients that still send

Callers with a body over the limit saw a reset in place of the answer, and an announced size was judged only when the body had come; `Expect: 100-continue` was answered before anybody looked. A body without progress lived for 60 s, whatever the configuration and the request's deadline said.

Cause: the body was read by an iterator, which destroys the connection when it stops early; a refusal that was sent in time called `resume`, which reads on without end. Now `receiveBody` reads it: an announced size over the limit is refused before any byte (413, no interim response), a body that makes no progress for `idleTimeoutMs`, or is not whole at the request's deadline, is ended with 408, which promises that it has not run. After any response to an incomplete request the server reads on for at most 32 MiB and 5 s, sends its end first if the connection closes, and closes it then.

--- a/src/node/service/peer-endpoint.ts
+++ b/src/node/service/peer-endpoint.ts
@@ -1,6 +1,7 @@
 /** HTTP endpoints for other nodes, on a separate port: forwarded requests, configuration, crash reports. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setImmediate } from 'node:timers/promises';
+import { monotonicMs } from '../../common/clock.js';
 import { CONFIGURATION_PATH, NEWER_THAN_PARAMETER } from '../../protocol/service/configuration-peer.js';
 import {
   CRASH_REPORTS_PATH,
@@ -13,7 +14,8 @@
   parseDispatch,
   renderDispatchOutcome,
 } from '../../protocol/service/dispatch-peer.js';
-import { disconnectSignal, type HttpServer, readRequestBody, sendJson } from '../../transport/http-server.js';
+import { disconnectSignal, type HttpServer, sendJson } from '../../transport/http-server.js';
+import { type ReceiveResult, receiveBody } from '../../transport/request-body.js';
 import type { ServiceNode } from './service-node.js';
 
 /**
@@ -22,6 +24,9 @@
  * turn. Such a request must not be sent to a replica.
  */
 const EVENT_LOOP_TURNS_BEFORE_DISPATCH = 3;
+/** Longest time for a peer's message, and within it without a byte, milliseconds. */
+const RECEIVE_TIMEOUT_MS = 30_000;
+const RECEIVE_IDLE_TIMEOUT_MS = 5_000;
 
 async function yieldToEventLoop(count: number): Promise<void> {
   for (let turns = 0; turns < count; turns += 1) await setImmediate();
@@ -52,18 +57,32 @@
     else response.writeHead(answer.kind === 'same' ? 204 : 503).end();
   }
 
+  private receive(
+    request: IncomingMessage,
+    response: ServerResponse,
+    maxBytes: number,
+  ): Promise<ReceiveResult> {
+    const deadlineMs = monotonicMs() + RECEIVE_TIMEOUT_MS;
+    const limits = { maxBytes, idleTimeoutMs: RECEIVE_IDLE_TIMEOUT_MS, deadlineMs };
+    return receiveBody(request, response, limits);
+  }
+
   private async exchangeCrashReports(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readRequestBody(request, MAX_MESSAGE_BYTES);
-    const reports = body && parseCrashReports(body);
+    const received = await this.receive(request, response, MAX_MESSAGE_BYTES);
+    const reports = received.isOk() ? parseCrashReports(received.value) : undefined;
     if (reports) sendJson(response, 200, this.node.exchangeCrashReports(reports));
     else sendJson(response, 400, { error: 'malformed crash reports' });
   }
 
   /** The response head acknowledges the request; the body follows with the outcome. */
   private async dispatch(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    // A truncated body means that the peer has disconnected: nothing was accepted, and the 400 is not read.
-    const body = await readRequestBody(request, MAX_DISPATCH_BYTES).catch(() => undefined);
-    const framed = body && parseDispatch(body);
+    const received = await this.receive(request, response, MAX_DISPATCH_BYTES);
+    if (received.isErr()) {
+      // A truncated body means that the peer has disconnected: nothing was accepted, and the response is not read.
+      sendJson(response, 503, { error: received.error.message });
+      return;
+    }
+    const framed = parseDispatch(received.value);
     if (!framed) {
       sendJson(response, 400, { error: 'malformed dispatch request' });
       return;
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -3,9 +3,10 @@
  * `failed` of the server answers requests whose handler rejects.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import polka from 'polka';
 import { Connections } from './connections.js';
+import { boundReadingAfter, lingerOnClose } from './lingering-close.js';
 
 /** Limits on clients, times in milliseconds. */
 export interface HttpServerOptions {
@@ -62,8 +63,10 @@
       keepAliveTimeout: options.keepAliveTimeoutMs ?? KEEP_ALIVE_TIMEOUT_MS,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     });
-    this.server.on('connection', (socket) => this.connections.add(socket));
-    this.server.on('request', (request, response) => this.connections.begin(request, response));
+    this.server.on('connection', (socket) => this.track(socket));
+    this.server.on('request', (request, response) => this.trackRequest(request, response));
+    // Bodies are asked for when they are received.
+    this.server.on('checkContinue', (request, response) => this.server.emit('request', request, response));
     this.app = polka({
       server: this.server,
       onNoMatch: (request, response) => {
@@ -134,6 +137,16 @@
     this.connections.destroy();
   }
 
+  private track(socket: Socket): void {
+    lingerOnClose(socket);
+    this.connections.add(socket);
+  }
+
+  private trackRequest(request: IncomingMessage, response: ServerResponse): void {
+    this.connections.begin(request, response);
+    boundReadingAfter(request, response);
+  }
+
   private async run(handler: Handler, request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
       await handler(request, response);
@@ -152,21 +165,6 @@
   return controller.signal;
 }
 
-/** Buffers a request body; `undefined` if it exceeds `limitBytes`. Rejects if the caller disconnects. */
-export async function readRequestBody(
-  request: IncomingMessage,
-  limitBytes: number,
-): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > limitBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
-}
-
 /**
  * Writes the head of a response that ends with its connection. Used for responses received in this form: they
  * may be truncated, which a content length would hide.
--- /dev/null
+++ b/src/transport/lingering-close.ts
@@ -0,0 +1,49 @@
+/**
+ * Reads on after a response that was sent before its request was whole, and drops what arrives. A client that is
+ * still sending would otherwise get a reset, which may overtake the response. Bytes and time are bounded; beyond
+ * them the connection is closed.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Socket } from 'node:net';
+import { monotonicMs } from '../common/clock.js';
+
+/** As large as the largest usual body, since a client may read only after its last byte. */
+const MAX_DISCARDED_BYTES = 32 * 1024 * 1024;
+const MAX_LINGER_MS = 5_000;
+const CHECK_INTERVAL_MS = 50;
+
+const latestRequests = new WeakMap<Socket, IncomingMessage>();
+
+/** Keeps a server from closing `socket` after a response while the request is incomplete: only its end is sent. */
+export function lingerOnClose(socket: Socket): void {
+  // Node calls this method when the last response of a connection was written.
+  socket.destroySoon = () => {
+    if (latestRequests.get(socket)?.complete === false) socket.end();
+    else Socket.prototype.destroySoon.call(socket);
+  };
+}
+
+/** Bounds what is read of `request` after its response. */
+export function boundReadingAfter(request: IncomingMessage, response: ServerResponse): void {
+  const { socket } = request;
+  latestRequests.set(socket, request);
+  response.once('finish', () => {
+    if (!request.complete && !socket.destroyed) discardRest(request, socket);
+  });
+}
+
+/** Drops bytes until the request is whole or a limit is reached. */
+function discardRest(request: IncomingMessage, socket: Socket): void {
+  const startedAtMs = monotonicMs();
+  const startBytes = socket.bytesRead;
+  request.resume();
+  const timer = setInterval(() => {
+    const { bytesRead } = socket;
+    const isOver =
+      bytesRead - startBytes > MAX_DISCARDED_BYTES || monotonicMs() - startedAtMs > MAX_LINGER_MS;
+    if (!isOver && !request.complete && !socket.destroyed) return;
+    clearInterval(timer);
+    if (!request.complete) socket.destroy();
+    else if (socket.writableEnded) Socket.prototype.destroySoon.call(socket);
+  }, CHECK_INTERVAL_MS);
+}
