One budget for all bytes that a process holds for clients

Clients ended a node: it ran out of memory, and callers saw refused connections. A single request within the limits got 503 above some 16 MiB, each time.

Cause: each body had a limit, all bodies together none; chunks were kept as they came, one object each, and concatenated at the end, which holds all twice; what queues hold was bounded apart (0.05 of the memory, so that a large body never fitted), what is sent to a slow reader not at all.

Now `MemoryBudget` (in place of `ReceiveBudget`) counts bodies while and after they are received, until their request is answered, messages to and from dispatchers, answers while they are read, and what of them a client has not read. Bytes count when they arrive, not when they are announced. Beyond the limit the holding with the largest product of bytes and time without progress gives way (503 with Retry-After, not run; a slow reader is reset), so that ordinary bodies are never the ones; a part is reserved for holdings up to 64 KB. Requests that may run don't give way. Released bytes count as garbage, which is collected before too much of it waits. `ByteCollector` copies chunks into blocks of sizes that glibc returns, for requests and answers alike. Limits follow from `limits.memoryMb` less the memory at the start. Shortage is logged once when it begins and ends.

--- a/src/common/service-metrics.ts
+++ b/src/common/service-metrics.ts
@@ -90,6 +90,15 @@
   readonly leaderLeasesHeld = this.gauge('thymecove_duties_held', 'Leader leases held by this node');
   readonly loopDelay = this.gauge('thymecove_loop_delay_seconds', 'Delay of the event loop');
   readonly memory = this.gauge('thymecove_resident_bytes', 'Resident memory');
+  readonly heldBytes = this.gauge('thymecove_held_bytes', 'Bytes held for callers, peers and replicas');
+  readonly givenUpHoldings = this.gauge(
+    'thymecove_given_up_holdings',
+    'Bodies and answers given up for want of memory',
+  );
+  readonly replacedConnections = this.gauge(
+    'thymecove_replaced_connections',
+    'Connections of callers closed at their maximum',
+  );
   readonly droppedLines = this.gauge(
     'thymecove_dropped_log_lines',
     'Log lines dropped because of a slow reader',
--- a/src/coordination/service/dispatch/replica-exchange.ts
+++ b/src/coordination/service/dispatch/replica-exchange.ts
@@ -8,7 +8,7 @@
 import type { ReplicaAnswer, ReplicaClient, ReplicaRequest } from '../../../protocol/service/replica.js';
 import type { ReplicaState } from '../../../state/service/replicas/index.js';
 import { abandonBody, readFully } from '../../../transport/http-client.js';
-import type { ReceiveBudget } from '../../../transport/receive-budget.js';
+import type { MemoryBudget } from '../../../transport/memory-budget.js';
 import type { TransportError } from '../../../transport/transport-error.js';
 import type { CrashCheck } from './crash-check.js';
 import { digestOf } from './request-digest.js';
@@ -93,7 +93,7 @@
   constructor(
     readonly client: ReplicaClient,
     private readonly crashCheck: CrashCheck,
-    private readonly budget: ReceiveBudget,
+    private readonly budget: MemoryBudget,
     private readonly metrics: ServiceMetrics,
     private readonly logger: DecisionLogger,
   ) {}
--- a/src/node/service/node-context.ts
+++ b/src/node/service/node-context.ts
@@ -16,6 +16,7 @@
 import type { OwnerReference } from '../../state/service/jobs/index.js';
 import { ReplicaDirectory, WeightVersions } from '../../state/service/replicas/index.js';
 import { type ReportUnreadable, UnreadableRecords } from '../../state/service/store/index.js';
+import type { MemoryBudget } from '../../transport/memory-budget.js';
 
 export interface ServiceNodeDependencies {
   /** Current settings; they may be reloaded while the node runs. */
@@ -36,6 +37,7 @@
   ) => Promise<CrashReportsAnswer | undefined>;
   /** Forwards a request to the dispatcher of its service. */
   readonly dispatchAtPeer: PeerCall;
+  readonly budget: MemoryBudget;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
--- a/src/node/service/node-dispatch.ts
+++ b/src/node/service/node-dispatch.ts
@@ -26,10 +26,10 @@
 import type { RoutingTable } from '../../state/service/configuration/index.js';
 import type { ReplicaDirectory, ReplicaState } from '../../state/service/replicas/index.js';
 import type { ReportUnreadable } from '../../state/service/store/index.js';
+import type { MemoryBudget } from '../../transport/memory-budget.js';
 
-/** Limits of each queue: number of requests, and total body size as a fraction of the memory limit. */
+/** Maximum requests in each queue. */
 const MAX_QUEUED = 2_000;
-const QUEUED_MEMORY_FRACTION = 0.05;
 /** Added to the load of replicas in other zones: they are used once the local zone is half full. */
 const OTHER_ZONE_PENALTY = 0.5;
 
@@ -42,6 +42,8 @@
   readonly dispatchAtPeer: PeerCall;
   readonly jobGate: JobGate;
   readonly reportUnreadable: ReportUnreadable;
+  /** Counts the bodies of queued requests, among others. */
+  readonly budget: MemoryBudget;
   readonly metrics: ServiceMetrics;
   readonly logger: DecisionLogger;
 }
@@ -61,7 +63,7 @@
       slowStartPerSecond: ({ replica }) => this.slowStartPerSecond(replica.service),
       zonePenalty: (state) => this.zonePenalty(state),
       obstacle: (call) => this.obstacleOf(call),
-      queueLimits: { count: MAX_QUEUED, bytes: settings.memoryBytes * QUEUED_MEMORY_FRACTION },
+      queueLimits: { count: MAX_QUEUED, bytes: services.budget.limitBytes },
       metrics,
       logger,
     });
--- a/src/node/service/peer-endpoint.ts
+++ b/src/node/service/peer-endpoint.ts
@@ -64,12 +64,13 @@
   ): Promise<ReceiveResult> {
     const deadlineMs = monotonicMs() + RECEIVE_TIMEOUT_MS;
     const limits = { maxBytes, idleTimeoutMs: RECEIVE_IDLE_TIMEOUT_MS, deadlineMs };
-    return receiveBody(request, response, limits);
+    return receiveBody(request, response, limits, this.node.budget);
   }
 
   private async exchangeCrashReports(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const received = await this.receive(request, response, MAX_MESSAGE_BYTES);
-    const reports = received.isOk() ? parseCrashReports(received.value) : undefined;
+    const reports = received.isOk() ? parseCrashReports(received.value.bytes) : undefined;
+    if (received.isOk()) received.value.holding.release();
     if (reports) sendJson(response, 200, this.node.exchangeCrashReports(reports));
     else sendJson(response, 400, { error: 'malformed crash reports' });
   }
@@ -82,7 +83,15 @@
       sendJson(response, 503, { error: received.error.message });
       return;
     }
-    const framed = parseDispatch(received.value);
+    try {
+      await this.dispatchReceived(received.value.bytes, response);
+    } finally {
+      received.value.holding.release();
+    }
+  }
+
+  private async dispatchReceived(body: Buffer, response: ServerResponse): Promise<void> {
+    const framed = parseDispatch(body);
     if (!framed) {
       sendJson(response, 400, { error: 'malformed dispatch request' });
       return;
--- a/src/node/service/service-node.ts
+++ b/src/node/service/service-node.ts
@@ -23,7 +23,7 @@
   Framed,
 } from '../../protocol/service/dispatch-peer.js';
 import { type RoutingTable, TargetSplitter } from '../../state/service/configuration/index.js';
-import { ReceiveBudget } from '../../transport/receive-budget.js';
+import type { MemoryBudget } from '../../transport/memory-budget.js';
 import { type DrainDeadlines, drainDeadlines, untilSettled, waitUntil } from './drain.js';
 import { createJobGate } from './job-gating.js';
 import { createNodeContext, type NodeContext, type ServiceNodeDependencies } from './node-context.js';
@@ -37,9 +37,6 @@
 import { SingletonTasks } from './singleton-tasks.js';
 import { createLoadScheduler } from './weight-loading.js';
 
-/** Answers of replicas that are being read, as a fraction of the memory limit. */
-const ANSWER_MEMORY_FRACTION = 0.1;
-
 /** Subsystems that are started, measured or drained. */
 interface Subsystems {
   readonly peers: PeerAddresses;
@@ -54,11 +51,6 @@
   readonly loadScheduler: LoadScheduler;
 }
 
-function createExchange(parts: ServiceNodeDependencies, crashCheck: CrashCheck): ReplicaExchange {
-  const budget = new ReceiveBudget(parts.settings().memoryBytes * ANSWER_MEMORY_FRACTION);
-  return new ReplicaExchange(parts.client, crashCheck, budget, parts.metrics, parts.logger);
-}
-
 export class ServiceNode {
   readonly routing: RoutingTable;
   readonly relay: ServiceRelay;
@@ -84,7 +76,7 @@
     const splitter = new TargetSplitter();
     const jobGate = createJobGate(context);
     const crashCheck = new CrashCheck(metrics);
-    const exchange = createExchange(parts, crashCheck);
+    const exchange = new ReplicaExchange(parts.client, crashCheck, parts.budget, metrics, logger);
     const dispatch = new NodeDispatch({ ...context, settings, exchange, jobGate });
     const tasks = new SingletonTasks(context, sessions, peers);
     const send: SendAttempt = (call, isRepeatable) => dispatch.remote.dispatch(call, isRepeatable);
@@ -134,6 +126,11 @@
     void loadScheduler.run(signal);
   }
 
+  /** What the process holds for callers, peers and replicas. */
+  get budget(): MemoryBudget {
+    return this.context.budget;
+  }
+
   /** Whether load balancers may send requests here; see `readiness.ts` for the rule. */
   get isReady(): boolean {
     return isReady({
--- a/src/node/service/service-process.ts
+++ b/src/node/service/service-process.ts
@@ -14,6 +14,7 @@
 import { PeerEndpoint } from './peer-endpoint.js';
 import { connectionLimitsOf } from './resource-limits.js';
 import type { ServiceNode } from './service-node.js';
+import { ShortageReports } from './shortage-reports.js';
 
 /** Limits of the callers' listener. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -81,6 +82,7 @@
   private readonly callers: HttpServer;
   private readonly readiness: HttpServer;
   private readonly peers: HttpServer;
+  private readonly shortages: readonly ShortageReports[];
   private readonly openExchanges = new Set<OpenExchange>();
   private lastLoopCheckMs = monotonicMs();
 
@@ -90,12 +92,14 @@
       failed: (cause: unknown, _request: IncomingMessage, response: ServerResponse) =>
         this.answerFailure(cause, response),
     };
+    const { budget } = dependencies.node;
     const { maxDescriptors, memoryBytes } = dependencies.settings();
     const maxConnections = connectionLimitsOf(maxDescriptors, memoryBytes);
     this.callers = new HttpServer(fallbacks, {
       maxHeaderBytes: MAX_HEADER_BYTES,
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
       maxConnections: maxConnections.callers,
+      budget,
     });
     const notFound = async (_: IncomingMessage, response: ServerResponse) => sendJson(response, 404, {});
     const operators = { maxConnections: OPERATOR_CONNECTIONS };
@@ -105,9 +109,14 @@
     );
     this.peers = new HttpServer(
       { ...fallbacks, notFound },
-      { keepAliveTimeoutMs: PEER_KEEP_ALIVE_MS, maxConnections: maxConnections.peers },
+      { keepAliveTimeoutMs: PEER_KEEP_ALIVE_MS, maxConnections: maxConnections.peers, budget },
     );
     new PeerEndpoint(dependencies.node).register(this.peers);
+    const { logger } = dependencies;
+    this.shortages = [
+      new ShortageReports('bytes for callers', () => budget.givenUpCount, logger),
+      new ShortageReports('connections of callers', () => this.callers.replacedConnections, logger),
+    ];
   }
 
   /** Serves until a signal ends the process; `detail` is logged at the start. */
@@ -179,6 +188,9 @@
     const { metrics, logger, node } = this.dependencies;
     metrics.memory.set({}, process.memoryUsage.rss());
     metrics.droppedLines.set({}, logger.droppedLines);
+    metrics.heldBytes.set({}, node.budget.heldBytes);
+    metrics.givenUpHoldings.set({}, node.budget.givenUpCount);
+    metrics.replacedConnections.set({}, this.callers.replacedConnections);
     node.measure();
   }
 
@@ -193,6 +205,7 @@
         change: 'process paused',
         detail: `${Math.round(delayMs)} ms`,
       });
+    for (const reports of this.shortages) reports.check();
     const limits = this.dependencies.node.routing.current?.limits;
     if (limits) this.callers.setLimits(connectionSettingsOf(limits));
   }
--- a/src/protocol/service/dispatch-peer.ts
+++ b/src/protocol/service/dispatch-peer.ts
@@ -7,6 +7,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import Type, { type Static } from 'typebox';
 import { discardBody, type HttpClient, readFully } from '../../transport/http-client.js';
+import type { MemoryBudget } from '../../transport/memory-budget.js';
 import { TransportError } from '../../transport/transport-error.js';
 import { Validator } from '../validation.js';
 
@@ -127,18 +128,39 @@
   readonly signal: AbortSignal;
 }
 
-/** Sends a call to the node at `address` (`IP:PORT`). Never retries, never rejects. */
+/**
+ * Sends a call to the node at `address` (`IP:PORT`), unless the budget has no room for its message. Never retries,
+ * never rejects.
+ */
 export async function dispatchAtPeer(
   http: HttpClient,
+  budget: MemoryBudget,
+  address: string,
+  call: Framed<DispatchMessage>,
+  options: PeerDispatchOptions,
+): Promise<PeerDispatch> {
+  const bytes = frame(call.message, call.body);
+  const holding = budget.tryHold(bytes.length);
+  if (!holding) return { kind: 'not-taken', reason: 'too little memory for the message' };
+  try {
+    return await exchange(http, budget, address, bytes, options);
+  } finally {
+    holding.release();
+  }
+}
+
+async function exchange(
+  http: HttpClient,
+  budget: MemoryBudget,
   address: string,
-  { message, body }: Framed<DispatchMessage>,
+  bytes: Buffer,
   { onAcknowledged, timeoutMs, signal }: PeerDispatchOptions,
 ): Promise<PeerDispatch> {
   const response = await http.send({
     method: 'POST',
     url: `http://${address}${DISPATCH_PATH}`,
     headers: { 'content-type': 'application/octet-stream' },
-    body: frame(message, body),
+    body: bytes,
     headTimeoutMs: timeoutMs,
     idleTimeoutMs: timeoutMs,
     signal,
@@ -150,14 +172,17 @@
     return { kind: 'not-taken', reason: `status ${response.value.status}` };
   }
   onAcknowledged();
-  const read = await readOutcome(response.value.body);
+  const read = await readOutcome(response.value.body, budget);
   return read.isOk()
     ? { kind: 'outcome', outcome: read.value }
     : { kind: 'lost', reason: read.error.message };
 }
 
-async function readOutcome(body: Readable): Promise<Result<Framed<DispatchOutcomeMessage>, TransportError>> {
-  const bytes = await readFully(body, MAX_DISPATCH_BYTES);
+async function readOutcome(
+  body: Readable,
+  budget: MemoryBudget,
+): Promise<Result<Framed<DispatchOutcomeMessage>, TransportError>> {
+  const bytes = await readFully(body, MAX_DISPATCH_BYTES, budget);
   return bytes.andThen((whole) => {
     const parts = unframe(whole);
     const message = parts && outcomeValidator.check(parts.line).unwrapOr(undefined as never);
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -9,9 +9,9 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Agent, buildConnector, DecoratorHandler, type Dispatcher } from 'undici';
 import { ByteCollector } from './byte-collector.js';
-import type { ReceiveBudget } from './receive-budget.js';
+import type { MemoryBudget } from './memory-budget.js';
 import { limitReceivedBytes } from './receive-limits.js';
-import { TransportError, toTransportError } from './transport-error.js';
+import { outOfMemory, TransportError, toTransportError } from './transport-error.js';
 import { resetIfUnanswered } from './unanswered-requests.js';
 
 /** Header names are in lower case. */
@@ -90,29 +90,28 @@
 const MAX_STATUS = 599;
 
 /**
- * Buffers a stream of at most `limitBytes`. Fails if it is truncated, or if its bytes exceed the budget with
- * those of others and are the most.
+ * Buffers a stream of at most `limitBytes`. Fails if it is truncated, or if it has to give way in the budget.
  */
 export async function readFully(
   body: Readable,
   limitBytes: number,
-  budget?: ReceiveBudget,
+  budget?: MemoryBudget,
 ): Promise<Result<Buffer, TransportError>> {
-  const received = new ByteCollector();
-  const reading = budget?.begin((cause) => body.destroy(cause));
+  const holding = budget?.open(() => body.destroy(outOfMemory('the body')));
+  const received = new ByteCollector({ maxBytes: limitBytes, holding });
   try {
     for await (const chunk of body) {
-      received.add(chunk);
-      if (received.length > limitBytes) {
+      if (received.length + chunk.length > limitBytes) {
         abandonBody(body);
         return err(new TransportError('body-too-large', true, `body exceeds ${limitBytes} bytes`));
       }
-      reading?.add(chunk.length);
+      holding?.grow(chunk.length);
+      received.add(chunk);
     }
   } catch (cause) {
     return err(toTransportError(cause));
   } finally {
-    reading?.end();
+    holding?.release();
   }
   return ok(received.concat());
 }
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -7,6 +7,8 @@
 import polka from 'polka';
 import { Connections } from './connections.js';
 import { boundReadingAfter, lingerOnClose } from './lingering-close.js';
+import type { MemoryBudget } from './memory-budget.js';
+import { resetOnDestroy } from './socket-reset.js';
 
 /** Limits on clients, times in milliseconds. */
 export interface HttpServerOptions {
@@ -18,6 +20,8 @@
   readonly keepAliveTimeoutMs?: number;
   /** Default 20,000. */
   readonly maxConnections?: number;
+  /** Counts responses that clients read slowly, and what is received after a response. Default: not counted. */
+  readonly budget?: MemoryBudget;
 }
 
 /** Defaults; the configuration of a platform replaces the timeouts. */
@@ -50,11 +54,13 @@
   private readonly app;
   private readonly server: Server;
   private readonly connections: Connections;
+  private readonly budget: MemoryBudget | undefined;
 
   constructor(
     private readonly fallbacks: ServerFallbacks,
     options: HttpServerOptions = {},
   ) {
+    this.budget = options.budget;
     this.connections = new Connections(options.maxConnections ?? MAX_CONNECTIONS);
     this.server = createServer({
       maxHeaderSize: options.maxHeaderBytes ?? MAX_HEADER_BYTES,
@@ -144,7 +150,19 @@
 
   private trackRequest(request: IncomingMessage, response: ServerResponse): void {
     this.connections.begin(request, response);
-    boundReadingAfter(request, response);
+    boundReadingAfter(request, response, (bytes) => this.budget?.noteYoungGarbage(bytes));
+    response.once('prefinish', () => this.holdUnsent(request.socket, response));
+  }
+
+  /** Counts what the client of a finished response has not read; it is reset if it has to give way. */
+  private holdUnsent(socket: Socket, response: ServerResponse): void {
+    if (response.writableLength === 0 || !this.budget) return;
+    const holding = this.budget.open(() => {
+      resetOnDestroy(socket);
+      socket.destroy();
+    });
+    response.once('close', () => holding.release());
+    holding.grow(response.writableLength);
   }
 
   private async run(handler: Handler, request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/transport/lingering-close.ts
+++ b/src/transport/lingering-close.ts
@@ -12,6 +12,9 @@
 const MAX_LINGER_MS = 5_000;
 const CHECK_INTERVAL_MS = 50;
 
+/** Called with the bytes that were received and dropped since the last call. */
+export type DiscardListener = (bytes: number) => void;
+
 const latestRequests = new WeakMap<Socket, IncomingMessage>();
 
 /** Keeps a server from closing `socket` after a response while the request is incomplete: only its end is sent. */
@@ -24,21 +27,28 @@
 }
 
 /** Bounds what is read of `request` after its response. */
-export function boundReadingAfter(request: IncomingMessage, response: ServerResponse): void {
+export function boundReadingAfter(
+  request: IncomingMessage,
+  response: ServerResponse,
+  onDiscarded: DiscardListener,
+): void {
   const { socket } = request;
   latestRequests.set(socket, request);
   response.once('finish', () => {
-    if (!request.complete && !socket.destroyed) discardRest(request, socket);
+    if (!request.complete && !socket.destroyed) discardRest(request, socket, onDiscarded);
   });
 }
 
 /** Drops bytes until the request is whole or a limit is reached. */
-function discardRest(request: IncomingMessage, socket: Socket): void {
+function discardRest(request: IncomingMessage, socket: Socket, onDiscarded: DiscardListener): void {
   const startedAtMs = monotonicMs();
   const startBytes = socket.bytesRead;
+  let countedBytes = startBytes;
   request.resume();
   const timer = setInterval(() => {
     const { bytesRead } = socket;
+    onDiscarded(bytesRead - countedBytes);
+    countedBytes = bytesRead;
     const isOver =
       bytesRead - startBytes > MAX_DISCARDED_BYTES || monotonicMs() - startedAtMs > MAX_LINGER_MS;
     if (!isOver && !request.complete && !socket.destroyed) return;
--- a/src/transport/request-body.ts
+++ b/src/transport/request-body.ts
@@ -1,12 +1,13 @@
 /**
- * Receives the body of a request within limits of size and time. A failed body is dropped at once, while the
+ * Receives the body of a request within limits of size, time and memory. A failed body is dropped at once, while the
  * client may still be sending: `HttpServer` reads on for a bounded time after the response.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
 import { monotonicMs } from '../common/clock.js';
 import { ByteCollector } from './byte-collector.js';
-import { TransportError, type TransportFailure } from './transport-error.js';
+import type { Holding, MemoryBudget } from './memory-budget.js';
+import { outOfMemory, TransportError, type TransportFailure } from './transport-error.js';
 
 /** Limits of a body. */
 export interface BodyLimits {
@@ -17,8 +18,14 @@
   readonly deadlineMs: number;
 }
 
-/** Failures: `body-too-large`, `timed-out`, and `connection-lost` when nobody is left to answer. */
-export type ReceiveResult = Result<Buffer, TransportError>;
+/** A whole body. Its holding must be released when it is no longer needed. */
+export interface ReceivedBody {
+  readonly bytes: Buffer;
+  readonly holding: Holding;
+}
+
+/** Failures: `body-too-large`, `timed-out`, `no-memory`, and `connection-lost` when nobody is left to answer. */
+export type ReceiveResult = Result<ReceivedBody, TransportError>;
 
 const CONTINUE = '100-continue';
 
@@ -33,10 +40,11 @@
   request: IncomingMessage,
   response: ServerResponse,
   limits: BodyLimits,
+  budget: MemoryBudget,
 ): Promise<ReceiveResult> {
   if ((announcedBytes(request) ?? 0) > limits.maxBytes) return Promise.resolve(err(tooLarge(limits)));
   if (request.headers.expect?.toLowerCase() === CONTINUE) response.writeContinue();
-  return new Promise((resolve) => new BodyReception(request, limits, resolve).begin());
+  return new Promise((resolve) => new BodyReception(request, limits, budget, resolve).begin());
 }
 
 function tooLarge({ maxBytes }: BodyLimits): TransportError {
@@ -45,16 +53,26 @@
 
 /** One body that is being received. */
 class BodyReception {
+  private readonly holding: Holding;
   /** `undefined` when the body was handed over or dropped. */
-  private received: ByteCollector | undefined = new ByteCollector();
+  private received: ByteCollector | undefined;
   private progressAtMs = monotonicMs();
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly request: IncomingMessage,
     private readonly limits: BodyLimits,
+    budget: MemoryBudget,
     private readonly resolve: (result: ReceiveResult) => void,
-  ) {}
+  ) {
+    this.holding = budget.open(() => this.finish(err(outOfMemory('the body'))));
+    const { maxBytes } = limits;
+    this.received = new ByteCollector({
+      maxBytes,
+      expectedBytes: announcedBytes(request),
+      holding: this.holding,
+    });
+  }
 
   begin(): void {
     this.request.on('data', this.onData);
@@ -71,11 +89,15 @@
       this.finish(err(tooLarge(this.limits)));
       return;
     }
+    this.holding.grow(chunk.length);
     this.received?.add(chunk);
   };
 
   private readonly onEnd = (): void => {
-    if (this.received) this.finish(ok(this.received.concat()));
+    const { received, holding } = this;
+    if (!received) return;
+    holding.pin();
+    this.finish(ok({ bytes: received.concat(), holding }));
   };
 
   private readonly onLost = (): void => this.fail('connection-lost', 'the client has disconnected');
@@ -99,6 +121,7 @@
     this.request.off('end', this.onEnd);
     this.request.off('error', this.onLost);
     this.request.off('close', this.onLost);
+    if (result.isErr()) this.holding.release();
     this.resolve(result);
   }
 }
--- a/src/transport/transport-error.ts
+++ b/src/transport/transport-error.ts
@@ -6,6 +6,8 @@
   | 'connection-lost'
   | 'cancelled'
   | 'body-too-large'
+  /** Too little memory for the bytes: others were kept in their place. */
+  | 'no-memory'
   /** The server sent more than a response may have, or bytes that no request was waiting for. */
   | 'response-too-large'
   /** The response is for another request. */
@@ -24,6 +26,11 @@
   }
 }
 
+/** Too little memory for bytes that were or would be held. */
+export function outOfMemory(subject: string): TransportError {
+  return new TransportError('no-memory', true, `too little memory for ${subject}`);
+}
+
 /** Codes raised before a connection exists, so that no byte was sent. */
 const CONNECT_CODES = new Set([
   'ECONNREFUSED',
