--- a/test/coordination/service/generation/refusals.test.ts
+++ b/test/coordination/service/generation/refusals.test.ts
@@ -16,6 +16,7 @@
   ReplicaRequest,
 } from '../../../../src/protocol/service/replica.js';
 import { ReplicaState } from '../../../../src/state/service/replicas/index.js';
+import { MemoryBudget } from '../../../../src/transport/memory-budget.js';
 import { replicaWith } from '../../../support/replicas.js';
 
 type Refusal = Partial<Pick<ReplicaAnswer, 'isNotExecuted' | 'isVersionMismatch' | 'weightVersion'>>;
@@ -92,11 +93,11 @@
   ])
     it(`of requests with 421 ${Object.keys(refusal).join(' ')} ${isEjected ? 'eject' : 'keep'} the replica`, async () => {
       const state = new ReplicaState(replicaWith());
-      const budget = { begin: () => ({ add: () => {}, end: () => {} }) };
+      const limits = { heldBytes: 1_000, reservedBytes: 0, garbageBytes: 1_000, youngGarbageBytes: 1_000 };
       const exchange = new ReplicaExchange(
         clientThatAnswers(421, refusal),
         {} as never,
-        budget as never,
+        new MemoryBudget(limits, () => {}),
         { attempts: { inc: () => {} } } as never,
         { record: () => {} } as never,
       );
