The resource interface counts its bodies in a memory budget, too

By reading: its bodies had a limit each (up to 32 MiB) and none together, its JSON was parsed without a look at its structure, a body had 30 s whether it made progress or not, and a refusal closed the connection under a client that was still sending. Now it uses the same reception, budget and measure as the service interface; the budget follows from the memory of the machine or container. What does not fit is rejected as `overloaded` with Retry-After and has not run. The limits by machine move to `src/node/machine-limits.ts`, which both interfaces use.

No crowd was run against this interface.

--- a/src/node/machine-limits.ts
+++ b/src/node/machine-limits.ts
@@ -1,5 +1,5 @@
 /** What a node may hold for others and how many connections it takes, from the memory and descriptors of its machine. */
-import type { MemoryLimits } from '../../transport/memory-budget.js';
+import type { MemoryLimits } from '../transport/memory-budget.js';
 
 /** What a node without requests takes beyond the memory at its start. */
 const STARTED_MEMORY_BYTES = 16 * 1024 * 1024;
--- a/src/node/resource/api/api-server.ts
+++ b/src/node/resource/api/api-server.ts
@@ -15,6 +15,7 @@
 import type { Role } from '../../../protocol/resource/resource.js';
 import type { AccessControl, Principal } from '../../../state/resource/configuration/index.js';
 import { HttpServer } from '../../../transport/http-server.js';
+import type { MemoryBudget } from '../../../transport/memory-budget.js';
 import { type Exchange, sendProblem } from './exchange.js';
 
 /** Handles an exchange: it has responded, or returns the rejection to send. */
@@ -43,6 +44,7 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly isLeaving: () => boolean;
+  readonly budget: MemoryBudget;
 }
 
 /** The interface of one node. */
@@ -52,10 +54,13 @@
   private readonly idleListeners = new Set<() => void>();
 
   constructor(private readonly parts: ApiServerParts) {
-    this.http = new HttpServer({
-      notFound: (request, response) => this.answerNotFound(request, response),
-      failed: (cause, request, response) => this.answerFailed(cause, request, response),
-    });
+    const fallbacks = {
+      notFound: (request: IncomingMessage, response: ServerResponse) =>
+        this.answerNotFound(request, response),
+      failed: (cause: unknown, request: IncomingMessage, response: ServerResponse) =>
+        this.answerFailed(cause, request, response),
+    };
+    this.http = new HttpServer(fallbacks, { budget: parts.budget });
   }
 
   /** Adds routes. */
@@ -95,6 +100,7 @@
       response,
       requestId,
       principal,
+      budget: this.parts.budget,
       url: toUrl(request),
       params: paramsOf(request),
     };
--- a/src/node/resource/api/caller-routes.ts
+++ b/src/node/resource/api/caller-routes.ts
@@ -140,10 +140,7 @@
   service: ResourceOf<'Service'>,
   context: RequestContext,
 ): CoordinationResult<void> {
-  const body = await readBody(
-    exchange.request,
-    service.spec.limits?.maxBodyBytes ?? DEFAULT_BODY_LIMIT_BYTES,
-  );
+  const body = await readBody(exchange, service.spec.limits?.maxBodyBytes ?? DEFAULT_BODY_LIMIT_BYTES);
   if (body.isErr()) return err(body.error);
   const request: ApplicationRequest = {
     service,
--- a/src/node/resource/node.ts
+++ b/src/node/resource/node.ts
@@ -3,7 +3,9 @@
  * flight. It is `serving` when the configuration has been loaded; until then, and while it leaves, the work
  * gate rejects new work.
  */
+import { totalmem } from 'node:os';
 import { sleep } from '../../common/clock.js';
+import { collectGarbage } from '../../common/garbage-collector.js';
 import { Lifecycle } from '../../common/lifecycle.js';
 import { createLogger, type Logger } from '../../common/logging.js';
 import { Metrics } from '../../common/metrics.js';
@@ -14,6 +16,8 @@
 } from '../../coordination/resource/requests/index.js';
 import type { RecordStore } from '../../protocol/record-store.js';
 import { HttpClient } from '../../transport/http-client.js';
+import { MemoryBudget } from '../../transport/memory-budget.js';
+import { memoryLimitsOf } from '../machine-limits.js';
 import { ApiServer } from './api/api-server.js';
 import { callerRoutes } from './api/caller-routes.js';
 import { changeRoutes } from './api/change-routes.js';
@@ -39,6 +43,12 @@
 /** Interval in which the first load of the configuration is checked, milliseconds. Chosen, not measured. */
 const READY_POLL_MS = 20;
 
+/** The memory of the machine, or of the container that the process runs in. */
+function createBudget(): MemoryBudget {
+  const memoryBytes = Math.min(process.constrainedMemory() || Number.POSITIVE_INFINITY, totalmem());
+  return new MemoryBudget(memoryLimitsOf(memoryBytes, process.memoryUsage.rss()), collectGarbage);
+}
+
 /** One node. */
 export class ThymecoveNode {
   readonly metrics: Metrics;
@@ -78,6 +88,7 @@
       metrics: this.metrics,
       logger: this.logger,
       isLeaving: () => this.lifecycle.current === 'leaving' || this.lifecycle.current === 'stopped',
+      budget: createBudget(),
     });
   }
 
--- a/src/node/service/service-process.ts
+++ b/src/node/service/service-process.ts
@@ -11,8 +11,8 @@
 import type { ServiceSettings } from '../../protocol/service/service-settings.js';
 import { type ConnectionSettings, HttpServer, sendJson } from '../../transport/http-server.js';
 import { resetUnansweredRequests } from '../../transport/unanswered-requests.js';
+import { connectionLimitsOf } from '../machine-limits.js';
 import { PeerEndpoint } from './peer-endpoint.js';
-import { connectionLimitsOf } from './resource-limits.js';
 import type { ServiceNode } from './service-node.js';
 import { ShortageReports } from './shortage-reports.js';
 
