A submission larger than an object of the store is stored as several

A job above the size of an object (8 MiB) got 503 each time, though it was within the limits: its submission was put as one object, which the store does not take, and a retry can never help. Now it is split into objects of at most that size, in order; the job's record has their number when there are several, so that records of usual jobs are as before. A node of an earlier build that claims such a job reads its first object only and takes the submission for unreadable.

--- a/emulator/store/store-server.ts
+++ b/emulator/store/store-server.ts
@@ -11,6 +11,7 @@
 const MAX_ENTRIES = 100;
 const MAX_VALUE_BYTES = 65_536;
 const MAX_TRANSACTION_BYTES = 1_048_576;
+const MAX_OBJECT_BYTES = 8_388_608;
 const MILLISECONDS_PER_SECOND = 1_000;
 const WRITING_PATHS = [STORE_PATH.transaction, STORE_PATH.putObject, STORE_PATH.dropObject];
 
@@ -178,7 +179,12 @@
 
   private serveObject(response: ServerResponse, path: string, body: Buffer): void {
     const name = decodeURIComponent(path.slice(path.indexOf('/', 1) + 1));
-    if (path.startsWith(STORE_PATH.putObject)) this.objects.set(name, body);
+    const isPut = path.startsWith(STORE_PATH.putObject);
+    if (isPut && body.length > MAX_OBJECT_BYTES) {
+      this.answer(response, 413, {});
+      return;
+    }
+    if (isPut) this.objects.set(name, body);
     if (path.startsWith(STORE_PATH.dropObject)) this.objects.delete(name);
     const found = this.objects.get(name);
     if (!path.startsWith(STORE_PATH.getObject)) this.answer(response, 200, {});
--- a/src/state/service/jobs/job-contents.ts
+++ b/src/state/service/jobs/job-contents.ts
@@ -3,7 +3,6 @@
  * of an owner are conditional on the version of the job's head, so that a replaced owner cannot write.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { uniqueId } from '../../../common/identifier.js';
 import type { RecordStore, RecordWrite, StoredRecord } from '../../../protocol/record-store.js';
 import type { PartialText } from '../../../protocol/service/batch-job.js';
 import { StateError } from '../../state-error.js';
@@ -23,11 +22,12 @@
   TEXT_TABLE,
   textAddress,
 } from './job-record.js';
+import { SubmissionObjects, type SubmissionReference } from './submission-objects.js';
 import type { SubmittedJob } from './submitted-job.js';
 
 /** Leaves room for the key within the store's limit for a record. */
 const RECORD_FILL_RATIO = 0.9;
-/** Submissions up to this size are stored as records in one transaction, larger ones as an object. */
+/** Submissions up to this size are stored as records in one transaction, larger ones as objects. */
 const MAX_RECORD_SUBMISSION_BYTES = 500_000;
 /** Below the store's limits of 1 MB and 100 entries for a transaction; records grow by a third in base64. */
 const MAX_TRANSACTION_BYTES = 600_000;
@@ -44,43 +44,40 @@
   return chunks;
 }
 
+/** What remains to be written for a submission, and where the rest is stored. */
+export interface StoredSubmission {
+  readonly writes: RecordWrite[];
+  readonly reference: SubmissionReference;
+}
+
 export class JobContents {
   private readonly chunkBytes: number;
+  private readonly objects: SubmissionObjects;
 
   constructor(
     private readonly store: RecordStore,
     private readonly reportUnreadable: ReportUnreadable = ignoreUnreadable,
   ) {
+    this.objects = new SubmissionObjects(store);
     this.chunkBytes = Math.floor(store.limits.recordBytes * RECORD_FILL_RATIO);
   }
 
-  /** Returns the records to write for a submission, or stores it as an object and returns its name. */
-  async storeSubmission(
-    job: SubmittedJob,
-  ): Promise<Result<{ writes: RecordWrite[]; object?: string }, StateError>> {
+  /** Returns the records to write for a submission, or stores it as objects and returns where. */
+  async storeSubmission(job: SubmittedJob): Promise<Result<StoredSubmission, StateError>> {
     if (job.submission.length <= MAX_RECORD_SUBMISSION_BYTES) {
       const chunks = splitIntoChunks(job.submission, this.chunkBytes);
       return ok({
         writes: chunks.map((value, index) => ({ ...submissionAddress(job.jobId, index), value })),
+        reference: {},
       });
     }
-    const object = `job-${job.jobId}-${uniqueId()}`;
-    const outcome = await this.store.putObject(object, job.submission);
-    if (outcome.isErr()) return err(new StateError('unavailable', 'none', outcome.error.message));
-    return ok({ writes: [], object });
-  }
-
-  private async readSubmissionObject(name: string): Promise<Result<Buffer, StateError>> {
-    const found = await this.store.getObject(name);
-    if (found.isErr()) return err(new StateError('unavailable', 'none', found.error.message));
-    return found.value
-      ? ok(found.value)
-      : err(new StateError('not-found', 'none', `object ${name} does not exist`));
+    const stored = await this.objects.put(job.jobId, job.submission);
+    return stored.map((reference) => ({ writes: [], reference }));
   }
 
   async submission(head: JobHead): Promise<Result<Buffer, StateError>> {
     const { jobId, record } = head;
-    if (record.object !== undefined) return this.readSubmissionObject(record.object);
+    if (record.object !== undefined) return this.objects.read(record);
     const from = submissionAddress(jobId, 0).key;
     const records = await readRange(this.store, SUBMISSION_TABLE, partitionOf(jobId), from, rangeEnd(jobId));
     if (records.isErr()) return err(records.error);
@@ -199,7 +196,7 @@
 
   /** Removes everything but the head. Returns false if something may be left. */
   async removeAll({ jobId, record }: JobHead): Promise<boolean> {
-    if (record.object !== undefined) await this.store.removeObject(record.object);
+    await this.objects.remove(record);
     for (const table of [TEXT_TABLE, SUBMISSION_TABLE, RESULT_TABLE]) {
       const found = await readRange(this.store, table, partitionOf(jobId), `${jobId}/`, rangeEnd(jobId));
       if (found.isErr()) return false;
--- a/src/state/service/jobs/job-record.ts
+++ b/src/state/service/jobs/job-record.ts
@@ -31,6 +31,9 @@
 /** Owner of a job: one incarnation of a node. */
 export type OwnerReference = Readonly<Static<typeof OwnerSchema>>;
 
+/** Far more than a submission has. */
+const MAX_SUBMISSION_OBJECTS = 1_000;
+
 const JobSchema = Type.Object({
   state: Type.Union([Type.Literal('open'), Type.Literal('ended')]),
   /** `null` after the last owner has released the job. */
@@ -51,6 +54,8 @@
   chunks: CountSchema,
   /** Name of the object that holds a submission too large for records. */
   object: Type.Optional(Type.String()),
+  /** Number of objects, if there are several. */
+  objects: Type.Optional(Type.Integer({ minimum: 1, maximum: MAX_SUBMISSION_OBJECTS })),
   /** Store clock, milliseconds. */
   acceptedAtMs: Type.Number(),
 });
--- a/src/state/service/jobs/job-repository.ts
+++ b/src/state/service/jobs/job-repository.ts
@@ -80,7 +80,7 @@
       tokens: job.tokens,
       total: job.total,
       chunks: stored.value.writes.length,
-      object: stored.value.object,
+      ...stored.value.reference,
       acceptedAtMs: Math.round(this.store.nowMs()),
     };
     return this.insert(job.jobId, record, stored.value.writes, deadlineMs);
--- a/test/node/service/request-bodies.test.ts
+++ b/test/node/service/request-bodies.test.ts
@@ -3,6 +3,7 @@
 import type { ReplicaServer } from '../../../emulator/replica/replica-server.js';
 import { announcedBody, chunkedBody, type RawBody, RawClient } from '../../support/raw-clients.js';
 import {
+  HOST,
   JOB_PATH,
   type RouteFields,
   type ServiceNodeProcess,
@@ -21,7 +22,26 @@
 const ITEMS = 20_000;
 const CONTINUE = 'HTTP/1.1 100 ';
 
-/** A job of many small items, as large as the store takes. */
+/** Body of an item in base64; three of them are larger than an object of the store. */
+const HUGE_ITEM = 'q83v'.repeat(MEGABYTE);
+
+function hugeJob(): RawBody {
+  const items = Array.from({ length: 3 }, (_, index) => ({
+    id: `item-${index}`,
+    path: `${JOB_PATH}item`,
+    headers: { model: 'model-a' },
+    body: HUGE_ITEM,
+    tokens: 940,
+  }));
+  return wholeBody(JSON.stringify({ step: 1, model: 'model-a', minVersion: 1, items }));
+}
+
+function wholeBody(text: string): RawBody {
+  const whole = Buffer.from(text);
+  return { framing: `content-length: ${whole.length}\r\n`, pieces: () => [whole] };
+}
+
+/** A job of many small items. */
 function largeJob(): RawBody {
   const items = Array.from({ length: ITEMS }, (_, index) => ({
     id: `item-${index}`,
@@ -32,8 +52,7 @@
     group: `group-${Math.floor(index / 8)}`,
     scorer: { id: `score-${index}`, host: 'service.example', path: '/score/x', body: '3q2+7w==' },
   }));
-  const whole = Buffer.from(JSON.stringify({ step: 1, model: 'model-a', minVersion: 1, items }));
-  return { framing: `content-length: ${whole.length}\r\n`, pieces: () => [whole] };
+  return wholeBody(JSON.stringify({ step: 1, model: 'model-a', minVersion: 1, items }));
 }
 
 describe('The body of a request', () => {
@@ -89,6 +108,21 @@
     expect(client.status).to.equal(202);
   });
 
+  it('of a job that is larger than an object of the store is served in calm', async () => {
+    const engine = await system.addEngine();
+    await start({ maxBodyBytes: LIMIT });
+    await client.send({ id: 'job', path: `${JOB_PATH}x` }, hugeJob());
+    await untilAnswered();
+    expect(client.status).to.equal(202);
+    await until('its items run', () => engine.received.length === 3);
+    const reader = await system.http.exchange({
+      method: 'GET',
+      url: `${node.url}/items/job?id=item-0`,
+      headers: { host: HOST },
+    });
+    expect(reader._unsafeUnwrap().body.equals(Buffer.from(HUGE_ITEM, 'base64'))).to.equal(true);
+  });
+
   it('is refused by its announced size before any of it has come', async () => {
     await start({ maxBodyBytes: MEGABYTE });
     await client.send({ id: 'large' }, announcedBody(2 * MEGABYTE, 0));
