--- a/src/coordination/feeds/record-feed.ts
+++ b/src/coordination/feeds/record-feed.ts
@@ -40,8 +40,11 @@
 export interface FeedHandler<T> {
   readonly table: string;
   readAll(): Promise<Result<TableContent<T>, StateError>>;
-  /** Replaces all records: those that are not in `content` no longer exist. Uses `applyEach`. */
-  replaceAll(content: T): void;
+  /**
+   * Replaces all records: those that are not in `content` no longer exist, unless they are newer than `version` of
+   * the store, at which it was read. Uses `applyEach`.
+   */
+  replaceAll(content: T, version: number): void;
   apply(change: ChangedRecord): void;
   /** All changes before `asOfMs`, on the monotonic clock, have been applied. */
   confirm?(asOfMs: number): void;
@@ -218,7 +221,7 @@
 
   private replaceAll(content: T, version: number): void {
     try {
-      this.handler.replaceAll(content);
+      this.handler.replaceAll(content, version);
     } catch (cause) {
       this.reportFailures(cause, version);
     }
--- a/src/coordination/feeds/shared-table.ts
+++ b/src/coordination/feeds/shared-table.ts
@@ -35,11 +35,11 @@
     return ok({ content: { main: main.value.content, secondary: secondary.value.content }, version });
   }
 
-  replaceAll({ main, secondary }: SharedContent<Main, Secondary>): void {
+  replaceAll({ main, secondary }: SharedContent<Main, Secondary>, version: number): void {
     try {
-      this.secondary.handler.replaceAll(secondary);
+      this.secondary.handler.replaceAll(secondary, version);
     } finally {
-      this.main.replaceAll(main);
+      this.main.replaceAll(main, version);
     }
   }
 
--- a/src/coordination/service/jobs/job-ownership.ts
+++ b/src/coordination/service/jobs/job-ownership.ts
@@ -142,9 +142,10 @@
     return listing.map(({ heads, version }) => ({ content: heads, version }));
   }
 
-  replaceAll(content: readonly JobHead[]): void {
+  replaceAll(content: readonly JobHead[], version: number): void {
     const jobIds = new Set(content.map((head) => head.jobId));
-    for (const jobId of this.heads.ids) if (!jobIds.has(jobId)) this.forget(jobId);
+    const isOld = (jobId: string) => (this.heads.get(jobId)?.version ?? 0) <= version;
+    for (const jobId of this.heads.ids) if (!jobIds.has(jobId) && isOld(jobId)) this.forget(jobId);
     applyEach(
       content,
       ({ jobId }) => jobId,
