--- a/src/coordination/service/dispatch/remote-dispatch.ts
+++ b/src/coordination/service/dispatch/remote-dispatch.ts
@@ -103,9 +103,9 @@
     call.onHandOver?.(true);
     const answer = await this.client.call(dispatcher, call, isRepeatable);
     this.services.metrics.dispatcherCalls.inc({ outcome: answer.kind });
-    if (answer.kind === 'not-taken') {
+    if (answer.kind === 'not-taken') this.health.eject(dispatcher.name, answer.reason);
+    if (answer.kind === 'not-taken' || answer.kind === 'not-sent') {
       call.onHandOver?.(false);
-      this.health.eject(dispatcher.name, answer.reason);
       return undefined;
     }
     if (call.signal.aborted) return CANCELLED_RESULT;
--- a/src/node/machine-limits.ts
+++ b/src/node/machine-limits.ts
@@ -12,8 +12,8 @@
 const YOUNG_GARBAGE_FRACTION = 0.05;
 
 /** Parts of the descriptors; the rest is for the store, replicas, connections to peers, and files. */
-const CALLER_DESCRIPTOR_FRACTION = 0.5;
-const PEER_DESCRIPTOR_FRACTION = 0.2;
+const CALLER_DESCRIPTOR_FRACTION = 0.45;
+const PEER_DESCRIPTOR_FRACTION = 0.3;
 /** Part of the memory that the heads of requests may take. */
 const HEAD_MEMORY_FRACTION = 0.1;
 /** What a connection holds while its head comes. */
--- a/src/protocol/service/dispatch-peer.ts
+++ b/src/protocol/service/dispatch-peer.ts
@@ -115,6 +115,8 @@
 /** Result of a call to another node. */
 export type PeerDispatch =
   | { readonly kind: 'outcome'; readonly outcome: Framed<DispatchOutcomeMessage> }
+  /** This node has no memory for the message; nothing was sent. */
+  | { readonly kind: 'not-sent' }
   /** The other node certainly did not accept the call. */
   | { readonly kind: 'not-taken'; readonly reason: string }
   /** The other node may have accepted the call, and the request may run. */
@@ -141,7 +143,7 @@
 ): Promise<PeerDispatch> {
   const bytes = frame(call.message, call.body);
   const holding = budget.tryHold(bytes.length);
-  if (!holding) return { kind: 'not-taken', reason: 'too little memory for the message' };
+  if (!holding) return { kind: 'not-sent' };
   try {
     return await exchange(http, budget, address, bytes, options);
   } finally {
--- a/src/transport/lingering-close.ts
+++ b/src/transport/lingering-close.ts
@@ -15,14 +15,24 @@
 /** Called with the bytes that were received and dropped since the last call. */
 export type DiscardListener = (bytes: number) => void;
 
-const latestRequests = new WeakMap<Socket, IncomingMessage>();
+interface IncompleteRequest {
+  readonly request: IncomingMessage;
+  readonly onDiscarded: DiscardListener;
+}
+
+const latestRequests = new WeakMap<Socket, IncompleteRequest>();
 
 /** Keeps a server from closing `socket` after a response while the request is incomplete: only its end is sent. */
 export function lingerOnClose(socket: Socket): void {
   // Node calls this method when the last response of a connection was written.
   socket.destroySoon = () => {
-    if (latestRequests.get(socket)?.complete === false) socket.end();
-    else Socket.prototype.destroySoon.call(socket);
+    const latest = latestRequests.get(socket);
+    if (!latest || latest.request.complete) {
+      Socket.prototype.destroySoon.call(socket);
+      return;
+    }
+    socket.end();
+    discardRest(latest, socket);
   };
 }
 
@@ -33,14 +43,16 @@
   onDiscarded: DiscardListener,
 ): void {
   const { socket } = request;
-  latestRequests.set(socket, request);
+  const latest = { request, onDiscarded };
+  latestRequests.set(socket, latest);
   response.once('finish', () => {
-    if (!request.complete && !socket.destroyed) discardRest(request, socket, onDiscarded);
+    // A connection that is being closed is read by `lingerOnClose`.
+    if (!request.complete && !socket.destroyed && !socket.writableEnded) discardRest(latest, socket);
   });
 }
 
 /** Drops bytes until the request is whole or a limit is reached. */
-function discardRest(request: IncomingMessage, socket: Socket, onDiscarded: DiscardListener): void {
+function discardRest({ request, onDiscarded }: IncompleteRequest, socket: Socket): void {
   const startedAtMs = monotonicMs();
   const startBytes = socket.bytesRead;
   let countedBytes = startBytes;
--- a/test/node/service/node-dispatch.test.ts
+++ b/test/node/service/node-dispatch.test.ts
@@ -42,6 +42,7 @@
         nowMs: () => STORE_TIME_MS,
       },
       settings: { nodeName: 'node-1', zone: 'z', memoryBytes: 1e9 },
+      budget: { limitBytes: 1e6 },
       routing: new RoutingTable(),
       directory: new ReplicaDirectory(),
       jobGate: { check: () => verdict },
