Chunks that are dropped after a refusal count as garbage when they come

Cause: what evicted clients went on sending was counted every 50 ms only, up to some tens of MB of chunks later, which V8 collects at 32 MB by itself; and a collection leaves the freeing of buffers to another thread. Now each dropped chunk counts at once, and a collection waits for the thread.

--- a/src/common/garbage-collector.ts
+++ b/src/common/garbage-collector.ts
@@ -20,9 +20,10 @@
   return exposed;
 }
 
-/** Collects garbage before it returns. */
+/** Collects garbage before it returns; the memory of old buffers is free then, too. */
 export function collectGarbage(generation: Generation): void {
   collect ??= exposeCollect();
-  if (generation === 'young') collect({ type: 'minor' });
-  else collect();
+  if (generation === 'all') collect();
+  // Another thread frees the buffers that a collection found; the next collection waits for it.
+  collect({ type: 'minor' });
 }
--- a/src/transport/lingering-close.ts
+++ b/src/transport/lingering-close.ts
@@ -12,7 +12,7 @@
 const MAX_LINGER_MS = 5_000;
 const CHECK_INTERVAL_MS = 50;
 
-/** Called with the bytes that were received and dropped since the last call. */
+/** Called with the size of each chunk that was received and dropped. */
 export type DiscardListener = (bytes: number) => void;
 
 interface IncompleteRequest {
@@ -55,12 +55,9 @@
 function discardRest({ request, onDiscarded }: IncompleteRequest, socket: Socket): void {
   const startedAtMs = monotonicMs();
   const startBytes = socket.bytesRead;
-  let countedBytes = startBytes;
-  request.resume();
+  request.on('data', (chunk: Buffer) => onDiscarded(chunk.length));
   const timer = setInterval(() => {
     const { bytesRead } = socket;
-    onDiscarded(bytesRead - countedBytes);
-    countedBytes = bytesRead;
     const isOver =
       bytesRead - startBytes > MAX_DISCARDED_BYTES || monotonicMs() - startedAtMs > MAX_LINGER_MS;
     if (!isOver && !request.complete && !socket.destroyed) return;
--- a/src/transport/request-body.ts
+++ b/src/transport/request-body.ts
@@ -42,7 +42,11 @@
   limits: BodyLimits,
   budget: MemoryBudget,
 ): Promise<ReceiveResult> {
-  if ((announcedBytes(request) ?? 0) > limits.maxBytes) return Promise.resolve(err(tooLarge(limits)));
+  if ((announcedBytes(request) ?? 0) > limits.maxBytes) {
+    // Of a request that nobody reads, Node drops the chunks without telling.
+    request.resume();
+    return Promise.resolve(err(tooLarge(limits)));
+  }
   if (request.headers.expect?.toLowerCase() === CONTINUE) response.writeContinue();
   return new Promise((resolve) => new BodyReception(request, limits, budget, resolve).begin());
 }
