--- a/src/node/machine-limits.ts
+++ b/src/node/machine-limits.ts
@@ -37,6 +37,7 @@
   };
 }
 
+/** Maximum connections to each listener of a node on such a machine. */
 export function connectionLimitsOf(maxDescriptors: number, memoryBytes: number): ConnectionLimits {
   const heads = (memoryBytes * HEAD_MEMORY_FRACTION) / HEAD_BYTES;
   return {
--- a/src/transport/request-body.ts
+++ b/src/transport/request-body.ts
@@ -43,7 +43,7 @@
   budget: MemoryBudget,
 ): Promise<ReceiveResult> {
   if ((announcedBytes(request) ?? 0) > limits.maxBytes) {
-    // Of a request that nobody reads, Node drops the chunks without telling.
+    // Reading makes the chunks visible to `boundReadingAfter`; Node would drop those of an unread request silently.
     request.resume();
     return Promise.resolve(err(tooLarge(limits)));
   }
--- a/test/node/service/misbehaving-clients.test.ts
+++ b/test/node/service/misbehaving-clients.test.ts
@@ -1,7 +1,4 @@
-/**
- * Crowds of clients that send too much, or never finish, must neither end a node nor exceed the memory of its
- * machine, and ordinary callers are still served.
- */
+/** Clients that send too much, or never finish, must neither end a node nor exceed the memory of its machine. */
 import { expect } from 'chai';
 import type { ReplicaServer } from '../../../emulator/replica/replica-server.js';
 import { openDescriptors, peakMemoryBytes } from '../../support/process-usage.js';
